Add domain values, state charts, the fleet core, limits and the configuration document

The fleet core and the limits are plain steps without sockets or clocks; the first randomised schedules found that the removal of an earlier process, once proposed, took the membership of its successor at the same address. A node now counts as a member only while no known proposal removes it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Pinned tools, installed below .tools by "make tools".
+GOFUMPT_VERSION := v0.12.0
+REVIVE_VERSION := v1.9.0
+TOOLS := $(CURDIR)/.tools
+
+SEED ?= 1
+STEPS ?= 30
+CHECKS ?= 100
+
+.DEFAULT_GOAL := help
+
+.PHONY: help
+help: ## List every target
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
+
+.PHONY: build
+build: ## Build the programs into bin/
+	go build -o bin/ ./cmd/...
+
+.PHONY: tools
+tools: ## Install the pinned formatter and linter
+	@test -x $(TOOLS)/gofumpt || GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	@test -x $(TOOLS)/revive || GOBIN=$(TOOLS) go install github.com/mgechev/revive@$(REVIVE_VERSION)
+
+.PHONY: format
+format: tools ## Format the code
+	$(TOOLS)/gofumpt -w .
+
+.PHONY: lint
+lint: tools ## Check format, vet and lint
+	@unformatted=$$($(TOOLS)/gofumpt -l .); test -z "$$unformatted" || { echo "not formatted: $$unformatted"; exit 1; }
+	go vet ./...
+	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
+
+.PHONY: test
+test: lint ## Check format, lint and run all tests with fixed seeds
+	go test ./...
+
+.PHONY: soak
+soak: ## Run random schedules of the fleet: make soak SEED=N STEPS=N CHECKS=N
+	go test ./internal/fleet -run TestSoak -count=1 -timeout 0 -rapid.seed=$(SEED) -rapid.steps=$(STEPS) -rapid.checks=$(CHECKS)
--- /dev/null
+++ b/internal/configuration/document.go
@@ -0,0 +1,221 @@
+package configuration
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+)
+
+// Section names one part of the document.
+type Section string
+
+// The sections of a document.
+const (
+	AccountSection Section = "Accounts"
+	KeySection     Section = "Keys"
+	ModelSection   Section = "Models"
+	RouteSection   Section = "Routes"
+	TargetSection  Section = "Targets"
+	StoreSection   Section = "WeightStore"
+)
+
+// sections lists the sections in the order in which they are encoded.
+var sections = []Section{AccountSection, KeySection, ModelSection, RouteSection, TargetSection, StoreSection}
+
+// The weight store's budget when the document names none.
+const (
+	// DefaultLoadSlots is how many models load at full speed at once.
+	DefaultLoadSlots = 4
+	// DefaultAdapterSlots is how many adapters load at full speed at once.
+	DefaultAdapterSlots = 30
+	// budgetName is the only entity of the weight store's section.
+	budgetName = "Budget"
+)
+
+// StoreBudget bounds the loads from the weight store over the whole fleet.
+type StoreBudget struct {
+	LoadSlots    int
+	AdapterSlots int
+}
+
+// Change replaces one entity of the document, or deletes it when Value is empty.
+type Change struct {
+	Section Section
+	Name    string
+	// Value is the entity in the document's encoding.
+	Value []byte
+}
+
+// Document is one version of the configuration. It is never changed once made.
+type Document struct {
+	accounts map[string]mimosatide.Account
+	keys     map[mimosatide.KeyDigest]mimosatide.Key
+	models   map[string]mimosatide.Model
+	routes   map[string]mimosatide.Route
+	targets  map[string]mimosatide.TargetSpec
+	budget   StoreBudget
+}
+
+// NewDocument returns an empty document.
+func NewDocument() *Document {
+	return &Document{
+		accounts: map[string]mimosatide.Account{},
+		keys:     map[mimosatide.KeyDigest]mimosatide.Key{},
+		models:   map[string]mimosatide.Model{},
+		routes:   map[string]mimosatide.Route{},
+		targets:  map[string]mimosatide.TargetSpec{},
+		budget:   StoreBudget{LoadSlots: DefaultLoadSlots, AdapterSlots: DefaultAdapterSlots},
+	}
+}
+
+// GetAccount returns the account of a name.
+func (document *Document) GetAccount(name string) (mimosatide.Account, bool) {
+	account, found := document.accounts[name]
+	return account, found
+}
+
+// GetKeyByDigest returns the key of a digest.
+func (document *Document) GetKeyByDigest(digest mimosatide.KeyDigest) (mimosatide.Key, bool) {
+	key, found := document.keys[digest]
+	return key, found
+}
+
+// GetModel returns the model of a name.
+func (document *Document) GetModel(name string) (mimosatide.Model, bool) {
+	model, found := document.models[name]
+	return model, found
+}
+
+// GetRoute returns the route of a name.
+func (document *Document) GetRoute(name string) (mimosatide.Route, bool) {
+	route, found := document.routes[name]
+	return route, found
+}
+
+// GetTarget returns the target of a name.
+func (document *Document) GetTarget(name string) (mimosatide.TargetSpec, bool) {
+	target, found := document.targets[name]
+	return target, found
+}
+
+// Accounts returns all accounts in the order of their names.
+func (document *Document) Accounts() []mimosatide.Account {
+	return inOrder(document.accounts)
+}
+
+// Models returns all models in the order of their names.
+func (document *Document) Models() []mimosatide.Model {
+	return inOrder(document.models)
+}
+
+// Engines returns the model engines in the order of their names.
+func (document *Document) Engines() []mimosatide.TargetSpec {
+	targets := inOrder(document.targets)
+	return slices.DeleteFunc(targets, func(target mimosatide.TargetSpec) bool {
+		return target.Kind != mimosatide.EngineTarget
+	})
+}
+
+// Targets returns all targets in the order of their names.
+func (document *Document) Targets() []mimosatide.TargetSpec {
+	return inOrder(document.targets)
+}
+
+// Budget returns the weight store's budget.
+func (document *Document) Budget() StoreBudget {
+	return document.budget
+}
+
+func inOrder[Value any](values map[string]Value) []Value {
+	ordered := make([]Value, 0, len(values))
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		ordered = append(ordered, values[name])
+	}
+	return ordered
+}
+
+// WithChanges returns a copy of the document with the changes made.
+func (document *Document) WithChanges(changes []Change) (*Document, error) {
+	changed := document.copyOf(changes)
+	for _, change := range changes {
+		if err := changed.apply(change); err != nil {
+			return nil, errors.Annotatef(err, "%s/%s", change.Section, change.Name)
+		}
+	}
+	return changed, nil
+}
+
+// copyOf copies only the sections that the changes touch.
+func (document *Document) copyOf(changes []Change) *Document {
+	copied := *document
+	cloned := map[Section]bool{}
+	for _, change := range changes {
+		if cloned[change.Section] {
+			continue
+		}
+		cloned[change.Section] = true
+		switch change.Section {
+		case AccountSection:
+			copied.accounts = maps.Clone(document.accounts)
+		case KeySection:
+			copied.keys = maps.Clone(document.keys)
+		case ModelSection:
+			copied.models = maps.Clone(document.models)
+		case RouteSection:
+			copied.routes = maps.Clone(document.routes)
+		case TargetSection:
+			copied.targets = maps.Clone(document.targets)
+		}
+	}
+	return &copied
+}
+
+func (document *Document) apply(change Change) error {
+	switch change.Section {
+	case AccountSection:
+		return set(document.accounts, change.Name, change, decodeAccount)
+	case KeySection:
+		return set(document.keys, mimosatide.KeyDigest(change.Name), change, decodeKey)
+	case ModelSection:
+		return set(document.models, change.Name, change, decodeModel)
+	case RouteSection:
+		return set(document.routes, change.Name, change, decodeRoute)
+	case TargetSection:
+		return set(document.targets, change.Name, change, decodeTarget)
+	case StoreSection:
+		return document.applyBudget(change)
+	default:
+		return errors.NotValidf("section %q", change.Section)
+	}
+}
+
+func (document *Document) applyBudget(change Change) error {
+	document.budget = NewDocument().budget
+	if len(change.Value) == 0 {
+		return nil
+	}
+	budget, err := decodeBudget(change.Name, change.Value)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	document.budget = budget
+	return nil
+}
+
+func set[Name ~string, Value any](
+	values map[Name]Value, name Name, change Change, decode func(string, []byte) (Value, error),
+) error {
+	if len(change.Value) == 0 {
+		delete(values, name)
+		return nil
+	}
+	value, err := decode(change.Name, change.Value)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	values[name] = value
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,179 @@
+package fleet_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"mimosatide.example/mimosatide/internal/fleet"
+)
+
+func freshNodes(w *world) int {
+	count := 0
+	for _, node := range w.nodes {
+		if !node.dead && !node.paused && node.core.Fresh(w.clock(node)) {
+			count++
+		}
+	}
+	return count
+}
+
+func settledWorld(t *testing.T, seed uint64, size int) *world {
+	t.Helper()
+	w := newWorld(t, seed, size)
+	w.run(20 * time.Second)
+	if fresh := freshNodes(w); fresh != size {
+		t.Fatalf("%d of %d nodes are fresh", fresh, size)
+	}
+	return w
+}
+
+func TestSharesSpreadEvenly(t *testing.T) {
+	w := settledWorld(t, 1, 8)
+	if held := w.heldByNode(); !slices.Equal(held, []int{8, 8, 8, 8, 8, 8, 8, 8}) {
+		t.Fatalf("shares %v", held)
+	}
+}
+
+func TestPatchIsInForceEverywhereOnceAccepted(t *testing.T) {
+	w := settledWorld(t, 2, 8)
+	id := w.ask(w.nodes[3])
+	w.run(5 * time.Second)
+	if w.settled[id] != fleet.PatchAccepted {
+		t.Fatalf("patch ended %q", w.settled[id])
+	}
+	for _, node := range w.nodes {
+		if node.core.Head().Version != 1 || node.core.Applied() != node.core.Head().Sequence {
+			t.Fatalf("node %s has version %d", node.member.Address, node.core.Head().Version)
+		}
+	}
+}
+
+func TestRacingPatchesOneIsAccepted(t *testing.T) {
+	for seed := range uint64(20) {
+		w := settledWorld(t, 100+seed, 5)
+		first, second := w.ask(w.nodes[0]), w.ask(w.nodes[1])
+		w.run(6 * time.Second)
+		outcomes := []fleet.PatchOutcome{w.settled[first], w.settled[second]}
+		slices.Sort(outcomes)
+		if !slices.Equal(outcomes, []fleet.PatchOutcome{fleet.PatchAccepted, fleet.PatchStale}) {
+			t.Fatalf("seed %d: outcomes %v", seed, outcomes)
+		}
+	}
+}
+
+func TestWarmServingSurvivesTableOutage(t *testing.T) {
+	w := settledWorld(t, 3, 8)
+	w.tableDown = true
+	w.run(time.Minute)
+	if fresh := freshNodes(w); fresh != 8 {
+		t.Fatalf("only %d nodes are fresh in an outage", fresh)
+	}
+	id := w.ask(w.nodes[0])
+	w.run(10 * time.Second)
+	if outcome := w.settled[id]; outcome == fleet.PatchAccepted || outcome == "" {
+		t.Fatalf("a patch during the outage ended %q", outcome)
+	}
+}
+
+func TestNodeCutOffFromEverythingStopsAdmitting(t *testing.T) {
+	w := settledWorld(t, 4, 8)
+	w.nodes[2].cutOff, w.nodes[2].noTable = true, true
+	w.run(2 * time.Second)
+	if w.nodes[2].core.Fresh(w.clock(w.nodes[2])) {
+		t.Fatal("a node that hears nothing admits work")
+	}
+}
+
+func TestMinorityCutOffFromTableAndMajorityStops(t *testing.T) {
+	w := settledWorld(t, 5, 8)
+	id := ""
+	// Three nodes lose the table and all peers; the others go on.
+	for _, node := range w.nodes[:3] {
+		node.cutOff, node.noTable = true, true
+	}
+	w.run(2 * time.Second)
+	id = w.ask(w.nodes[5])
+	w.run(5 * time.Second)
+	if w.settled[id] != fleet.PatchAccepted {
+		t.Fatalf("patch ended %q", w.settled[id])
+	}
+	if fresh := freshNodes(w); fresh != 5 {
+		t.Fatalf("%d nodes admit work", fresh)
+	}
+}
+
+func TestPatchWithoutMajorityLeavesNoTrace(t *testing.T) {
+	w := settledWorld(t, 6, 8)
+	for _, node := range w.nodes[:5] {
+		node.cutOff, node.noTable = true, true
+	}
+	id := w.ask(w.nodes[7])
+	w.run(6 * time.Second)
+	if w.settled[id] != fleet.PatchRejected {
+		t.Fatalf("patch ended %q", w.settled[id])
+	}
+	for _, node := range w.nodes[:5] {
+		node.cutOff, node.noTable = false, false
+	}
+	w.run(5 * time.Second)
+	for _, node := range w.nodes {
+		if head := node.core.Head(); head.Version != 0 || head.Proposal != nil {
+			t.Fatalf("node %s keeps version %d", node.member.Address, head.Version)
+		}
+	}
+}
+
+func TestRestartAtSameAddressGetsSharesBackEarly(t *testing.T) {
+	w := settledWorld(t, 7, 8)
+	w.nodes[4].dead = true
+	w.run(time.Second)
+	w.start(w.nodes[4])
+	w.run(8 * time.Second)
+	if held := w.heldByNode(); held[0] != 8 {
+		t.Fatalf("shares %v", held)
+	}
+}
+
+func TestPausedNodeLosesItsSharesOnlyOnce(t *testing.T) {
+	w := settledWorld(t, 8, 4)
+	w.nodes[1].paused = true
+	w.run(2 * testTerm)
+	w.nodes[1].paused = false
+	w.run(10 * time.Second)
+	if held := w.heldByNode(); !slices.Equal(held, []int{16, 16, 16, 16}) {
+		t.Fatalf("shares %v", held)
+	}
+}
+
+func TestReplacedHostsTakeOver(t *testing.T) {
+	w := settledWorld(t, 9, 4)
+	for _, node := range w.nodes[:3] {
+		node.dead = true
+	}
+	w.hosts = w.hosts[3:]
+	w.listHosts()
+	w.run(15 * time.Second)
+	if members := len(w.nodes[3].core.Head().Members); members != 1 {
+		t.Fatalf("%d members are left", members)
+	}
+	w.run(5 * time.Second)
+	if held := w.nodes[3].core.SharesHeld(w.clock(w.nodes[3])); held != fleet.DefaultShareCount {
+		t.Fatalf("the last node holds %d shares", held)
+	}
+}
+
+func TestLeavingNodeReleasesAll(t *testing.T) {
+	w := settledWorld(t, 10, 4)
+	leaver := w.nodes[0]
+	w.perform(leaver, leaver.core.Step(w.clock(leaver), fleet.LeaveAsked{}))
+	w.run(5 * time.Second)
+	if !leaver.left {
+		t.Fatal("the node never left")
+	}
+	leaver.dead = true
+	w.run(5 * time.Second)
+	if held := w.heldByNode(); held[0] < 21 {
+		t.Fatalf("shares %v", held)
+	}
+}
--- /dev/null
+++ b/internal/fleet/freshness.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"mimosatide.example/mimosatide"
+)
+
+// freshness knows how old this node's knowledge of the head is.
+type freshness struct {
+	hasRead    bool
+	lastRead   time.Duration
+	round      uint64
+	rounds     map[uint64]time.Duration
+	statements map[string]statement
+	heard      map[string]time.Duration
+}
+
+type statement struct {
+	row mimosatide.RowVersion
+	// asked is when this node asked for the statement.
+	asked time.Duration
+}
+
+func newFreshness() freshness {
+	return freshness{
+		rounds:     map[uint64]time.Duration{},
+		statements: map[string]statement{},
+		heard:      map[string]time.Duration{},
+	}
+}
+
+// readAt notes a read of the table that was begun at the given time.
+func (fresh *freshness) readAt(started time.Duration) {
+	fresh.hasRead = true
+	fresh.lastRead = max(fresh.lastRead, started)
+}
+
+func (fresh *freshness) newRound(now, keep time.Duration) uint64 {
+	for round, asked := range fresh.rounds {
+		if now-asked > keep {
+			delete(fresh.rounds, round)
+		}
+	}
+	fresh.round++
+	fresh.rounds[fresh.round] = now
+	return fresh.round
+}
+
+func (fresh *freshness) note(from string, message Statement) {
+	asked, known := fresh.rounds[message.Round]
+	if !known {
+		return
+	}
+	earlier := fresh.statements[from]
+	fresh.statements[from] = statement{
+		row:   max(earlier.row, message.Row),
+		asked: max(earlier.asked, asked),
+	}
+}
+
+// Fresh says whether this node may admit work.
+func (core *Core) Fresh(now time.Duration) bool {
+	return now < core.FreshUntil()
+}
+
+// FreshUntil returns until when this node may admit work with what it knows now.
+func (core *Core) FreshUntil() time.Duration {
+	behind := core.log.applied != core.head.Sequence
+	if !core.freshness.hasRead || behind || !core.isMember() {
+		return 0
+	}
+	limit := core.settings.shortened(core.settings.Freshness)
+	until := core.freshness.lastRead + limit
+	if confirmed, enough := core.confirmedByPeers(); enough {
+		until = max(until, confirmed+limit)
+	}
+	return until
+}
+
+// confirmedByPeers returns the latest time by which half of each member set had
+// not yet been asked to state its head. Half of the members overlap every
+// majority that holds a proposal, so one of them knows each accepted change.
+func (core *Core) confirmedByPeers() (time.Duration, bool) {
+	confirmed := time.Duration(0)
+	for index, set := range core.head.quorumSets() {
+		oldest, enough := core.oldestOfHalf(set)
+		if !enough {
+			return 0, false
+		}
+		if index == 0 || oldest < confirmed {
+			confirmed = oldest
+		}
+	}
+	return confirmed, true
+}
+
+func (core *Core) oldestOfHalf(set []mimosatide.Member) (time.Duration, bool) {
+	var asked []time.Duration
+	for _, member := range set {
+		if member.Address == core.settings.Self.Address {
+			asked = append(asked, core.now)
+			continue
+		}
+		if stated, known := core.freshness.statements[member.Address]; known {
+			asked = append(asked, stated.asked)
+		}
+	}
+	half := (len(set) + 1) / 2
+	if half == 0 || len(asked) < half {
+		return 0, false
+	}
+	slices.SortFunc(asked, func(left, right time.Duration) int { return int(right - left) })
+	return asked[half-1], true
+}
+
+// holders counts the members that know a head of at least the given row;
+// those whose host is gone can't admit work and count as well.
+func (core *Core) holders(set []mimosatide.Member, row mimosatide.RowVersion) int {
+	count := 0
+	for _, member := range set {
+		if core.holds(member, row) {
+			count++
+		}
+	}
+	return count
+}
+
+func (core *Core) holds(member mimosatide.Member, row mimosatide.RowVersion) bool {
+	if member.Address == core.settings.Self.Address {
+		return core.head.Row >= row
+	}
+	if core.hosts.gone(core.now, core.settings.HostLag, member) {
+		return true
+	}
+	return core.freshness.statements[member.Address].row >= row
+}
+
+// majorityHolds says whether a majority of each member set holds the row.
+func (core *Core) majorityHolds(row mimosatide.RowVersion) bool {
+	for _, set := range core.head.quorumSets() {
+		if core.holders(set, row) <= len(set)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+func (core *Core) everyoneHolds(row mimosatide.RowVersion) bool {
+	return core.holders(core.head.Members, row) == len(core.head.Members)
+}
+
+func (core *Core) ping() {
+	if !core.headKnown || core.now < core.nextPing {
+		return
+	}
+	core.nextPing = core.now + core.settings.PingEvery
+	round := core.freshness.newRound(core.now, core.settings.Freshness)
+	for _, member := range core.peers() {
+		core.send(member.Address, Ping{Round: round, Row: core.head.Row})
+	}
+}
+
+// pushHead hands the head to every member that isn't known to have it.
+func (core *Core) pushHead() {
+	round := core.freshness.newRound(core.now, core.settings.Freshness)
+	value := EncodeHead(core.head)
+	for _, member := range core.peers() {
+		if core.freshness.statements[member.Address].row < core.head.Row {
+			core.send(member.Address, Push{Round: round, Row: core.head.Row, Head: value})
+		}
+	}
+}
+
+// peers returns all present and proposed members but this node.
+func (core *Core) peers() []mimosatide.Member {
+	var peers []mimosatide.Member
+	for _, set := range core.head.quorumSets() {
+		for _, member := range set {
+			if member.Address != core.settings.Self.Address && !hasMember(peers, member.Address) {
+				peers = append(peers, member)
+			}
+		}
+	}
+	return peers
+}
+
+func (core *Core) receive(from string, message Message) {
+	core.freshness.heard[from] = core.now
+	switch message := message.(type) {
+	case Ping:
+		core.state(from, message.Round, message.Row)
+	case Push:
+		core.learnHead(message.Row, message.Head)
+		core.state(from, message.Round, message.Row)
+	case Statement:
+		if len(message.Head) > 0 && !core.learnHead(message.Row, message.Head) {
+			return
+		}
+		if core.headKnown && message.Row <= core.head.Row {
+			core.freshness.note(from, message)
+		}
+	case AskEntries:
+		core.giveEntries(from, message.After)
+	case GiveEntries:
+		core.takeEntries(message)
+	}
+}
+
+// state answers with the newest known head. A process that hasn't read the
+// table itself says nothing: it may have forgotten what it held before a restart.
+func (core *Core) state(to string, round uint64, theirs mimosatide.RowVersion) {
+	if !core.freshness.hasRead {
+		return
+	}
+	answer := Statement{Round: round, Row: core.head.Row}
+	if theirs < core.head.Row {
+		answer.Head = EncodeHead(core.head)
+	}
+	core.send(to, answer)
+}
+
+// Live returns the members that were heard of lately, this node included.
+func (core *Core) Live(now time.Duration) []mimosatide.Member {
+	var live []mimosatide.Member
+	for _, member := range core.head.Members {
+		if member.Address == core.settings.Self.Address || core.heardLately(now, member.Address) {
+			live = append(live, member)
+		}
+	}
+	return live
+}
+
+func (core *Core) heardLately(now time.Duration, address string) bool {
+	heard, known := core.freshness.heard[address]
+	return known && now-heard < MinLiveAfter
+}
--- /dev/null
+++ b/internal/fleet/head.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+)
+
+// The rows of the table that the core reads and writes.
+const (
+	HeadKey        = "configuration/head"
+	SharesKey      = "fleet/shares"
+	leaseKeyPrefix = "fleet/lease/"
+	entryKeyPrefix = "configuration/entry/"
+	patchKeyPrefix = "configuration/patch/"
+)
+
+// EntryKey returns the key of the row of one log entry.
+func EntryKey(sequence uint64) string {
+	return fmt.Sprintf("%s%016d", entryKeyPrefix, sequence)
+}
+
+// PatchKey returns the key of the row that settles a patch id.
+func PatchKey(id string) string {
+	return patchKeyPrefix + id
+}
+
+func leaseKey(address string) string {
+	return leaseKeyPrefix + address
+}
+
+// Entry is one change of the configuration log: of the document or of the members.
+type Entry struct {
+	// Nonce tells this proposal from every other one.
+	Nonce    string
+	PatchID  string
+	Operator string
+	// Version is the configuration version once the entry is accepted.
+	Version mimosatide.Version
+	// Changes is the encoded change of the document.
+	Changes []byte
+	// Members is the whole new member list of a change of members.
+	Members []mimosatide.Member
+}
+
+// Head is the newest state of the configuration log.
+type Head struct {
+	// Row is the version of the table row, which orders all heads.
+	Row      mimosatide.RowVersion
+	Sequence uint64
+	Version  mimosatide.Version
+	Members  []mimosatide.Member
+	// Last is the entry accepted with Sequence.
+	Last *Entry
+	// Proposal is the entry that awaits acceptance.
+	Proposal *Entry
+}
+
+// WithProposal returns a copy with a proposal.
+func (head Head) WithProposal(entry Entry) Head {
+	head.Proposal = &entry
+	return head
+}
+
+// WithoutProposal returns a copy whose proposal was rejected.
+func (head Head) WithoutProposal() Head {
+	head.Proposal = nil
+	return head
+}
+
+// WithAccepted returns a copy whose proposal was accepted.
+func (head Head) WithAccepted() Head {
+	entry := *head.Proposal
+	head.Sequence++
+	head.Version = entry.Version
+	if entry.Members != nil {
+		head.Members = entry.Members
+	}
+	head.Last = &entry
+	head.Proposal = nil
+	return head
+}
+
+// HasMember says whether the address belongs to a member.
+func (head Head) HasMember(address string) bool {
+	return hasMember(head.Members, address)
+}
+
+func hasMember(members []mimosatide.Member, address string) bool {
+	return slices.ContainsFunc(members, func(member mimosatide.Member) bool { return member.Address == address })
+}
+
+// quorumSets returns the member lists of which each must reach a quorum.
+func (head Head) quorumSets() [][]mimosatide.Member {
+	sets := [][]mimosatide.Member{head.Members}
+	if head.Proposal != nil && head.Proposal.Members != nil {
+		sets = append(sets, head.Proposal.Members)
+	}
+	return sets
+}
+
+type memberWire struct {
+	Address string
+	Host    string
+	Zone    string
+}
+
+type entryWire struct {
+	Nonce    string
+	PatchID  string
+	Operator string
+	Version  uint64
+	Changes  []byte
+	Members  []memberWire
+}
+
+type headWire struct {
+	Sequence uint64
+	Version  uint64
+	Members  []memberWire
+	Last     *entryWire
+	Proposal *entryWire
+}
+
+// EncodeHead returns the row value of a head.
+func EncodeHead(head Head) []byte {
+	wire := headWire{
+		Sequence: head.Sequence,
+		Version:  uint64(head.Version),
+		Members:  membersToWire(head.Members),
+		Last:     entryToWire(head.Last),
+		Proposal: entryToWire(head.Proposal),
+	}
+	return mustEncode(wire)
+}
+
+// DecodeHead reads the row value of a head.
+func DecodeHead(row mimosatide.RowVersion, value []byte) (Head, error) {
+	var wire headWire
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return Head{}, errors.Annotate(err, "configuration head")
+	}
+	return Head{
+		Row:      row,
+		Sequence: wire.Sequence,
+		Version:  mimosatide.Version(wire.Version),
+		Members:  membersFromWire(wire.Members),
+		Last:     entryFromWire(wire.Last),
+		Proposal: entryFromWire(wire.Proposal),
+	}, nil
+}
+
+// EncodeEntry returns the row value of a log entry.
+func EncodeEntry(entry Entry) []byte {
+	return mustEncode(entryToWire(&entry))
+}
+
+// DecodeEntry reads the row value of a log entry.
+func DecodeEntry(value []byte) (Entry, error) {
+	var wire entryWire
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return Entry{}, errors.Annotate(err, "configuration entry")
+	}
+	return *entryFromWire(&wire), nil
+}
+
+func mustEncode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// Only strings, numbers and byte slices are ever encoded here.
+		panic(err)
+	}
+	return data
+}
+
+func entryToWire(entry *Entry) *entryWire {
+	if entry == nil {
+		return nil
+	}
+	return &entryWire{
+		Nonce:    entry.Nonce,
+		PatchID:  entry.PatchID,
+		Operator: entry.Operator,
+		Version:  uint64(entry.Version),
+		Changes:  entry.Changes,
+		Members:  membersToWire(entry.Members),
+	}
+}
+
+func entryFromWire(wire *entryWire) *Entry {
+	if wire == nil {
+		return nil
+	}
+	return &Entry{
+		Nonce:    wire.Nonce,
+		PatchID:  wire.PatchID,
+		Operator: wire.Operator,
+		Version:  mimosatide.Version(wire.Version),
+		Changes:  wire.Changes,
+		Members:  membersFromWire(wire.Members),
+	}
+}
+
+func membersToWire(members []mimosatide.Member) []memberWire {
+	if members == nil {
+		return nil
+	}
+	wires := make([]memberWire, 0, len(members))
+	for _, member := range members {
+		wires = append(wires, memberWire{Address: member.Address, Host: member.Host, Zone: member.Zone})
+	}
+	return wires
+}
+
+func membersFromWire(wires []memberWire) []mimosatide.Member {
+	if wires == nil {
+		return nil
+	}
+	members := make([]mimosatide.Member, 0, len(wires))
+	for _, wire := range wires {
+		members = append(members, mimosatide.Member{Address: wire.Address, Host: wire.Host, Zone: wire.Zone})
+	}
+	return members
+}
--- /dev/null
+++ b/internal/fleet/host_watch.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"time"
+
+	"mimosatide.example/mimosatide"
+)
+
+// hostWatch notices hosts that the platform no longer lists.
+type hostWatch struct {
+	// missing is when a member's host was first absent from the list.
+	missing map[mimosatide.Member]time.Duration
+}
+
+func (watch *hostWatch) observe(now time.Duration, members []mimosatide.Member, hosts []mimosatide.Host) {
+	present := map[string]bool{}
+	for _, host := range hosts {
+		present[host.Name] = true
+	}
+	for _, member := range members {
+		if member.Host == "" || present[member.Host] {
+			delete(watch.missing, member)
+			continue
+		}
+		if _, already := watch.missing[member]; !already {
+			watch.missing[member] = now
+		}
+	}
+}
+
+// gone says whether the member's host has been absent for longer than the list's lag.
+func (watch *hostWatch) gone(now, lag time.Duration, member mimosatide.Member) bool {
+	since, missing := watch.missing[member]
+	return missing && now-since > lag
+}
--- /dev/null
+++ b/internal/limit/bank_test.go
@@ -0,0 +1,278 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/limit"
+)
+
+var schools = mimosatide.Account{Name: "schools", Rate: 1000, Burst: 2000}
+
+const never = time.Hour
+
+func newBank(held int) *limit.Bank {
+	bank := limit.New(limit.DefaultSettings())
+	bank.SetShares(0, held, never)
+	bank.SetAccount(0, schools)
+	return bank
+}
+
+func TestSpendKeepsToBurstAndRate(t *testing.T) {
+	bank := newBank(64)
+	if _, granted := bank.Spend(0, "schools", 1); granted {
+		t.Fatal("new shares don't start empty")
+	}
+	granted := 0.0
+	for now := time.Duration(0); now <= 10*time.Second; now += time.Millisecond {
+		if _, spent := bank.Spend(now, "schools", 10); spent {
+			granted += 10
+		}
+	}
+	if limit := 1000*10.0 + 2000; granted > limit || granted < 9900 {
+		t.Fatalf("granted %f tokens in 10 s", granted)
+	}
+}
+
+func TestRefundRestoresOnlyWhatWouldStillBeThere(t *testing.T) {
+	bank := newBank(64)
+	full := bank.FleetCeiling(schools)
+	start := 10 * time.Second
+	receipt, granted := bank.Spend(start, "schools", full)
+	if !granted {
+		t.Fatal("a full bucket didn't grant its ceiling")
+	}
+	// The bucket is full again, so that the refund must not add to it later.
+	again := start + 10*time.Second
+	second, _ := bank.Spend(again, "schools", full)
+	bank.Refund(again, "schools", receipt, full)
+	if balance := bank.Balance(again, "schools"); balance != 0 {
+		t.Fatalf("a refund minted %f tokens", balance)
+	}
+	bank.Refund(again, "schools", second, 500)
+	if balance := bank.Balance(again, "schools"); balance != 500 {
+		t.Fatalf("balance %f after a refund of 500", balance)
+	}
+}
+
+// TestRefundsEqualTheCounterfactual compares a bucket with refunds to one that
+// was charged the actual tokens from the start.
+func TestRefundsEqualTheCounterfactual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		refunding, exact := newBank(64), newBank(64)
+		type debit struct {
+			receipt limit.Receipt
+			unused  float64
+		}
+		var open []debit
+		now := 5 * time.Second
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond
+			if len(open) > 0 && rapid.Bool().Draw(t, "refund") {
+				index := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				refunding.Refund(now, "schools", open[index].receipt, open[index].unused)
+				open = append(open[:index], open[index+1:]...)
+				continue
+			}
+			reserved := float64(rapid.IntRange(1, 900).Draw(t, "reserved"))
+			actual := float64(rapid.IntRange(0, int(reserved)).Draw(t, "actual"))
+			receipt, granted := refunding.Spend(now, "schools", reserved)
+			if !granted {
+				continue
+			}
+			if _, allowed := exact.Spend(now, "schools", actual); !allowed {
+				t.Fatalf("the actual tokens %f were over the limit", actual)
+			}
+			open = append(open, debit{receipt: receipt, unused: reserved - actual})
+		}
+		for _, debit := range open {
+			refunding.Refund(now, "schools", debit.receipt, debit.unused)
+		}
+		if got, want := refunding.Balance(now, "schools"), exact.Balance(now, "schools"); got > want+1e-6 {
+			t.Fatalf("refunds leave %f, the exact bucket %f", got, want)
+		}
+	})
+}
+
+// lossyFleet is a few banks whose loan messages are lost, doubled, delayed and reordered.
+type lossyFleet struct {
+	random *rand.Rand
+	banks  map[string]*limit.Bank
+	names  []string
+	now    time.Duration
+	queue  []delivery
+	spends []spend
+	nextID uint64
+}
+
+type delivery struct {
+	at      time.Duration
+	from    string
+	to      string
+	message any
+}
+
+type spend struct {
+	at     time.Duration
+	tokens float64
+}
+
+func newLossyFleet(seed uint64, nodes int) *lossyFleet {
+	fleet := &lossyFleet{random: rand.New(rand.NewPCG(seed, 1)), banks: map[string]*limit.Bank{}}
+	for index := range nodes {
+		name := string(rune('a' + index))
+		fleet.names = append(fleet.names, name)
+		fleet.banks[name] = newBank(64 / nodes)
+	}
+	return fleet
+}
+
+func (fleet *lossyFleet) post(from, to string, message any) {
+	copies := 1
+	switch roll := fleet.random.IntN(20); {
+	case roll < 2:
+		copies = 0
+	case roll < 5:
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(fleet.random.IntN(400)) * time.Millisecond
+		fleet.queue = append(fleet.queue, delivery{at: fleet.now + delay, from: from, to: to, message: message})
+	}
+}
+
+func (fleet *lossyFleet) deliver() {
+	due := fleet.queue
+	fleet.queue = nil
+	for _, item := range due {
+		if item.at > fleet.now {
+			fleet.queue = append(fleet.queue, item)
+			continue
+		}
+		fleet.handle(item)
+	}
+}
+
+func (fleet *lossyFleet) handle(item delivery) {
+	bank := fleet.banks[item.to]
+	switch message := item.message.(type) {
+	case limit.Ask:
+		if give, answered := bank.Answer(fleet.now, item.from, message); answered {
+			fleet.post(item.to, item.from, give)
+		}
+	case limit.Give:
+		loan, returns := bank.Receive(fleet.now, item.from, message)
+		fleet.postReturns(item.to, returns)
+		if loan != nil {
+			fleet.close(item.to, loan)
+		}
+	case limit.Return:
+		bank.TakeBack(fleet.now, item.from, message)
+	}
+}
+
+func (fleet *lossyFleet) close(name string, loan *limit.Loan) {
+	_, granted, returns := fleet.banks[name].Close(fleet.now, loan)
+	fleet.postReturns(name, returns)
+	if granted {
+		fleet.spends = append(fleet.spends, spend{at: fleet.now, tokens: 200})
+	}
+}
+
+func (fleet *lossyFleet) postReturns(from string, returns []limit.PeerReturn) {
+	for _, back := range returns {
+		fleet.post(from, back.To, back.Return)
+	}
+}
+
+func (fleet *lossyFleet) request(name string) {
+	bank := fleet.banks[name]
+	if _, granted := bank.Spend(fleet.now, "schools", 200); granted {
+		fleet.spends = append(fleet.spends, spend{at: fleet.now, tokens: 200})
+		return
+	}
+	var peers []string
+	for _, peer := range fleet.names {
+		if peer != name {
+			peers = append(peers, peer)
+		}
+	}
+	fleet.nextID++
+	_, asks, _ := bank.Borrow(fleet.now, fleet.nextID, "schools", 200, peers)
+	for _, ask := range asks {
+		fleet.post(name, ask.To, ask.Ask)
+	}
+}
+
+func (fleet *lossyFleet) checkEveryInterval(t *testing.T, seed uint64) {
+	t.Helper()
+	for first := range fleet.spends {
+		sum := 0.0
+		for _, spend := range fleet.spends[first:] {
+			sum += spend.tokens
+			bound := schools.Burst + schools.Rate*(spend.at-fleet.spends[first].at).Seconds()
+			if sum > bound+1e-6 {
+				t.Fatalf("seed %d: %f tokens in %s, allowed are %f", seed, sum, spend.at-fleet.spends[first].at, bound)
+			}
+		}
+	}
+}
+
+func TestFleetKeepsToBurstAndRateOverLossyLinks(t *testing.T) {
+	for seed := range uint64(60) {
+		fleet := newLossyFleet(seed, 4)
+		for fleet.now < 20*time.Second {
+			fleet.now += 2 * time.Millisecond
+			fleet.deliver()
+			if fleet.random.IntN(3) == 0 {
+				fleet.request(fleet.names[fleet.random.IntN(len(fleet.names))])
+			}
+		}
+		if len(fleet.spends) == 0 {
+			t.Fatalf("seed %d: nothing was granted", seed)
+		}
+		fleet.checkEveryInterval(t, seed)
+	}
+}
+
+func TestAnswerDebitsEachAskOnce(t *testing.T) {
+	bank := newBank(64)
+	ask := limit.Ask{ID: 7, Account: "schools", Tokens: 100}
+	if _, answered := bank.Answer(time.Second, "b", ask); !answered {
+		t.Fatal("the ask got no answer")
+	}
+	if _, answered := bank.Answer(time.Second, "b", ask); answered {
+		t.Fatal("a doubled ask was answered twice")
+	}
+}
+
+func TestLapsedSharesSpendNothing(t *testing.T) {
+	bank := newBank(64)
+	bank.SetShares(time.Second, 64, 5*time.Second)
+	if _, granted := bank.Spend(5*time.Second, "schools", 1); granted {
+		t.Fatal("a node past its term spent tokens")
+	}
+}
+
+func BenchmarkSpend(b *testing.B) {
+	for _, accounts := range []int{10, 1000, 37000} {
+		bank := newBank(64)
+		for index := range accounts {
+			bank.SetAccount(0, mimosatide.Account{Name: string(rune(index)) + "account", Rate: 1e9, Burst: 2e9})
+		}
+		bank.SetAccount(0, mimosatide.Account{Name: "busy", Rate: 1e12, Burst: 2e12})
+		b.Run(time.Duration(accounts).String(), func(b *testing.B) {
+			b.ReportAllocs()
+			now := time.Second
+			for b.Loop() {
+				now += time.Microsecond
+				receipt, _ := bank.Spend(now, "busy", 100)
+				bank.Refund(now, "busy", receipt, 50)
+			}
+		})
+	}
+}
