--- /dev/null
+++ b/internal/load/deployment.go
@@ -0,0 +1,146 @@
+package load
+
+import (
+	"fmt"
+	"time"
+)
+
+// Deployment is one of the two that the system is first run in.
+type Deployment struct {
+	Name string
+	// Engines and Services are the targets.
+	Engines  int
+	Services int
+	// Models and Adapters are how many are configured.
+	Models   int
+	Adapters int
+	// Accounts have the given parts of the load and weights.
+	Accounts []AccountLoad
+	// RouteName is the plain service's name.
+	RouteName string
+}
+
+// AccountLoad is one account's limits and part of the load.
+type AccountLoad struct {
+	Name string
+	// Rate is in tokens a second.
+	Rate   float64
+	Weight float64
+	// Part is the account's part of all requests.
+	Part float64
+}
+
+// Association is the deployment of pl-central.
+func Association() Deployment {
+	return Deployment{
+		Name: "association", Engines: 9, Services: 3, Models: 30, Adapters: 55, RouteName: "postage",
+		Accounts: []AccountLoad{
+			{Name: "sponsor-north", Rate: 30000, Weight: 4, Part: 0.35},
+			{Name: "sponsor-south", Rate: 30000, Weight: 4, Part: 0.35},
+			{Name: "clubs", Rate: 10000, Weight: 2, Part: 0.15},
+			{Name: "schools", Rate: 10000, Weight: 1, Part: 0.10},
+			{Name: "reviews", Rate: 5000, Weight: 1, Part: 0.05},
+		},
+	}
+}
+
+// Cinturon is the deployment of andina.
+func Cinturon() Deployment {
+	return Deployment{
+		Name: "cinturon", Engines: 12, Services: 3, Models: 30, Adapters: 65, RouteName: "stock",
+		Accounts: []AccountLoad{
+			{Name: "configurator", Rate: 60000, Weight: 4, Part: 0.5},
+			{Name: "workshops", Rate: 20000, Weight: 4, Part: 0.25},
+			{Name: "partners", Rate: 10000, Weight: 2, Part: 0.15},
+			{Name: "catalogue", Rate: 5000, Weight: 1, Part: 0.07},
+			{Name: "trial", Rate: 2000, Weight: 1, Part: 0.03},
+		},
+	}
+}
+
+// FindDeployment returns the deployment of a name.
+func FindDeployment(name string) (Deployment, bool) {
+	for _, known := range []Deployment{Association(), Cinturon()} {
+		if known.Name == name {
+			return known, true
+		}
+	}
+	return Deployment{}, false
+}
+
+// modelMemory lets four models share the memory of one of the stand-in's engines.
+const modelMemory = 20 << 30
+
+const adapterMemory = 64 << 20
+
+// KeyOf returns the key that the load tool uses for an account.
+func KeyOf(account string) string {
+	return "sk-load-" + account
+}
+
+// ModelName returns the name of a numbered model.
+func ModelName(index int) string {
+	return fmt.Sprintf("model-%02d", index)
+}
+
+// Document returns the deployment's configuration as a merge patch, for the
+// ports of the stand-in that listens at 127.0.0.1 and the given port.
+func (deployment Deployment) Document(port int, loadTime, waitLimit time.Duration, digest func(key string) string) map[string]any {
+	accounts, keys := map[string]any{}, map[string]any{}
+	for _, account := range deployment.Accounts {
+		accounts[account.Name] = map[string]any{
+			"RateTokensPerSecond": account.Rate, "BurstTokens": 2 * account.Rate, "Weight": account.Weight, "Priority": int(account.Weight),
+		}
+		keys[digest(KeyOf(account.Name))] = map[string]any{"Account": account.Name, "Withdrawn": false}
+	}
+	models := map[string]any{}
+	for index := range deployment.Models {
+		models[ModelName(index)] = deployment.model(index, loadTime, waitLimit)
+	}
+	targets, names := deployment.targets(port)
+	return map[string]any{
+		"Accounts": accounts, "Keys": keys, "Models": models, "Targets": targets,
+		"Routes": map[string]any{
+			deployment.RouteName: route(false, waitLimit, 1, names),
+			"lookups":            route(true, waitLimit, 0, names),
+		},
+	}
+}
+
+func (deployment Deployment) model(index int, loadTime, waitLimit time.Duration) map[string]any {
+	adapters := map[string]any{}
+	for adapter := index; adapter < deployment.Adapters; adapter += deployment.Models {
+		adapters[fmt.Sprintf("adapter-%02d", adapter)] = map[string]any{"Version": "1", "MemoryBytes": adapterMemory}
+	}
+	return map[string]any{
+		"Version": "1", "MemoryBytes": modelMemory, "LoadTime": loadTime.String(), "WaitLimit": waitLimit.String(),
+		"MaxReplicas": 3, "Concurrency": 16, "Adapters": adapters,
+	}
+}
+
+func (deployment Deployment) targets(port int) (map[string]any, []string) {
+	zones := []string{"a", "b", "c"}
+	targets := map[string]any{}
+	target := func(name, kind string, offset, memory int) {
+		targets[name] = map[string]any{
+			"Kind": kind, "Address": fmt.Sprintf("127.0.0.1:%d", port+offset), "Host": "host-" + name,
+			"Zone": zones[offset%len(zones)], "MemoryBytes": memory, "ChecksFencing": true,
+		}
+	}
+	for index := range deployment.Engines {
+		target(fmt.Sprintf("engine-%d", index+1), "Engine", index+1, 80<<30)
+	}
+	var names []string
+	for index := range deployment.Services {
+		name := fmt.Sprintf("service-%d", index+1)
+		target(name, "Service", deployment.Engines+index+1, 0)
+		names = append(names, name)
+	}
+	return targets, names
+}
+
+func route(open bool, waitLimit time.Duration, tokens int, targets []string) map[string]any {
+	return map[string]any{
+		"Open": open, "Idempotent": open, "WaitLimit": waitLimit.String(), "TokensPerCall": tokens, "Targets": targets,
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,7 @@
 		Peers:   node.fleet,
 		Journal: node.journal,
 		Log:     node.log,
-		Pool:    node.pool,
+		Submit:  node.pool.Submit,
 		NewID:   newID,
 		OnList:  func(list placement.List) { node.dispatch.TakeList(list) },
 	})
--- a/internal/placement/gather.go
+++ b/internal/placement/gather.go
@@ -81,21 +81,30 @@
 func (keeper *Keeper) missingRows(model string, engines []mimosatide.TargetSpec) []string {
 	keeper.lock.Lock()
 	defer keeper.lock.Unlock()
-	now := keeper.clock.Now()
+	holdup := keeper.state(model).holdup
 	var keys []string
-	for _, key := range []string{ModelKey(model), StoreKey} {
-		if row, found := keeper.rows[key]; !found || now-row.at > rowLife {
+	add := func(key string, life time.Duration) {
+		if row, found := keeper.rows[key]; !found || keeper.clock.Now()-row.at > life {
 			keys = append(keys, key)
 		}
 	}
+	add(ModelKey(model), rowLife)
+	add(StoreKey, lifeWhile(holdup == string(WaitForSlot), slotLife))
 	for _, engine := range engines {
-		if _, found := keeper.rows[TargetKey(engine.Name)]; !found {
-			keys = append(keys, TargetKey(engine.Name))
-		}
+		add(TargetKey(engine.Name), lifeWhile(holdup == string(WaitForMemory), memoryLife))
 	}
 	return keys
 }
 
+// lifeWhile is how long a cached row is believed: briefly while a model waits
+// for what other homes free. A row that only looks free fails its condition.
+func lifeWhile(waiting bool, brief time.Duration) time.Duration {
+	if waiting {
+		return brief
+	}
+	return quietRowLife
+}
+
 func (keeper *Keeper) forgetRows(transaction mimosatide.Transaction) {
 	keeper.lock.Lock()
 	defer keeper.lock.Unlock()
--- a/internal/placement/keeper.go
+++ b/internal/placement/keeper.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
-	"github.com/panjf2000/ants/v2"
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/configuration"
@@ -44,7 +43,7 @@
 	peers    Messenger
 	journal  *journal.Journal
 	log      logr.Logger
-	pool     *ants.Pool
+	run      func(work func()) error
 	newID    func() string
 	// onList is called when the list of a model's placements has changed.
 	onList func(List)
@@ -73,9 +72,10 @@
 	Peers   Messenger
 	Journal *journal.Journal
 	Log     logr.Logger
-	Pool    *ants.Pool
-	NewID   func() string
-	OnList  func(List)
+	// Submit runs work soon, on a bounded pool.
+	Submit func(work func()) error
+	NewID  func() string
+	OnList func(List)
 }
 
 // modelState is what the keeper knows of one model.
@@ -127,7 +127,7 @@
 		peers:    parts.Peers,
 		journal:  parts.Journal,
 		log:      parts.Log,
-		pool:     parts.Pool,
+		run:      parts.Submit,
 		newID:    parts.NewID,
 		onList:   parts.OnList,
 		models:   map[string]*modelState{},
@@ -169,7 +169,7 @@
 }
 
 func (keeper *Keeper) submit(work func()) {
-	if err := keeper.pool.Submit(work); err != nil {
+	if err := keeper.run(work); err != nil {
 		keeper.log.Info("work put off", "reason", err.Error())
 	}
 }
--- /dev/null
+++ b/internal/placement/keeper_test.go
@@ -0,0 +1,182 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"mimosatide.example/mimosatide/internal/placement"
+)
+
+var (
+	bothKinds = []bool{true, false}
+	oneModel  = map[string]int64{"translate": 40 * gigabyte}
+)
+
+func TestBurstAtAllNodesLoadsOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(t, seed, 8, bothKinds, oneModel)
+		w.want("translate", 1)
+		w.run(6 * time.Second)
+		if w.loads("translate") != 1 || w.ready("translate") != 1 {
+			t.Fatalf("seed %d: %d loads, %d ready", seed, w.loads("translate"), w.ready("translate"))
+		}
+		for _, node := range w.nodes {
+			if len(node.lists["translate"].Placements) != 1 {
+				t.Fatalf("seed %d: %s doesn't know where the model is", seed, node.address)
+			}
+		}
+	}
+}
+
+func TestLostAnswersDontDoubleLoads(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(t, seed, 4, bothKinds, oneModel)
+		w.loseAnswers = 0.5
+		w.want("translate", 1)
+		w.run(15 * time.Second)
+		if w.loads("translate") != 1 || w.ready("translate") != 1 {
+			t.Fatalf("seed %d: %d loads, %d ready", seed, w.loads("translate"), w.ready("translate"))
+		}
+	}
+}
+
+func TestDecidersDeathInMidLoadLoadsOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(t, seed, 4, bothKinds, oneModel)
+		w.want("translate", 1)
+		w.run(300 * time.Millisecond)
+		w.home("translate").dead = true
+		w.run(15 * time.Second)
+		if w.loads("translate") != 1 || w.ready("translate") != 1 {
+			t.Fatalf("seed %d: %d loads, %d ready", seed, w.loads("translate"), w.ready("translate"))
+		}
+	}
+}
+
+// TestPausedDeciderResumesHarmlessly pauses the home between its decision and
+// its order; the next home takes over, and the late order loads nothing more.
+func TestPausedDeciderResumesHarmlessly(t *testing.T) {
+	for seed := range uint64(60) {
+		w := newWorld(t, seed, 4, bothKinds, oneModel)
+		w.want("translate", 1)
+		decider := w.home("translate")
+		for len(w.placements("translate")) == 0 {
+			w.step()
+		}
+		decider.paused = true
+		w.run(8 * time.Second)
+		w.want("translate", 0)
+		w.run(20 * time.Second)
+		decider.paused = false
+		w.run(20 * time.Second)
+		if loads := w.loads("translate"); loads != 1 {
+			t.Fatalf("seed %d: %d loads", seed, loads)
+		}
+	}
+}
+
+// TestMemoryStaysChargedWhileAnOrderMayArrive gives a placement up on an
+// engine that ignores numbers while its orderer is paused.
+func TestMemoryStaysChargedWhileAnOrderMayArrive(t *testing.T) {
+	w := newWorld(t, 1, 3, []bool{false}, map[string]int64{"translate": 60 * gigabyte, "match": 60 * gigabyte})
+	w.want("translate", 1)
+	decider := w.home("translate")
+	for len(w.placements("translate")) == 0 {
+		w.step()
+	}
+	decider.paused = true
+	w.want("translate", 0)
+	w.run(5 * time.Second)
+	w.want("match", 1)
+	w.run(40 * time.Second)
+	if w.ready("match") != 0 {
+		t.Fatal("the memory was used again while the paused process could still send its order")
+	}
+	decider.paused = false
+	w.run(60 * time.Second)
+	if w.ready("match") != 1 {
+		t.Fatalf("the memory never came free: %+v", w.placements("translate"))
+	}
+}
+
+func TestEvictionMakesRoomForWaitingRequests(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 4, []bool{seed%2 == 0}, map[string]int64{"translate": 60 * gigabyte, "match": 60 * gigabyte})
+		w.want("translate", 1)
+		w.run(5 * time.Second)
+		w.want("translate", 0)
+		w.want("match", 1)
+		w.run(15 * time.Second)
+		if w.ready("match") != 1 {
+			t.Fatalf("seed %d: the waiting model isn't served: %+v", seed, w.placements("translate"))
+		}
+	}
+}
+
+func TestIdleModelIsUnloaded(t *testing.T) {
+	w := newWorld(t, 1, 3, bothKinds, oneModel)
+	w.want("translate", 1)
+	w.run(5 * time.Second)
+	w.want("translate", 0)
+	w.run(60 * time.Second)
+	if left := w.placements("translate"); len(left) != 0 {
+		t.Fatalf("left %+v", left)
+	}
+	for name, engine := range w.engines {
+		if len(engine.held) != 0 {
+			t.Fatalf("%s still holds %v", name, engine.heldIDs())
+		}
+	}
+}
+
+func TestAdapterIsLoadedWhereItsModelServes(t *testing.T) {
+	w := newWorld(t, 1, 3, bothKinds, oneModel)
+	for _, node := range w.nodes {
+		node.wants["translate"] = placement.Want{Model: "translate", Waiting: 1, Adapters: map[string]int{"letters": 1}, Stake: 1}
+	}
+	w.run(8 * time.Second)
+	adapter, found := w.placements("translate")[0].FindAdapter("letters")
+	if !found || !adapter.Ready {
+		t.Fatalf("adapter %+v", adapter)
+	}
+}
+
+func TestLeavingEngineGetsNoNewModel(t *testing.T) {
+	w := newWorld(t, 1, 3, bothKinds, oneModel)
+	w.engines["engine-0"].leaving = true
+	w.run(3 * time.Second)
+	w.want("translate", 1)
+	w.run(6 * time.Second)
+	if got := w.placements("translate"); len(got) != 1 || got[0].Target != "engine-1" {
+		t.Fatalf("placements %+v", got)
+	}
+}
+
+func TestCrashedEngineLoadsAgain(t *testing.T) {
+	w := newWorld(t, 1, 3, []bool{true}, oneModel)
+	w.want("translate", 1)
+	w.run(5 * time.Second)
+	engine := w.engines["engine-0"]
+	engine.held, engine.number = map[string]*worldReplica{}, 0
+	w.run(20 * time.Second)
+	if w.ready("translate") != 1 || len(engine.held) != 1 {
+		t.Fatalf("after the crash: %+v, engine holds %v", w.placements("translate"), engine.heldIDs())
+	}
+}
+
+func TestThirtyModelsKeepToTheStoresBudget(t *testing.T) {
+	models := map[string]int64{}
+	for _, letter := range "abcdefghijklmnopqrstuvwxyzABCD" {
+		models["model-"+string(letter)] = 20 * gigabyte
+	}
+	w := newWorld(t, 5, 8, []bool{true, true, false, true, true, false, true, true, true}, models)
+	for name := range models {
+		w.want(name, 1)
+	}
+	w.run(40 * time.Second)
+	for name := range models {
+		if w.ready(name) == 0 {
+			t.Fatalf("%s never got ready", name)
+		}
+	}
+}
