Let a few witnesses and relays carry agreement for a large fleet

Cause: at 3,200 members every node pinged and read for itself; a synthetic fleet showed 7.8 % of a core, 478 messages and 18 KB a second at a node that others ask, and all nodes together would read 6,400 rows a second (the table gives 2,000). Ruled out: longer intervals alone, since the freshness limit is 1.5 s. Change: the first 64 members make up the quorums and hold the shares, the first 24 of them read the head for the others, a node watches 16 members instead of all, liveness passes on only as word of silence, frequent messages have numbered fields, and members, homes and watch lists are looked up instead of searched.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -23,6 +23,9 @@
 
 	Demo     demoCommand     `cmd:"" help:"Send one request of each kind and check the answers."`
 	Limits   limitsCommand   `cmd:"" help:"Compare the limits with one home node and with a static split, in virtual time."`
+	Idle     idleCommand     `cmd:"" help:"Watch what an idle fleet uses."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure what each role costs a node, by the size of the fleet."`
+	Warm     warmCommand     `cmd:"" help:"Compare warm requests through one node with direct calls of the engine."`
 	Baseline baselineCommand `cmd:"" help:"Play the simple routers that the product is compared with, at the nodes' addresses."`
 	Burst    burstCommand    `cmd:"" help:"Send the first requests for every model at every node at once."`
 	Overload overloadCommand `cmd:"" help:"Send twice what a model's engine can do, most of it from one account."`
@@ -126,6 +129,57 @@
 	return overload.Run(ctx, fleet, command.Name, os.Stdout)
 }
 
+type warmCommand struct {
+	PerSecond float64       `help:"Requests a second." default:"2000"`
+	Phase     time.Duration `help:"Length of each phase." default:"4s"`
+	Phases    int           `help:"Phases of each way." default:"3"`
+	NodePIDs  string        `help:"Process ids of the nodes." env:"MIMOSATIDE_NODE_PIDS"`
+}
+
+// Run compares warm requests through a node with direct calls.
+func (command *warmCommand) Run(ctx context.Context, fleet load.Fleet) error {
+	deployment := load.OverloadDeployment()
+	for index := range deployment.Accounts {
+		deployment.Accounts[index].Rate = 1e8
+	}
+	if err := prepare(ctx, fleet, deployment, true, 10*time.Second); err != nil {
+		return errors.Trace(err)
+	}
+	var pid int
+	_, _ = fmt.Sscan(command.NodePIDs, &pid)
+	warm := load.Warm{PerSecond: command.PerSecond, Phase: command.Phase, Phases: command.Phases, NodePID: pid}
+	return warm.Run(ctx, fleet, deployment, os.Stdout)
+}
+
+type slopesCommand struct{}
+
+// Run prints the slopes.
+func (command *slopesCommand) Run() error {
+	return experiment.PrintSlopes(os.Stdout)
+}
+
+type idleCommand struct {
+	Duration time.Duration `help:"How long to watch." default:"30s"`
+	NodePIDs string        `help:"Process ids of the nodes." env:"MIMOSATIDE_NODE_PIDS"`
+}
+
+// Run prints what an idle fleet uses.
+func (command *idleCommand) Run(ctx context.Context, fleet load.Fleet) error {
+	if err := prepare(ctx, fleet, load.Association(), true, time.Minute); err != nil {
+		return errors.Trace(err)
+	}
+	time.Sleep(settleTime)
+	usage, err := fleet.StartUsage(ctx, command.NodePIDs)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	time.Sleep(command.Duration)
+	return usage.Print(ctx, fleet, os.Stdout)
+}
+
+// settleTime lets the shares of a new fleet spread.
+const settleTime = 10 * time.Second
+
 type limitsCommand struct{}
 
 // Run prints the comparison.
@@ -145,6 +199,7 @@
 	PerSecond  float64       `help:"Requests a second." default:"60"`
 	LoadTime   time.Duration `help:"Load time that the configuration states." default:"2s"`
 	WaitLimit  time.Duration `help:"Wait limit of every model and route." default:"30s"`
+	NodePIDs   string        `help:"Process ids of the nodes." env:"MIMOSATIDE_NODE_PIDS"`
 }
 
 // Run sends the mix.
@@ -161,10 +216,17 @@
 	if err := mix.Configure(ctx, fleet, command.LoadTime, command.WaitLimit); err != nil {
 		return errors.Trace(err)
 	}
+	usage, err := fleet.StartUsage(ctx, command.NodePIDs)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	report, err := mix.Run(ctx, fleet)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if err := usage.Print(ctx, fleet, os.Stdout); err != nil {
+		return errors.Trace(err)
+	}
 	if err := report.Print(os.Stdout); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -18,8 +18,7 @@
 // borrow asks the peers for what the account lacks; the lock is held.
 func (service *Service) borrow(line *line, item queue.Item, waiting *waiter) {
 	now := service.clock.Now()
-	others := service.peers.Others()
-	loan, asks, wait := service.bank.Borrow(now, service.newLoanID(), item.Account, item.Tokens, others)
+	loan, asks, wait := service.bank.Borrow(now, service.newLoanID(), item.Account, item.Tokens, service.peers.Lenders())
 	if loan == nil {
 		service.block(line, item.Account, max(wait, minBlock))
 		return
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -47,6 +47,8 @@
 
 func (noPeers) Others() []string { return nil }
 
+func (noPeers) Lenders() []string { return nil }
+
 // fixedPlacements never changes.
 type fixedPlacements struct{}
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -59,6 +59,8 @@
 	Send(to string, message any)
 	// Others returns the addresses of the other live members.
 	Others() []string
+	// Lenders returns the addresses of the other live members that hold shares.
+	Lenders() []string
 }
 
 // Placements knows where models are served.
--- a/internal/dispatch/run_route.go
+++ b/internal/dispatch/run_route.go
@@ -82,7 +82,7 @@
 	}
 	service.lock.Lock()
 	id := service.newLoanID()
-	loan, asks, wait := service.bank.Borrow(now, id, request.Account.Name, request.Tokens, service.peers.Others())
+	loan, asks, wait := service.bank.Borrow(now, id, request.Account.Name, request.Tokens, service.peers.Lenders())
 	if loan == nil {
 		service.lock.Unlock()
 		return limit.Receipt{}, false, min(max(wait, minBlock), maxBlock)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -8,6 +8,9 @@
 	"mimosatide.example/mimosatide/internal/invariant"
 )
 
+// fewWitnesses is up to how many witnesses the leases are read at the shortest intervals.
+const fewWitnesses = 12
+
 // Core is the fleet's decision core at one node. It is not safe for concurrent use.
 type Core struct {
 	settings Settings
@@ -19,6 +22,8 @@
 
 	head      Head
 	headKnown bool
+	// members are the known head's members by address.
+	members   map[string]mimosatide.Member
 	freshness freshness
 	log       entryLog
 	patches   patchQueue
@@ -28,6 +33,9 @@
 	hosts     hostWatch
 	leaving   leaving
 	orphan    orphanWatch
+	relay     relay
+	watch     watchList
+	sharesDue int
 
 	nextRead      time.Duration
 	nextLeaseRead time.Duration
@@ -149,37 +157,59 @@
 		return
 	}
 	core.nextRead = core.now + core.settings.ReadEvery
-	keys := []string{HeadKey, SharesKey}
-	withLeases := core.now >= core.nextLeaseRead
+	if core.headKnown && core.askRelay() {
+		return
+	}
+	keys := []string{HeadKey}
+	if core.needShares() {
+		keys = append(keys, SharesKey)
+	}
+	withLeases := core.now >= core.nextLeaseRead && core.isWitness()
 	if withLeases {
 		core.nextLeaseRead = core.now + core.leaseReadEvery()
 		keys = append(keys, core.leaseKeys()...)
 	}
 	core.readCall = core.read(keys, func(answer tableAnswer) {
 		core.readCall = 0
-		core.finishRead(answer, withLeases)
+		core.finishRead(answer, slices.Contains(keys, SharesKey), withLeases)
 	})
 }
 
-// leaseReadEvery is short until every member is known to hold its part of the
-// shares: a node that dies while it holds more takes that much of the rate along.
+// leaseReadEvery is short until every witness is known to hold its part of the
+// shares: a node that dies while it holds more takes that much of the rate
+// along. Otherwise it grows with the witnesses, whose leases each of them reads.
 func (core *Core) leaseReadEvery() time.Duration {
+	witnesses := core.head.witnessSets(core.settings.WitnessLimit)[0]
+	growth := time.Duration(len(witnesses)/fewWitnesses + 1)
 	counts := core.shareCounts()
-	for _, member := range core.head.Members {
-		holder := core.holderOf(member.Address)
-		if counts[holder] < core.settings.ShareCount/max(1, len(core.head.Members)) {
-			return core.settings.ReadEvery
+	for _, witness := range witnesses {
+		if counts[core.holderOf(witness.Address)] < core.settings.ShareCount/len(witnesses) {
+			return core.settings.ReadEvery * growth
 		}
 	}
-	return core.settings.LeaseReadEvery
+	return core.settings.LeaseReadEvery * growth
+}
+
+// sharesReadEvery is how many reads of the head go to one of the shares.
+const sharesReadEvery = 4
+
+// needShares says whether the next read is to cover the shares as well.
+func (core *Core) needShares() bool {
+	core.sharesDue--
+	if core.sharesDue > 0 && core.shares.known && core.shares.trusted && len(core.shares.given) == 0 {
+		return false
+	}
+	core.sharesDue = sharesReadEvery
+	return true
 }
 
 // readSoon makes the next step read the table.
 func (core *Core) readSoon() {
+	core.sharesDue = 0
 	core.nextRead = core.now
 }
 
-func (core *Core) finishRead(answer tableAnswer, withLeases bool) {
+func (core *Core) finishRead(answer tableAnswer, withShares, withLeases bool) {
 	if answer.failed {
 		core.forgetLeaseAges()
 		return
@@ -193,7 +223,10 @@
 		return
 	}
 	core.freshness.readAt(answer.started)
-	core.learnShares(answer.rows[SharesKey], answer.started)
+	core.answerRelayed(answer.started)
+	if withShares {
+		core.learnShares(answer.rows[SharesKey], answer.started)
+	}
 	if withLeases {
 		core.observeLeases(answer.rows)
 	}
@@ -229,6 +262,10 @@
 	}
 	core.head = head
 	core.headKnown = true
+	core.members = make(map[string]mimosatide.Member, len(head.Members))
+	for _, member := range head.Members {
+		core.members[member.Address] = member
+	}
 	if head.Last != nil {
 		core.log.offer(head.Sequence, *head.Last)
 	}
@@ -249,10 +286,9 @@
 // isMember says whether this very node, on this very host, is a member and
 // stays one whatever becomes of the present proposal.
 func (core *Core) isMember() bool {
-	for _, set := range core.head.quorumSets() {
-		if !slices.Contains(set, core.settings.Self) {
-			return false
-		}
+	if core.members[core.settings.Self.Address] != core.settings.Self {
+		return false
 	}
-	return true
+	proposal := core.head.Proposal
+	return proposal == nil || proposal.Members == nil || slices.Contains(proposal.Members, core.settings.Self)
 }
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -151,6 +151,26 @@
 	Head  []byte
 }
 
+// Silent tells that its sender watches a member that doesn't answer.
+type Silent struct {
+	Address string
+}
+
+// AskRead asks a witness to read the head from the table.
+type AskRead struct {
+	Round uint64
+	// Row is the newest head that the sender knows.
+	Row mimosatide.RowVersion
+}
+
+// ReadFor answers AskRead with a read that was begun after it came.
+type ReadFor struct {
+	Round uint64
+	Row   mimosatide.RowVersion
+	// Head is the encoded head when the receiver's is older.
+	Head []byte
+}
+
 // AskEntries asks a peer for the accepted entries behind a sequence.
 type AskEntries struct {
 	After uint64
@@ -165,5 +185,8 @@
 func (Ping) isMessage()        {}
 func (Statement) isMessage()   {}
 func (Push) isMessage()        {}
+func (Silent) isMessage()      {}
+func (AskRead) isMessage()     {}
+func (ReadFor) isMessage()     {}
 func (AskEntries) isMessage()  {}
 func (GiveEntries) isMessage() {}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -203,3 +203,37 @@
 		t.Fatalf("shares %v", held)
 	}
 }
+
+func TestLargeFleetReadsThroughItsWitnesses(t *testing.T) {
+	w := newLargeWorld(t, 11, 24, 5, 4)
+	w.run(40 * time.Second)
+	if fresh := freshNodes(w); fresh != 24 {
+		t.Fatalf("%d nodes are fresh", fresh)
+	}
+	before, _ := w.table.Counts()
+	w.run(20 * time.Second)
+	after, _ := w.table.Counts()
+	// The world's own watch of the head reads one row a step.
+	own := uint64(20 * time.Second / worldStep)
+	// 5 relays read 2 rows four times a second and 5 leases a second; 19 others read 2 rows every 32 s.
+	if expected := uint64(20 * (5*(2*4+5) + 19*2/32)); after-before-own > expected*5/4 {
+		t.Errorf("%d rows were read in 20 s, %d are expected", after-before-own, expected)
+	}
+	id := w.ask(w.nodes[20])
+	w.run(5 * time.Second)
+	if w.settled[id] != fleet.PatchAccepted {
+		t.Fatalf("patch ended %q", w.settled[id])
+	}
+	w.tableDown = true
+	w.run(20 * time.Second)
+	if fresh := freshNodes(w); fresh != 24 {
+		t.Fatalf("%d nodes are fresh in an outage", fresh)
+	}
+	w.nodes[3].dead = true
+	w.run(12 * time.Second)
+	for index, node := range w.nodes {
+		if index != 3 && len(node.core.Live(w.clock(node))) != 23 {
+			t.Fatalf("node %d takes %d members for live", index, len(node.core.Live(w.clock(node))))
+		}
+	}
+}
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -15,6 +15,10 @@
 	rounds     map[uint64]time.Duration
 	statements map[string]statement
 	heard      map[string]time.Duration
+	// silent is when a watcher last said of a member that it doesn't answer.
+	silent map[string]time.Duration
+	// nextTelling is when this node next tells of the silent members that it watches.
+	nextTelling time.Duration
 }
 
 type statement struct {
@@ -28,6 +32,7 @@
 		rounds:     map[uint64]time.Duration{},
 		statements: map[string]statement{},
 		heard:      map[string]time.Duration{},
+		silent:     map[string]time.Duration{},
 	}
 }
 
@@ -84,7 +89,7 @@
 // majority that holds a proposal, so one of them knows each accepted change.
 func (core *Core) confirmedByPeers() (time.Duration, bool) {
 	confirmed := time.Duration(0)
-	for index, set := range core.head.quorumSets() {
+	for index, set := range core.head.witnessSets(core.settings.WitnessLimit) {
 		oldest, enough := core.oldestOfHalf(set)
 		if !enough {
 			return 0, false
@@ -139,7 +144,7 @@
 
 // majorityHolds says whether a majority of each member set holds the row.
 func (core *Core) majorityHolds(row mimosatide.RowVersion) bool {
-	for _, set := range core.head.quorumSets() {
+	for _, set := range core.head.witnessSets(core.settings.WitnessLimit) {
 		if core.holders(set, row) <= len(set)/2 {
 			return false
 		}
@@ -151,15 +156,27 @@
 	return core.holders(core.head.Members, row) == len(core.head.Members)
 }
 
+// ping watches a few members, and asks the witnesses for statements while the
+// table doesn't answer.
 func (core *Core) ping() {
 	if !core.headKnown || core.now < core.nextPing {
 		return
 	}
-	core.nextPing = core.now + core.settings.PingEvery
+	core.nextPing = core.now + core.pingEvery()
+	asked := core.watched()
+	if core.now-core.freshness.lastRead > 2*core.settings.ReadEvery {
+		core.nextPing = core.now + core.settings.PingEvery
+		asked = append(asked, core.othersOf(core.head.witnessSets(core.settings.WitnessLimit))...)
+	}
 	round := core.freshness.newRound(core.now, core.settings.Freshness)
-	for _, member := range core.peers() {
-		core.send(member.Address, Ping{Round: round, Row: core.head.Row})
+	sent := map[string]bool{}
+	for _, member := range asked {
+		if !sent[member.Address] {
+			sent[member.Address] = true
+			core.send(member.Address, Ping{Round: round, Row: core.head.Row})
+		}
 	}
+	core.tellSilent()
 }
 
 // pushHead hands the head to every member that isn't known to have it.
@@ -175,19 +192,26 @@
 
 // peers returns all present and proposed members but this node.
 func (core *Core) peers() []mimosatide.Member {
-	var peers []mimosatide.Member
-	for _, set := range core.head.quorumSets() {
+	return core.othersOf(core.head.memberSets())
+}
+
+func (core *Core) othersOf(sets [][]mimosatide.Member) []mimosatide.Member {
+	var others []mimosatide.Member
+	known := map[string]bool{core.settings.Self.Address: true}
+	for _, set := range sets {
 		for _, member := range set {
-			if member.Address != core.settings.Self.Address && !hasMember(peers, member.Address) {
-				peers = append(peers, member)
+			if !known[member.Address] {
+				known[member.Address] = true
+				others = append(others, member)
 			}
 		}
 	}
-	return peers
+	return others
 }
 
 func (core *Core) receive(from string, message Message) {
 	core.freshness.heard[from] = core.now
+	delete(core.freshness.silent, from)
 	switch message := message.(type) {
 	case Ping:
 		core.state(from, message.Round, message.Row)
@@ -201,6 +225,12 @@
 		if core.headKnown && message.Row <= core.head.Row {
 			core.freshness.note(from, message)
 		}
+	case Silent:
+		core.noteSilent(message.Address)
+	case AskRead:
+		core.noteAsk(from, message)
+	case ReadFor:
+		core.takeRelayed(message)
 	case AskEntries:
 		core.giveEntries(from, message.After)
 	case GiveEntries:
@@ -220,19 +250,3 @@
 	}
 	core.send(to, answer)
 }
-
-// Live returns the members that were heard of lately, this node included.
-func (core *Core) Live(now time.Duration) []mimosatide.Member {
-	var live []mimosatide.Member
-	for _, member := range core.head.Members {
-		if member.Address == core.settings.Self.Address || core.heardLately(now, member.Address) {
-			live = append(live, member)
-		}
-	}
-	return live
-}
-
-func (core *Core) heardLately(now time.Duration, address string) bool {
-	heard, known := core.freshness.heard[address]
-	return known && now-heard < MinLiveAfter
-}
--- a/internal/fleet/head.go
+++ b/internal/fleet/head.go
@@ -94,8 +94,8 @@
 	return slices.ContainsFunc(members, func(member mimosatide.Member) bool { return member.Address == address })
 }
 
-// quorumSets returns the member lists of which each must reach a quorum.
-func (head Head) quorumSets() [][]mimosatide.Member {
+// memberSets returns the members in force and, beside them, those of a proposal.
+func (head Head) memberSets() [][]mimosatide.Member {
 	sets := [][]mimosatide.Member{head.Members}
 	if head.Proposal != nil && head.Proposal.Members != nil {
 		sets = append(sets, head.Proposal.Members)
@@ -103,6 +103,17 @@
 	return sets
 }
 
+// witnessSets returns the member lists of which each must reach a quorum: the
+// first members of each list, as many as the limit. Every node derives them
+// from the head alone, so that a change of the witnesses is a change of members.
+func (head Head) witnessSets(limit int) [][]mimosatide.Member {
+	sets := head.memberSets()
+	for index, set := range sets {
+		sets[index] = set[:min(len(set), limit)]
+	}
+	return sets
+}
+
 type memberWire struct {
 	Address string
 	Host    string
--- a/internal/fleet/host_watch.go
+++ b/internal/fleet/host_watch.go
@@ -33,3 +33,16 @@
 	since, missing := watch.missing[member]
 	return missing && now-since > lag
 }
+
+// anyGone returns the first member, by address, whose host is gone.
+func (watch *hostWatch) anyGone(now, lag time.Duration, members map[string]mimosatide.Member) (mimosatide.Member, bool) {
+	var first mimosatide.Member
+	found := false
+	for member := range watch.missing {
+		present := members[member.Address] == member
+		if present && watch.gone(now, lag, member) && (!found || member.Address < first.Address) {
+			first, found = member, true
+		}
+	}
+	return first, found
+}
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -158,15 +158,26 @@
 	core.lease.row = row
 	core.lease.value = value
 	core.lease.until = max(core.lease.until, started+core.settings.shortened(core.settings.Term))
-	core.lease.nextTry = core.now + core.settings.RenewEvery
+	core.lease.nextTry = core.now + core.renewEvery()
 	core.reportShares()
 }
 
-// leaseKeys returns the lease rows of all members and holders of shares.
+// renewEvery is long for a node that can't hold shares: its lease only tells its
+// incarnation.
+func (core *Core) renewEvery() time.Duration {
+	if core.isWitness() {
+		return core.settings.RenewEvery
+	}
+	return core.settings.Term / 2
+}
+
+// leaseKeys returns the lease rows of all witnesses and holders of shares.
 func (core *Core) leaseKeys() []string {
 	addresses := map[string]bool{}
-	for _, member := range core.head.Members {
-		addresses[member.Address] = true
+	for _, set := range core.head.witnessSets(core.settings.WitnessLimit) {
+		for _, member := range set {
+			addresses[member.Address] = true
+		}
 	}
 	for _, holder := range core.shares.holders {
 		addresses[holder.Address] = true
@@ -233,12 +244,8 @@
 // gone. Only members take leases, so neither can act for a share; a claim holds
 // only while the head row is the one this was read from.
 func (core *Core) lost(address string) bool {
-	for _, member := range core.head.Members {
-		if member.Address == address {
-			return core.hosts.gone(core.now, core.settings.HostLag, member)
-		}
-	}
-	return true
+	member, known := core.members[address]
+	return !known || core.hosts.gone(core.now, core.settings.HostLag, member)
 }
 
 func (core *Core) lapsed(seen observedLease) bool {
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -29,14 +29,13 @@
 		})
 		return
 	}
-	for _, member := range core.head.Members {
-		if member.Address != self.Address && core.hosts.gone(core.now, core.settings.HostLag, member) && core.firstPresent() {
-			core.proposeMembers(func(members []mimosatide.Member) []mimosatide.Member {
-				return without(members, member.Address)
-			})
-			return
-		}
+	gone, found := core.hosts.anyGone(core.now, core.settings.HostLag, core.members)
+	if !found || gone.Address == self.Address || !core.firstPresent() {
+		return
 	}
+	core.proposeMembers(func(members []mimosatide.Member) []mimosatide.Member {
+		return without(members, gone.Address)
+	})
 }
 
 func (core *Core) busyWithPatches() bool {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -19,6 +19,12 @@
 	DefaultCallTimeout      = 800 * time.Millisecond
 	DefaultHostLag          = 5 * time.Second
 	DefaultShareCount       = 64
+	// DefaultWitnessLimit is how many members make up the quorums and hold the shares.
+	DefaultWitnessLimit = 64
+	// DefaultRelayLimit is how many of the witnesses read the table for the others.
+	DefaultRelayLimit = 24
+	// DefaultWatchLimit is how many other members each node watches by pings.
+	DefaultWatchLimit = 16
 	// DefaultClockDrift is the largest difference in rate between two clocks that is tolerated.
 	DefaultClockDrift = 0.05
 	// MinLiveAfter is the shortest silence after which a peer isn't counted as live.
@@ -43,6 +49,10 @@
 	HostLag          time.Duration
 	ShareCount       int
 	ClockDrift       float64
+	// WitnessLimit is how many members, the first of the list, make up the quorums.
+	WitnessLimit int
+	RelayLimit   int
+	WatchLimit   int
 	// Applied is the sequence of the snapshot with which the node starts.
 	Applied uint64
 }
@@ -64,6 +74,9 @@
 		HostLag:          DefaultHostLag,
 		ShareCount:       DefaultShareCount,
 		ClockDrift:       DefaultClockDrift,
+		WitnessLimit:     DefaultWitnessLimit,
+		RelayLimit:       DefaultRelayLimit,
+		WatchLimit:       DefaultWatchLimit,
 	}
 }
 
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -145,6 +145,7 @@
 		core.repeatGive()
 		return
 	}
+	core.shares.nextMove = core.now + core.settings.ReadEvery/2
 	if core.claimShares() {
 		return
 	}
@@ -152,6 +153,9 @@
 }
 
 func (core *Core) claimShares() bool {
+	if !core.isWitness() {
+		return false
+	}
 	room := core.fairCeiling() - len(core.heldShares(core.now))
 	conditions := map[string]mimosatide.RowVersion{HeadKey: core.head.Row}
 	holders := slices.Clone(core.shares.holders)
@@ -178,9 +182,9 @@
 	held := core.heldShares(core.now)
 	holders := slices.Clone(core.shares.holders)
 	counts := core.shareCounts()
-	for len(held) > core.fairFloor() {
+	for len(held) > 0 {
 		receiver, found := core.poorest(counts)
-		if !found || counts[receiver]+1 >= len(held) {
+		if !found || (core.isWitness() && counts[receiver]+1 >= len(held)) {
 			break
 		}
 		index := held[len(held)-1]
@@ -227,10 +231,11 @@
 	})
 }
 
-// receivers returns the processes that can hold shares now.
+// receivers returns the processes that can hold shares now. Only witnesses do:
+// they read the table in any case, and the others ask them for tokens.
 func (core *Core) receivers() []Holder {
 	var receivers []Holder
-	for _, member := range core.head.Members {
+	for _, member := range core.head.witnessSets(core.settings.WitnessLimit)[0] {
 		holder := core.holderOf(member.Address)
 		if holder == core.self() || (holder.Incarnation > 0 && !core.ended(holder)) {
 			receivers = append(receivers, holder)
@@ -280,10 +285,6 @@
 	return (core.settings.ShareCount + count - 1) / count
 }
 
-func (core *Core) fairFloor() int {
-	return core.settings.ShareCount / max(1, len(core.receivers()))
-}
-
 // Holders returns the known holders of all shares.
 func (core *Core) Holders() []Holder {
 	return slices.Clone(core.shares.holders)
--- a/internal/fleet/soak_test.go
+++ b/internal/fleet/soak_test.go
@@ -75,7 +75,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		size := rapid.IntRange(1, 6).Draw(t, "nodes")
-		run := soak{world: newWorld(t, seed, size)}
+		witnesses := rapid.IntRange(1, 6).Draw(t, "witnesses")
+		watches := rapid.IntRange(1, 5).Draw(t, "watches")
+		run := soak{world: newLargeWorld(t, seed, size, witnesses, watches)}
 		run.world.run(8 * time.Second)
 		t.Repeat(run.actions())
 		run.recover()
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -46,6 +46,9 @@
 	settledAt   map[uint64]time.Duration
 	starts      int
 	headRow     mimosatide.RowVersion
+	// witnesses and watches are the limits of the fleet's settings.
+	witnesses int
+	watches   int
 }
 
 type acceptedEntry struct {
@@ -75,7 +78,14 @@
 }
 
 func newWorld(t failer, seed uint64, size int) *world {
+	return newLargeWorld(t, seed, size, fleet.DefaultWitnessLimit, fleet.DefaultWatchLimit)
+}
+
+// newLargeWorld lets a few witnesses stand for the other members, as in a large fleet.
+func newLargeWorld(t failer, seed uint64, size, witnesses, watches int) *world {
 	w := &world{
+		witnesses: witnesses,
+		watches:   watches,
 		t:         t,
 		random:    rand.New(rand.NewPCG(seed, 7)),
 		seed:      seed,
@@ -105,6 +115,7 @@
 	settings.Term = testTerm
 	settings.RenewEvery = 2 * time.Second
 	settings.LeaseReadEvery = time.Second
+	settings.WitnessLimit, settings.RelayLimit, settings.WatchLimit = w.witnesses, w.witnesses, w.watches
 	node.core = fleet.New(settings)
 	node.rate = 1 + (w.random.Float64()*2-1)*clockError
 	node.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,7 @@
 	hostListEvery  = 2 * time.Second
 	freshWaitLimit = 5 * time.Second
 	freshPoll      = 20 * time.Millisecond
-	publishEvery   = 50 * time.Millisecond
+	publishEvery   = 250 * time.Millisecond
 )
 
 // fleetRunner runs the fleet's core: it feeds it events and carries out its effects.
@@ -105,6 +106,7 @@
 	case fleet.ApplyEntry:
 		runner.onApply(effect.Sequence, effect.Entry)
 	case fleet.ChangeShares:
+		runner.nextPublish = 0
 		runner.onShares(effect)
 	case fleet.SettlePatch:
 		runner.settle(effect)
@@ -237,6 +239,11 @@
 	return others
 }
 
+// Lenders returns the addresses of the other live members that hold shares.
+func (runner *fleetRunner) Lenders() []string {
+	return runner.processes.Load().Lenders
+}
+
 // Send sends a message to a peer.
 func (runner *fleetRunner) Send(to string, message any) {
 	runner.send(to, message)
@@ -249,7 +256,12 @@
 		return
 	}
 	runner.nextPublish = now + publishEvery
-	runner.processes.Store(runner.core.Processes(now))
+	next, last := runner.core.Processes(now), runner.processes.Load()
+	if last != nil && slices.Equal(last.Live, next.Live) {
+		// Others tell by the slice itself whether the members have changed.
+		next.Live = last.Live
+	}
+	runner.processes.Store(next)
 }
 
 // shares returns how many shares each process holds, as this node knows them.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -14,23 +14,25 @@
 	"mimosatide.example/mimosatide/internal/placement"
 )
 
-// kind names the type of a message on the wire.
-type kind string
+// kind numbers the type of a message on the wire; numbers are never used again.
+type kind uint8
+
+// The messages that nodes send all the time have numbered fields, to be short.
 
 type envelope struct {
-	Kind kind
-	Body cbor.RawMessage
+	Kind kind            `cbor:"1,keyasint"`
+	Body cbor.RawMessage `cbor:"2,keyasint"`
 }
 
 type pingWire struct {
-	Round uint64
-	Row   uint64
+	Round uint64 `cbor:"1,keyasint"`
+	Row   uint64 `cbor:"2,keyasint"`
 }
 
 type headWire struct {
-	Round uint64
-	Row   uint64
-	Head  []byte
+	Round uint64 `cbor:"1,keyasint"`
+	Row   uint64 `cbor:"2,keyasint"`
+	Head  []byte `cbor:"3,keyasint,omitempty"`
 }
 
 type askEntriesWire struct {
@@ -43,10 +45,10 @@
 }
 
 type tokensWire struct {
-	ID      uint64
-	Account string
-	Tokens  float64
-	Balance float64
+	ID      uint64  `cbor:"1,keyasint"`
+	Account string  `cbor:"2,keyasint"`
+	Tokens  float64 `cbor:"3,keyasint"`
+	Balance float64 `cbor:"4,keyasint,omitempty"`
 }
 
 type wantWire struct {
@@ -120,25 +122,28 @@
 
 // The kinds of messages.
 const (
-	kindPing          kind = "Ping"
-	kindStatement     kind = "Statement"
-	kindPush          kind = "Push"
-	kindAskEntries    kind = "AskEntries"
-	kindGiveEntries   kind = "GiveEntries"
-	kindAsk           kind = "AskTokens"
-	kindGive          kind = "GiveTokens"
-	kindReturn        kind = "ReturnTokens"
-	kindWant          kind = "Want"
-	kindList          kind = "List"
-	kindStakes        kind = "Stakes"
-	kindSlotFreed     kind = "SlotFreed"
-	kindAskHarmless   kind = "AskHarmless"
-	kindHarmless      kind = "Harmless"
-	kindAskEvict      kind = "AskEvict"
-	kindTargetLeaving kind = "TargetLeaving"
-	kindCrash         kind = "CrashNoted"
-	kindAskJournal    kind = "AskJournal"
-	kindGiveJournal   kind = "GiveJournal"
+	kindPing          kind = 1
+	kindStatement     kind = 2
+	kindPush          kind = 3
+	kindSilent        kind = 4
+	kindAskRead       kind = 5
+	kindReadFor       kind = 6
+	kindAskEntries    kind = 7
+	kindGiveEntries   kind = 8
+	kindAsk           kind = 9
+	kindGive          kind = 10
+	kindReturn        kind = 11
+	kindWant          kind = 12
+	kindList          kind = 13
+	kindStakes        kind = 14
+	kindSlotFreed     kind = 15
+	kindAskHarmless   kind = 16
+	kindHarmless      kind = 17
+	kindAskEvict      kind = 18
+	kindTargetLeaving kind = 19
+	kindCrash         kind = 20
+	kindAskJournal    kind = 21
+	kindGiveJournal   kind = 22
 )
 
 // Encode returns the bytes of a message.
@@ -149,7 +154,7 @@
 	}
 	body, err := cbor.Marshal(wire)
 	if err != nil {
-		return nil, errors.Annotate(err, string(name))
+		return nil, errors.Annotatef(err, "peer message %T", message)
 	}
 	return cbor.Marshal(envelope{Kind: name, Body: body})
 }
@@ -162,10 +167,10 @@
 	}
 	decode, known := decoders[outer.Kind]
 	if !known {
-		return nil, errors.NotSupportedf("peer message %q", outer.Kind)
+		return nil, errors.NotSupportedf("peer message of kind %d", outer.Kind)
 	}
 	message, err := decode(outer.Body)
-	return message, errors.Annotate(err, string(outer.Kind))
+	return message, errors.Annotatef(err, "peer message of kind %d", outer.Kind)
 }
 
 func toWire(message any) (kind, any, error) {
@@ -176,6 +181,12 @@
 		return kindStatement, headWire{Round: message.Round, Row: uint64(message.Row), Head: message.Head}, nil
 	case fleet.Push:
 		return kindPush, headWire{Round: message.Round, Row: uint64(message.Row), Head: message.Head}, nil
+	case fleet.Silent:
+		return kindSilent, nameWire{Name: message.Address}, nil
+	case fleet.AskRead:
+		return kindAskRead, pingWire{Round: message.Round, Row: uint64(message.Row)}, nil
+	case fleet.ReadFor:
+		return kindReadFor, headWire{Round: message.Round, Row: uint64(message.Row), Head: message.Head}, nil
 	case fleet.AskEntries:
 		return kindAskEntries, askEntriesWire(message), nil
 	case fleet.GiveEntries:
@@ -209,7 +220,7 @@
 	case GiveJournal:
 		return kindGiveJournal, journalToWire(message), nil
 	default:
-		return "", nil, errors.NotSupportedf("peer message %T", message)
+		return 0, nil, errors.NotSupportedf("peer message %T", message)
 	}
 }
 
@@ -223,6 +234,13 @@
 	kindPush: decoder(func(wire headWire) any {
 		return fleet.Push{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row), Head: wire.Head}
 	}),
+	kindSilent: decoder(func(wire nameWire) any { return fleet.Silent{Address: wire.Name} }),
+	kindAskRead: decoder(func(wire pingWire) any {
+		return fleet.AskRead{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row)}
+	}),
+	kindReadFor: decoder(func(wire headWire) any {
+		return fleet.ReadFor{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row), Head: wire.Head}
+	}),
 	kindAskEntries:  decoder(func(wire askEntriesWire) any { return fleet.AskEntries(wire) }),
 	kindGiveEntries: decoder(func(wire giveEntriesWire) any { return fleet.GiveEntries(wire) }),
 	kindAsk: decoder(func(wire tokensWire) any {
--- a/internal/placement/keeper.go
+++ b/internal/placement/keeper.go
@@ -59,11 +59,16 @@
 	harmless map[harmlessKey]bool
 	// stale is the newest number of a placement's orders that its engine refused as old.
 	stale map[string]mimosatide.FencingNumber
+	// incarnations are the newest processes at other addresses that sent a promise.
+	incarnations map[string]uint64
 	// ended is when this node first knew that a process had ended.
 	ended map[Orderer]time.Duration
 	// closed are placements for which this process never orders a load again.
 	closed     map[string]bool
 	stakesSent time.Duration
+	// nextDiscovery is when the configured models are looked through for new ones.
+	nextDiscovery time.Duration
+	homes         homeCache
 }
 
 // Dependencies are what a Keeper works with.
@@ -125,29 +130,30 @@
 // New returns a keeper that has not started.
 func New(settings Settings, parts Dependencies) *Keeper {
 	return &Keeper{
-		settings: settings,
-		clock:    parts.Clock,
-		table:    parts.Table,
-		targets:  parts.Targets,
-		store:    parts.Store,
-		fleet:    parts.Fleet,
-		peers:    parts.Peers,
-		journal:  parts.Journal,
-		log:      parts.Log,
-		run:      parts.Submit,
-		newID:    parts.NewID,
-		onList:   parts.OnList,
-		models:   map[string]*modelState{},
-		engines:  map[string]*engineState{},
-		rows:     map[string]cachedRow{},
-		orders:   map[string]*orderState{},
-		stakes:   map[string]stakeOf{},
-		leaving:  map[string]bool{},
-		lost:     map[string]bool{},
-		harmless: map[harmlessKey]bool{},
-		closed:   map[string]bool{},
-		ended:    map[Orderer]time.Duration{},
-		stale:    map[string]mimosatide.FencingNumber{},
+		settings:     settings,
+		clock:        parts.Clock,
+		table:        parts.Table,
+		targets:      parts.Targets,
+		store:        parts.Store,
+		fleet:        parts.Fleet,
+		peers:        parts.Peers,
+		journal:      parts.Journal,
+		log:          parts.Log,
+		run:          parts.Submit,
+		newID:        parts.NewID,
+		onList:       parts.OnList,
+		models:       map[string]*modelState{},
+		engines:      map[string]*engineState{},
+		rows:         map[string]cachedRow{},
+		orders:       map[string]*orderState{},
+		stakes:       map[string]stakeOf{},
+		leaving:      map[string]bool{},
+		lost:         map[string]bool{},
+		harmless:     map[harmlessKey]bool{},
+		closed:       map[string]bool{},
+		ended:        map[Orderer]time.Duration{},
+		incarnations: map[string]uint64{},
+		stale:        map[string]mimosatide.FencingNumber{},
 	}
 }
 
@@ -190,12 +196,32 @@
 	})
 }
 
+// home returns the member that decides about a model; it is worked out once for each list of live members.
 func (keeper *Keeper) home(model string) string {
 	live := keeper.fleet.Live()
 	if len(live) == 0 {
 		return keeper.settings.Self
 	}
-	return HomeOf(model, live)
+	keeper.homes.lock.Lock()
+	defer keeper.homes.lock.Unlock()
+	if keeper.homes.live != &live[0] || keeper.homes.count != len(live) {
+		keeper.homes.live, keeper.homes.count = &live[0], len(live)
+		keeper.homes.known = map[string]string{}
+	}
+	home, known := keeper.homes.known[model]
+	if !known {
+		home = HomeOf(model, live)
+		keeper.homes.known[model] = home
+	}
+	return home
+}
+
+// homeCache holds the homes of models under one list of live members.
+type homeCache struct {
+	lock  sync.Mutex
+	live  *string
+	count int
+	known map[string]string
 }
 
 func (keeper *Keeper) isHome(model string) bool {
@@ -222,8 +248,11 @@
 func (keeper *Keeper) dueModels(now time.Duration) []string {
 	keeper.lock.Lock()
 	defer keeper.lock.Unlock()
-	for _, model := range keeper.store.View().Document.Models() {
-		keeper.state(model.Name)
+	if now >= keeper.nextDiscovery {
+		keeper.nextDiscovery = now + quietEvery
+		for _, model := range keeper.store.View().Document.Models() {
+			keeper.state(model.Name)
+		}
 	}
 	var due []string
 	for name, state := range keeper.models {
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -159,7 +159,7 @@
 // endedLongAgo says whether a process ended so long ago that none of its orders
 // can still be on its way; the lock is held.
 func (keeper *Keeper) endedLongAgo(now time.Duration, orderer Orderer) bool {
-	if !keeper.fleet.ProcessEnded(orderer) {
+	if !keeper.fleet.ProcessEnded(orderer) && keeper.incarnations[orderer.Address] <= orderer.Incarnation {
 		return false
 	}
 	since, known := keeper.ended[orderer]
@@ -222,5 +222,7 @@
 	defer keeper.lock.Unlock()
 	orderer := Orderer{Address: from, Incarnation: promise.Incarnation}
 	keeper.harmless[harmlessKey{placement: promise.Placement, orderer: orderer}] = true
+	// Only one process at a time can listen at an address: earlier ones have ended.
+	keeper.incarnations[from] = max(keeper.incarnations[from], promise.Incarnation)
 	keeper.state(ModelOfID(promise.Placement)).due = keeper.clock.Now()
 }
