Show that the tests fail without their mechanisms

Two tests passed without theirs and were replaced by stricter ones: the fair queue's (the accounts arrived in turns, which first come first served also serves in turns; now one floods before the other comes) and the wait limit's (it had no end of its own but the go tool's; now the caller's patience ends).

--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -14,44 +14,41 @@
 
 func ignore(mimosatide.Event) error { return nil }
 
-// TestWorstServedAccountKeepsItsShare overloads one replica with two accounts
-// of weights 4 and 1, and looks at who was served while both were waiting.
+// TestWorstServedAccountKeepsItsShare lets one account of weight 1 flood a
+// replica before one of weight 4 comes, and looks at the first requests served.
 func TestWorstServedAccountKeepsItsShare(t *testing.T) {
 	made := newBench(t, 1)
 	var lock sync.Mutex
 	var order []string
-	release := make(chan struct{})
 	made.target.answer = func(_ string, call mimosatide.Call, _ func(mimosatide.Event) error) mimosatide.Answer {
-		<-release
 		lock.Lock()
+		defer lock.Unlock()
 		order = append(order, call.Request[:4])
-		lock.Unlock()
 		return success(call)
 	}
 	var running sync.WaitGroup
-	for index := range 300 {
-		for _, account := range []mimosatide.Account{paid, free} {
+	wait := func(account mimosatide.Account, count int) {
+		for index := range count {
 			running.Add(1)
 			go func() {
 				defer running.Done()
 				made.service.RunModel(context.Background(), made.request(fmt.Sprintf("%s-%d", account.Name, index), account), ignore)
 			}()
 		}
+		for made.service.Waiting()["model"][account.Name] < count {
+			time.Sleep(time.Millisecond)
+		}
 	}
-	for made.service.Waiting()["model"]["paid"]+made.service.Waiting()["model"]["free"] < 600 {
-		time.Sleep(time.Millisecond)
-	}
+	wait(free, 500)
+	wait(paid, 100)
 	made.place(1)
-	close(release)
 	running.Wait()
-	served := 0
-	for _, account := range order[:300] {
-		if account == "free" {
-			served++
-		}
+	served := map[string]int{}
+	for _, account := range order[:125] {
+		served[account]++
 	}
-	if fair := 300.0 / 5; float64(served) < 0.9*fair {
-		t.Fatalf("the free account got %d of the first 300, its fair share is %.0f", served, fair)
+	if float64(served["paid"]) < 0.9*100 || float64(served["free"]) < 0.9*25 {
+		t.Fatalf("of the first 125 requests %v were served, the fair shares are 100 and 25", served)
 	}
 }
 
@@ -194,7 +191,10 @@
 	made := newBench(t, 1)
 	request := made.request("waits", paid)
 	request.WaitLimit = 30 * time.Millisecond
-	result := made.service.RunModel(context.Background(), request, ignore)
+	// The caller waits for longer than any timer of the node should take.
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	result := made.service.RunModel(ctx, request, ignore)
 	if result.Refusal.Reason != mimosatide.ReasonWaitExpired || result.Refusal.Run != mimosatide.NotRun {
 		t.Fatalf("%+v", result.Refusal)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -237,3 +237,19 @@
 		}
 	}
 }
+
+// TestGrantWaitsForEveryNode cuts a node off from the table and from the node
+// that carries the patch; the world's check demands that a settled patch is in
+// force at every node that admits work.
+func TestGrantWaitsForEveryNode(t *testing.T) {
+	for seed := range uint64(10) {
+		w := settledWorld(t, 200+seed, 5)
+		w.nodes[1].noTable = true
+		w.loseMail = 0.6
+		id := w.ask(w.nodes[0])
+		w.run(8 * time.Second)
+		if w.settled[id] == "" {
+			t.Fatalf("seed %d: the patch was never settled", seed)
+		}
+	}
+}
--- a/internal/limit/bank_test.go
+++ b/internal/limit/bank_test.go
@@ -250,6 +250,45 @@
 	}
 }
 
+// TestLoanIsSpentWithinItsTerm lets a loan's last answer come late.
+func TestLoanIsSpentWithinItsTerm(t *testing.T) {
+	giver, receiver := newBank(32), newBank(32)
+	now := 10 * time.Second
+	receiver.Spend(now, "schools", receiver.Balance(now, "schools"))
+	loan, asks, _ := receiver.Borrow(now, 1, "schools", 100, []string{"giver"})
+	if loan == nil || len(asks) != 1 {
+		t.Fatalf("asks %v", asks)
+	}
+	give, _ := giver.Answer(now, "receiver", asks[0].Ask)
+	late := now + limit.DefaultLoanTerm + time.Millisecond
+	if answered, returns := receiver.Receive(late, "giver", give); answered != nil || len(returns) != 1 {
+		t.Fatalf("a late gift was taken: %v, %v", answered, returns)
+	}
+	again, asks, _ := receiver.Borrow(late, 2, "schools", 400, []string{"giver"})
+	give, _ = giver.Answer(late, "receiver", asks[0].Ask)
+	receiver.Receive(late, "giver", give)
+	if _, granted, _ := receiver.Close(late+limit.DefaultLoanTerm+time.Millisecond, again); granted {
+		t.Fatal("a loan was spent after its term")
+	}
+}
+
+// TestDoubledGiftIsTakenOnce doubles a gift behind a loan that was spent: a
+// return of it would bring spent tokens back.
+func TestDoubledGiftIsTakenOnce(t *testing.T) {
+	giver, receiver := newBank(32), newBank(32)
+	now := 10 * time.Second
+	receiver.Spend(now, "schools", receiver.Balance(now, "schools"))
+	_, asks, _ := receiver.Borrow(now, 1, "schools", 100, []string{"giver"})
+	give, _ := giver.Answer(now, "receiver", asks[0].Ask)
+	loan, _ := receiver.Receive(now, "giver", give)
+	if _, granted, _ := receiver.Close(now, loan); !granted {
+		t.Fatal("the loan was not granted")
+	}
+	if _, returns := receiver.Receive(now, "giver", give); len(returns) != 0 {
+		t.Fatalf("spent tokens are returned: %v", returns)
+	}
+}
+
 func TestLapsedSharesSpendNothing(t *testing.T) {
 	bank := newBank(64)
 	bank.SetShares(time.Second, 64, 5*time.Second)
--- /dev/null
+++ b/scripts/mutations.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# Shows that the tests fail without the mechanisms they are meant for: takes one
+# mechanism at a time out of a scratch copy of the code and runs its test there.
+#
+#   scripts/mutations.sh [NAME ...]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+survived=0
+ran=0
+
+# mutate NAME FILE 'PERL SUBSTITUTION' PACKAGE TEST
+mutate() {
+  local name=$1 file=$2 change=$3 package=$4 test=$5
+  if [ "${#wanted[@]}" -gt 0 ] && [[ " ${wanted[*]} " != *" $name "* ]]; then return; fi
+  ran=$((ran + 1))
+  rm -rf "$copy/tree"
+  mkdir "$copy/tree"
+  git ls-files -co --exclude-standard | tar -cf - -T - 2>/dev/null | tar -xf - -C "$copy/tree"
+  perl -0pi -e "$change" "$copy/tree/$file"
+  if cmp -s "$file" "$copy/tree/$file"; then
+    echo "$name: the mechanism was not found in $file"
+    survived=$((survived + 1))
+    return
+  fi
+  if (cd "$copy/tree" && go vet "$package" && go test -count=1 "$package" -run "$test") >"$copy/log" 2>&1; then
+    echo "$name: $test passes without the mechanism"
+    survived=$((survived + 1))
+  elif ! grep -qE -- '--- FAIL|panic: ' "$copy/log"; then
+    echo "$name: does not build"
+    tail -5 "$copy/log"
+    survived=$((survived + 1))
+  else
+    echo "$name: $test fails without the mechanism, as it must"
+  fi
+}
+
+wanted=("$@")
+mutate loan-term internal/limit/loan.go 's/now-loan\.started > bank\.settings\.LoanTerm/false/; s/now-loan\.started <= bank\.settings\.LoanTerm/true/; s/loan\.finished \|\| false/loan.finished/' ./internal/limit TestLoanIsSpentWithinItsTerm
+mutate refund-bound internal/limit/bucket.go 's/min\(unused, receipt\.tokens, bucket\.rooms\[index\]\.least\)/min(unused, receipt.tokens)/' ./internal/limit 'TestRefund'
+mutate ask-once internal/limit/loan.go 's/if _, again := holding\.given\[key\]; again \{/if false {/' ./internal/limit TestAnswerDebitsEachAskOnce
+mutate late-double internal/limit/loan.go 's/if _, again := loan\.received\[from\]; again \{/if false {/' ./internal/limit 'TestFleetKeepsToBurstAndRateOverLossyLinks|TestDoubledGift'
+mutate freshness internal/fleet/freshness.go 's/return now < core\.FreshUntil\(\)/return true/' ./internal/fleet TestNodeCutOffFromEverythingStopsAdmitting
+mutate majority internal/fleet/freshness.go 's/if core\.holders\(set, row\) <= len\(set\)\/2 \{/if core.holders(set, row) < 0 {/' ./internal/fleet TestPatchWithoutMajorityLeavesNoTrace
+mutate half internal/fleet/freshness.go 's/half := \(len\(set\) \+ 1\) \/ 2/half := 1/' ./internal/fleet 'TestMinorityCutOff|TestNodeCutOff'
+mutate spread internal/fleet/patch.go 's/if settled \|\| core\.everyoneHolds\(active\.row\) \{/if settled || true {/' ./internal/fleet 'TestGrantWaitsForEveryNode|TestSoak'
+mutate lease-end internal/fleet/lease.go 's/ && now < core\.lease\.until && core\.isMember\(\)//' ./internal/fleet 'TestPausedNode|TestSoak'
+mutate head-row internal/fleet/patch.go 's/core\.learnHead\(row\+1, value\)/core.learnHead(active.row+1, value)/' ./internal/fleet 'TestAnswerBehindRead|TestSoak'
+mutate row-conditions internal/placement/decision.go 's/draft\.transaction\.Conditions = append\(draft\.transaction\.Conditions, mimosatide\.Condition\{Key: key, Version: version\}\)/draft.transaction.Conditions = append(draft.transaction.Conditions, mimosatide.Condition{Key: "none"}); _ = version/' ./internal/placement 'TestLostAnswers|TestDeciders|TestSoak'
+mutate harmless internal/placement/orders.go 's/if state\.underWay > 0 \|\| recent \{/if false \&\& recent {/; s/return now-since >= orderSettle/return now >= since/' ./internal/placement 'TestOrderOfAnEndedProcess|TestSoak'
+mutate renumber internal/placement/decision.go 's/\t\trenumber,\n//' ./internal/placement TestThirtyModelsKeepToTheStoresBudget
+mutate store-budget internal/placement/load.go 's/situation\.Store\.Models\(\) >= situation\.Budget\.LoadSlots/false/; s/!situation\.Turn \|\| false/false/' ./internal/placement TestThirtyModelsKeepToTheStoresBudget
+mutate run-once internal/dispatch/run_route.go 's/if answer\.Failure != mimosatide\.CallNotSent \{\n\t\t\treturn refused/if false {\n\t\t\treturn refused/' ./internal/dispatch TestNonIdempotentCallIsNeverSentTwice
+mutate claim internal/dispatch/claim.go 's/if found\.nonce == mine\.nonce \{/if true {/' ./internal/dispatch TestSameIdempotencyKeyRunsOnce
+mutate recheck internal/dispatch/run_model.go 's/if reason := service\.gate\.Admit\(request\.Key, request\.Account\.Name\); reason != "" \{/if reason := service.gate.Admit(request.Key, request.Account.Name); reason == "never" {/' ./internal/dispatch TestKeyWithdrawnWhileWaitingIsNotServed
+mutate fair-queue internal/queue/queue.go 's/start := max\(queue\.virtual, line\.finish\)/start := float64(len(queue.items))/' ./internal/dispatch TestWorstServedAccountKeepsItsShare
+mutate poison internal/dispatch/suspects.go 's/return suspects\.Crashes\(now, digest\) >= MaxCrashes/return false/' ./internal/dispatch TestCrashesSeenElsewhereStopARequest
+mutate once-each-event internal/dispatch/run_model.go 's/if event\.Index > 0 && event\.Index <= run\.delivered \{/if false {/' ./internal/dispatch TestStreamIsResumedWithoutLossOrDouble
+mutate wait-timer internal/dispatch/line.go 's/request\.Arrived \+ request\.WaitLimit - service\.clock\.Now\(\)/time.Minute/' ./internal/dispatch TestEveryWaitingRequestIsAnsweredInTime
+mutate health internal/dispatch/health.go 's/return found && now < state\.until/return found \&\& now < state.until \&\& false/' ./internal/dispatch TestRetriesKeepToTheirBudget
+mutate drain internal/dispatch/service.go 's/case service\.draining:/case false:/' ./internal/dispatch TestDrainingRefusesNewWorkOnly
+echo "$((ran - survived)) passed, $survived failed"
+[ "$survived" -eq 0 ]
