Time the ends of all of a placement's orderers together

Ruled out: a lost row or a stuck home (the model was served 240 s later). The schedule's short form is a test, which fails with the old code.

--- a/internal/placement/keeper_test.go
+++ b/internal/placement/keeper_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// TestManyRestartsDelayTheReleaseOnce replays a schedule in which a node was
+// restarted again and again while a placement was unloaded: the release waited
+// for one ended process after the other.
+func TestManyRestartsDelayTheReleaseOnce(t *testing.T) {
+	w := newWorld(t, 1, 1, []bool{false}, map[string]int64{"translate": 60 * gigabyte, "match": 60 * gigabyte})
+	w.want("translate", 1)
+	w.run(5 * time.Second)
+	w.want("translate", 0)
+	w.engines["engine-0"].down = true
+	w.run(20 * time.Second)
+	for range 6 {
+		w.start(w.nodes[0])
+		w.run(2 * time.Second)
+	}
+	w.engines["engine-0"].down = false
+	w.want("match", 1)
+	w.run(90 * time.Second)
+	if w.ready("match") != 1 {
+		t.Fatalf("the memory never came free: %+v", w.placements("translate"))
+	}
+}
+
 // TestMemoryStaysChargedWhileAnOrderMayArrive gives a placement up on an
 // engine that ignores numbers while its orderer is paused.
 func TestMemoryStaysChargedWhileAnOrderMayArrive(t *testing.T) {
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -141,20 +141,20 @@
 
 // isHarmless says whether no process can have an order for the placement under way; the lock is held.
 func (keeper *Keeper) isHarmless(now time.Duration, placement Placement) bool {
-	self := keeper.fleet.Self()
+	harmless := true
 	for _, orderer := range placement.Orderers {
-		switch {
-		case orderer == self:
-			if !keeper.ownOrdersSettled(now, placement.ID) {
-				return false
-			}
-		case keeper.endedLongAgo(now, orderer):
-		case keeper.harmless[harmlessKey{placement: placement.ID, orderer: orderer}]:
-		default:
-			return false
-		}
+		// Each one is looked at, so that the ends of all are timed together.
+		settled := keeper.orderSettled(now, placement.ID, orderer)
+		harmless = harmless && settled
 	}
-	return true
+	return harmless
+}
+
+func (keeper *Keeper) orderSettled(now time.Duration, placement string, orderer Orderer) bool {
+	if orderer == keeper.fleet.Self() {
+		return keeper.ownOrdersSettled(now, placement)
+	}
+	return keeper.harmless[harmlessKey{placement: placement, orderer: orderer}] || keeper.endedLongAgo(now, orderer)
 }
 
 // endedLongAgo says whether a process ended so long ago that none of its orders
