--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,19 @@
 .PHONY: demo
 demo: build ## Start the stand-in and three nodes, send one request of each kind, stop all
 	scripts/cluster.sh 3 -- bin/load --nodes 3 demo
+
+.PHONY: soak-placement
+soak-placement: ## Run random schedules of placement: make soak-placement SEED=N STEPS=N CHECKS=N
+	go test ./internal/placement -run TestSoak -count=1 -timeout 0 -rapid.seed=$(SEED) -rapid.steps=$(STEPS) -rapid.checks=$(CHECKS)
+
+.PHONY: mutations
+mutations: ## Show that the tests fail without the mechanisms they are meant for
+	scripts/mutations.sh
+
+.PHONY: promises
+promises: ## Run the proof of every promise in docs/PROMISES.md
+	scripts/promises.sh
+
+.PHONY: bench
+bench: build ## Run the measurements of docs/MEASUREMENTS.md
+	scripts/bench.sh
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -129,16 +129,21 @@
 	return overload.Run(ctx, fleet, command.Name, os.Stdout)
 }
 
+// warmConcurrency keeps the queue out of the measurement of overhead.
+const warmConcurrency = 4096
+
 type warmCommand struct {
 	PerSecond float64       `help:"Requests a second." default:"2000"`
 	Phase     time.Duration `help:"Length of each phase." default:"4s"`
 	Phases    int           `help:"Phases of each way." default:"3"`
+	Tokens    int           `help:"Tokens of each request." default:"1"`
 	NodePIDs  string        `help:"Process ids of the nodes." env:"MIMOSATIDE_NODE_PIDS"`
 }
 
 // Run compares warm requests through a node with direct calls.
 func (command *warmCommand) Run(ctx context.Context, fleet load.Fleet) error {
 	deployment := load.OverloadDeployment()
+	deployment.Concurrency = warmConcurrency
 	for index := range deployment.Accounts {
 		deployment.Accounts[index].Rate = 1e8
 	}
@@ -147,7 +152,7 @@
 	}
 	var pid int
 	_, _ = fmt.Sscan(command.NodePIDs, &pid)
-	warm := load.Warm{PerSecond: command.PerSecond, Phase: command.Phase, Phases: command.Phases, NodePID: pid}
+	warm := load.Warm{PerSecond: command.PerSecond, Phase: command.Phase, Phases: command.Phases, NodePID: pid, Tokens: command.Tokens}
 	return warm.Run(ctx, fleet, deployment, os.Stdout)
 }
 
--- a/internal/limit/bank_test.go
+++ b/internal/limit/bank_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -301,10 +302,10 @@
 	for _, accounts := range []int{10, 1000, 37000} {
 		bank := newBank(64)
 		for index := range accounts {
-			bank.SetAccount(0, mimosatide.Account{Name: string(rune(index)) + "account", Rate: 1e9, Burst: 2e9})
+			bank.SetAccount(0, mimosatide.Account{Name: fmt.Sprint("account-", index), Rate: 1e9, Burst: 2e9})
 		}
 		bank.SetAccount(0, mimosatide.Account{Name: "busy", Rate: 1e12, Burst: 2e12})
-		b.Run(time.Duration(accounts).String(), func(b *testing.B) {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
 			b.ReportAllocs()
 			now := time.Second
 			for b.Loop() {
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -152,6 +152,9 @@
 }
 
 func (bucket *Bucket) check() {
-	invariant.Check(bucket.balance >= -roundingSlack && bucket.balance <= bucket.ceiling+roundingSlack,
-		"a balance of %f outside 0 to %f", bucket.balance, bucket.ceiling)
+	if bucket.balance >= -roundingSlack && bucket.balance <= bucket.ceiling+roundingSlack {
+		return
+	}
+	// The message is only put together here: the check runs on every admission.
+	invariant.Check(false, "a balance of %f outside 0 to %f", bucket.balance, bucket.ceiling)
 }
--- a/internal/load/deployment.go
+++ b/internal/load/deployment.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -18,6 +19,8 @@
 	Accounts []AccountLoad
 	// RouteName is the plain service's name.
 	RouteName string
+	// Concurrency is how many requests a replica runs at once; zero means 16.
+	Concurrency int
 }
 
 // AccountLoad is one account's limits and part of the load.
@@ -83,6 +86,8 @@
 // modelMemory lets four models share the memory of one of the stand-in's engines.
 const modelMemory = 20 << 30
 
+const defaultConcurrency = 16
+
 const adapterMemory = 64 << 20
 
 // KeyOf returns the key that the load tool uses for an account.
@@ -126,7 +131,7 @@
 	}
 	return map[string]any{
 		"Version": "1", "MemoryBytes": modelMemory, "LoadTime": loadTime.String(), "WaitLimit": waitLimit.String(),
-		"MaxReplicas": 3, "Concurrency": 16, "Adapters": adapters,
+		"MaxReplicas": 3, "Concurrency": cmp.Or(deployment.Concurrency, defaultConcurrency), "Adapters": adapters,
 	}
 }
 
--- a/internal/load/warm.go
+++ b/internal/load/warm.go
@@ -27,6 +27,8 @@
 	Phases int
 	// NodePID is the node's process, whose processor time is read.
 	NodePID int
+	// Tokens is how many tokens each request asks for.
+	Tokens int
 }
 
 // Run prints the times to the whole answer of both ways, and the node's requests a second a core.
@@ -35,7 +37,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	routed := Chat(fleet.Callers[0], KeyOf(deployment.Accounts[0].Name), ModelName(0), "warm", 1, true)
+	routed := Chat(fleet.Callers[0], KeyOf(deployment.Accounts[0].Name), ModelName(0), "warm", warm.Tokens, true)
 	if _, err := caller.Send(ctx, routed); err != nil {
 		return errors.Trace(err)
 	}
@@ -66,8 +68,9 @@
 		milliseconds(times["routed"].ValueAtQuantile(50)-times["direct"].ValueAtQuantile(50)),
 		milliseconds(times["routed"].ValueAtQuantile(99)-times["direct"].ValueAtQuantile(99)), warm.PerSecond, lost)
 	if used > 0 {
-		fmt.Fprintf(out, "node: %.0f µs of a core a request, %.0f requests a second a core\n",
-			float64(used.Microseconds())/float64(sent), float64(sent)/used.Seconds())
+		each := float64(used.Microseconds()) / float64(sent)
+		fmt.Fprintf(out, "node: %.0f µs of a core a request of %d tokens, %.1f µs a token, %.0f requests a second a core\n",
+			each, warm.Tokens, each/float64(warm.Tokens), float64(sent)/used.Seconds())
 	}
 	return nil
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -53,30 +53,40 @@
 	keeper.peers.Send(to, list)
 }
 
-// publish tells the nodes that use a model when its placements have changed.
+// publish tells the nodes that use a model when its placements, or what holds
+// them up, have changed.
 func (keeper *Keeper) publish(model string) {
 	keeper.lock.Lock()
 	state := keeper.state(model)
-	cached, found := keeper.rows[ModelKey(model)]
-	if !found {
-		keeper.lock.Unlock()
-		return
-	}
-	row, err := DecodeModelRow(cached.value)
-	changed := !state.listed || state.list.Row != cached.version || state.list.Holdup != state.holdup
-	if err != nil || !changed {
-		keeper.lock.Unlock()
-		return
-	}
-	list := List{Model: model, Row: cached.version, Placements: row.Placements, Holdup: state.holdup}
+	list := keeper.listOf(model, state)
+	changed := !state.listed || list.Row != state.list.Row || list.Holdup != state.list.Holdup
 	state.list, state.listed = list, true
 	listeners := keeper.listeners(state)
 	keeper.lock.Unlock()
+	if !changed {
+		return
+	}
 	for _, listener := range listeners {
 		keeper.tell(listener, list)
 	}
 }
 
+// listOf returns the model's placements by the cached row, or those that were
+// known before when the row can't be read; the lock is held.
+func (keeper *Keeper) listOf(model string, state *modelState) List {
+	list := state.list
+	list.Model, list.Holdup = model, state.holdup
+	cached, found := keeper.rows[ModelKey(model)]
+	if !found || cached.version < list.Row {
+		return list
+	}
+	row, err := DecodeModelRow(cached.value)
+	if err == nil {
+		list.Row, list.Placements = cached.version, row.Placements
+	}
+	return list
+}
+
 func (keeper *Keeper) listeners(state *modelState) []string {
 	now := keeper.clock.Now()
 	maps.DeleteFunc(state.listeners, func(_ string, heard time.Duration) bool { return now-heard > listenerLife })
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -59,6 +59,7 @@
 mutate once-each-event internal/dispatch/run_model.go 's/if event\.Index > 0 && event\.Index <= run\.delivered \{/if false {/' ./internal/dispatch TestStreamIsResumedWithoutLossOrDouble
 mutate wait-timer internal/dispatch/line.go 's/request\.Arrived \+ request\.WaitLimit - service\.clock\.Now\(\)/time.Minute/' ./internal/dispatch TestEveryWaitingRequestIsAnsweredInTime
 mutate health internal/dispatch/health.go 's/return found && now < state\.until/return found \&\& now < state.until \&\& false/' ./internal/dispatch TestRetriesKeepToTheirBudget
+mutate key-in-body internal/caller/key.go 's/if slices\.Contains\(keyParameters, strings\.ToLower\(name\)\) \{/if slices.Contains(keyParameters, strings.ToLower(name)) \&\& false {/' ./internal/caller 'TestNoKeyReachesATarget'
 mutate drain internal/dispatch/service.go 's/case service\.draining:/case false:/' ./internal/dispatch TestDrainingRefusesNewWorkOnly
 echo "$((ran - survived)) passed, $survived failed"
 [ "$survived" -eq 0 ]
--- /dev/null
+++ b/scripts/promises.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Runs the proof of every promise in docs/PROMISES.md and prints a row each. A
+# proof is a set of tests that bring about the failures, and the mutations that
+# show the tests failing without the mechanism.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+failed=0
+total=0
+
+# prove NUMBER "PROMISE" "PACKAGE TESTS;PACKAGE TESTS" "MUTATIONS"
+prove() {
+  local number=$1 promise=$2 proofs=$3 mutations=$4 verdict=holds
+  total=$((total + 1))
+  IFS=';' read -ra list <<<"$proofs"
+  for proof in "${list[@]}"; do
+    read -r package tests <<<"$proof"
+    go test -count=1 "$package" -run "$tests" >/tmp/promise.$$ 2>&1 || verdict="FAILS: $package $tests"
+    grep -q 'no tests to run' /tmp/promise.$$ && verdict="FAILS: no test $tests in $package"
+  done
+  if [ -n "$mutations" ] && [ "${MUTATIONS:-1}" = 1 ]; then
+    # shellcheck disable=SC2086
+    scripts/mutations.sh $mutations >/tmp/promise.$$ 2>&1 || verdict="FAILS: a mutation of $mutations survives"
+  fi
+  rm -f /tmp/promise.$$
+  [ "$verdict" = holds ] || failed=$((failed + 1))
+  printf '%2s  %-62s %s\n' "$number" "$promise" "$verdict"
+}
+
+prove 1 "No more replicas are loaded than were decided" "./internal/placement TestBurst|TestLostAnswers|TestDeciders|TestPausedDecider" "row-conditions renumber"
+prove 2 "Memory is never overcommitted" "./internal/placement TestSoak|TestOrderOfAnEnded|TestMemoryStays" "harmless"
+prove 3 "A waiting request is served or refused in time" "./internal/dispatch TestEveryWaiting;./cmd/mimosatide TestTableOutage" "wait-timer"
+prove 4 "A request runs only for the account of its key" "./internal/configuration TestProposed;./internal/dispatch TestKeyWithdrawn" "recheck"
+prove 5 "No target sees a caller's key" "./internal/caller TestNoKeyReachesATarget" "key-in-body"
+prove 6 "A withdrawn key stops working within seconds" "./internal/fleet TestSoak|TestNodeCutOff|TestMinorityCutOff;./cmd/mimosatide TestWithdrawnKey" "freshness half"
+prove 7 "No account gets more than its rate and burst" "./internal/limit .;./internal/experiment TestLimits;./cmd/mimosatide TestAccountKeeps" "loan-term refund-bound late-double lease-end"
+prove 8 "A caller gets the whole answer to its own request" "./internal/dispatch TestStreamIsResumed;./cmd/mimosatide TestSilentConnection" "once-each-event"
+prove 9 "A refusal that says not run is true" "./internal/dispatch TestCallThatReached|TestNonIdempotent;./cmd/mimosatide TestTableOutage|TestOrderRuns" "run-once"
+prove 10 "A non-idempotent request runs at most once" "./internal/dispatch TestNonIdempotent|TestSameIdempotency;./cmd/mimosatide TestOrderRuns" "run-once claim"
+prove 11 "A leaving target gets no new work after a few seconds" "./internal/placement TestLeavingEngine;./cmd/mimosatide TestLeavingTarget" ""
+prove 12 "A graceful shutdown cuts no request" "./internal/dispatch TestDraining;./cmd/mimosatide TestGraceful" "drain"
+prove 13 "An accepted configuration is in force everywhere and stays" "./internal/fleet TestPatch|TestRacing|TestGrantWaits|TestSoak;./cmd/mimosatide TestGrantedKey" "majority spread head-row"
+echo "$((total - failed)) passed, $failed failed"
+[ "$failed" -eq 0 ]
