Read as a newcomer: smaller files, one name for each thing, nothing kept for ever

A full worker pool could leave a model marked as being looked at for good; the work now runs beside the pool. Found by reading, as were maps that kept what belonged to released placements and gone members.

Crashes are told by the dispatch package's own message; the load tool has one file for each subcommand; figures, retries and crashes have files of their own.

--- /dev/null
+++ b/cmd/load/limits.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"fmt"
+
+	"mimosatide.example/mimosatide/internal/experiment"
+)
+
+type limitsCommand struct{}
+
+// Run prints the comparison.
+func (command *limitsCommand) Run() error {
+	for _, run := range experiment.DefaultLimitRuns() {
+		for _, result := range experiment.CompareLimits(run) {
+			fmt.Println(result)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/load/slopes.go
@@ -0,0 +1,14 @@
+package main
+
+import (
+	"os"
+
+	"mimosatide.example/mimosatide/internal/experiment"
+)
+
+type slopesCommand struct{}
+
+// Run prints the slopes.
+func (command *slopesCommand) Run() error {
+	return experiment.PrintSlopes(os.Stdout)
+}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -52,7 +52,7 @@
 // fixedPlacements never changes.
 type fixedPlacements struct{}
 
-func (fixedPlacements) TellWant(dispatch.WantOf) {}
+func (fixedPlacements) TellWant(placement.Want) {}
 
 func (fixedPlacements) Leaving(string) bool { return false }
 
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -130,7 +130,7 @@
 	delete(line.waiters, waiting.request.ID)
 	select {
 	case given := <-waiting.granted:
-		service.unreserve(line, given)
+		line.release(given.candidate.Placement)
 	default:
 	}
 	detail := "no replica was free within the wait limit"
@@ -164,11 +164,7 @@
 	return false
 }
 
-// unreserve gives a grant back that isn't used; the lock is held.
-func (service *Service) unreserve(line *line, given grant) {
-	line.release(given.candidate.Placement)
-}
-
+// release gives a slot back that is not used any more.
 func (line *line) release(placement string) {
 	line.outstanding[placement]--
 	if line.outstanding[placement] <= 0 {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/placement"
 )
 
 // Request is one caller's request, checked and ready to be served.
@@ -66,18 +67,9 @@
 // Placements knows where models are served.
 type Placements interface {
 	// TellWant passes this node's demand to the model's home.
-	TellWant(want WantOf)
+	TellWant(want placement.Want)
 	// Leaving says whether a target gets no new work.
 	Leaving(target string) bool
 	// Reported returns the load that a target stated last.
 	Reported(target string) int
 }
-
-// WantOf is this node's demand for one model.
-type WantOf struct {
-	Model       string
-	Waiting     int
-	Outstanding int
-	Adapters    map[string]int
-	Stake       float64
-}
--- a/internal/dispatch/run_model.go
+++ b/internal/dispatch/run_model.go
@@ -29,12 +29,12 @@
 	ctx, end, refusal := service.begin(ctx, request)
 	if refusal.Refused() {
 		result := refused(refusal)
-		service.account(request, result)
+		service.record(request, result)
 		return result
 	}
 	defer end()
 	result := service.serveModel(ctx, &run{service: service, request: request, onEvent: onEvent})
-	service.account(request, result)
+	service.record(request, result)
 	return result
 }
 
--- a/internal/dispatch/run_route.go
+++ b/internal/dispatch/run_route.go
@@ -17,14 +17,14 @@
 	ctx, end, refusal := service.begin(ctx, request)
 	if refusal.Refused() {
 		result := refused(refusal)
-		service.account(request, result)
+		service.record(request, result)
 		return result
 	}
 	defer end()
 	ctx, cancel := context.WithTimeoutCause(ctx, request.WaitLimit, endCause{reason: mimosatide.ReasonWaitExpired})
 	defer cancel()
 	result := service.serveRoute(ctx, request)
-	service.account(request, result)
+	service.record(request, result)
 	return result
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -13,7 +13,6 @@
 	"mimosatide.example/mimosatide/internal/journal"
 	"mimosatide.example/mimosatide/internal/limit"
 	"mimosatide.example/mimosatide/internal/metric"
-	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/internal/placement"
 )
 
@@ -23,10 +22,7 @@
 	quietWantEvery = 2 * time.Second
 	tendEvery      = 100 * time.Millisecond
 	// maxTries bounds how often one request is sent.
-	maxTries = 4
-	// crashTellings is how often a crash is told to each peer, because messages may be lost.
-	crashTellings   = 3
-	crashTellAgain  = 300 * time.Millisecond
+	maxTries        = 4
 	firstEventGrace = 200 * time.Millisecond
 )
 
@@ -74,21 +70,25 @@
 	log        logr.Logger
 	newNonce   func() string
 
-	lock     sync.Mutex
-	chooser  *Chooser
-	lines    map[string]*line
-	loans    map[uint64]openLoan
-	payments map[uint64]chan struct{}
-	lastLoan uint64
-	suspects *Suspects
-	affinity *affinity
-	health   *health
-	running  map[string]*runningRequest
-	accounts map[string]*RetryBudget
-	retries  map[string]*RetryBudget
+	lock    sync.Mutex
+	chooser *Chooser
+	// lines are the queues of the models, loans those for their requests.
+	lines map[string]*line
+	loans map[uint64]openLoan
+	// payments are loans for calls of plain services, closed once they are answered.
+	payments       map[uint64]chan struct{}
+	lastLoan       uint64
+	suspects       *Suspects
+	affinity       *affinity
+	health         *health
+	running        map[string]*runningRequest
+	accountBudgets map[string]*RetryBudget
+	targetBudgets  map[string]*RetryBudget
+	// services counts this node's calls at each plain service.
 	services map[string]int
 	draining bool
-	shares   map[string]*Served
+	// served is what each account got.
+	served map[string]*Served
 }
 
 // runningRequest is a request that can be ended from outside.
@@ -98,43 +98,35 @@
 	cancel context.CancelCauseFunc
 }
 
-// Served sums up what one account got at this node.
-type Served struct {
-	Requests int
-	Refused  int
-	Tokens   float64
-	Wait     time.Duration
-}
-
 // New returns a service that has not started.
 func New(settings Settings, parts Dependencies) *Service {
 	return &Service{
-		settings:   settings,
-		clock:      parts.Clock,
-		table:      parts.Table,
-		targets:    parts.Targets,
-		store:      parts.Store,
-		bank:       parts.Bank,
-		gate:       parts.Gate,
-		peers:      parts.Peers,
-		placements: parts.Placements,
-		meter:      parts.Meter,
-		journal:    parts.Journal,
-		log:        parts.Log,
-		newNonce:   parts.NewNonce,
-		chooser:    NewChooser(parts.Random),
-		lastLoan:   parts.Random.Uint64(),
-		lines:      map[string]*line{},
-		loans:      map[uint64]openLoan{},
-		payments:   map[uint64]chan struct{}{},
-		suspects:   NewSuspects(),
-		affinity:   newAffinity(),
-		health:     newHealth(),
-		running:    map[string]*runningRequest{},
-		accounts:   map[string]*RetryBudget{},
-		retries:    map[string]*RetryBudget{},
-		services:   map[string]int{},
-		shares:     map[string]*Served{},
+		settings:       settings,
+		clock:          parts.Clock,
+		table:          parts.Table,
+		targets:        parts.Targets,
+		store:          parts.Store,
+		bank:           parts.Bank,
+		gate:           parts.Gate,
+		peers:          parts.Peers,
+		placements:     parts.Placements,
+		meter:          parts.Meter,
+		journal:        parts.Journal,
+		log:            parts.Log,
+		newNonce:       parts.NewNonce,
+		chooser:        NewChooser(parts.Random),
+		lastLoan:       parts.Random.Uint64(),
+		lines:          map[string]*line{},
+		loans:          map[uint64]openLoan{},
+		payments:       map[uint64]chan struct{}{},
+		suspects:       NewSuspects(),
+		affinity:       newAffinity(),
+		health:         newHealth(),
+		running:        map[string]*runningRequest{},
+		accountBudgets: map[string]*RetryBudget{},
+		targetBudgets:  map[string]*RetryBudget{},
+		services:       map[string]int{},
+		served:         map[string]*Served{},
 	}
 }
 
@@ -173,7 +165,7 @@
 // tellWant states the line's demand; the lock is held.
 func (service *Service) tellWant(line *line) {
 	now := service.clock.Now()
-	want := WantOf{
+	want := placement.Want{
 		Model:       line.model.Name,
 		Waiting:     line.payable(now),
 		Outstanding: line.total(),
@@ -204,29 +196,6 @@
 	service.pump(line)
 }
 
-// TakeCrash notes a crash that another node has seen.
-func (service *Service) TakeCrash(crash peer.CrashNoted) {
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	service.suspects.Note(service.clock.Now(), Crash{Digest: Digest(crash.Digest), Crash: crash.Crash})
-}
-
-// noteCrash counts a crash and tells the other nodes.
-func (service *Service) noteCrash(request Request, crash string) {
-	service.lock.Lock()
-	service.suspects.Note(service.clock.Now(), Crash{Digest: request.Digest, Crash: crash})
-	service.lock.Unlock()
-	service.log.Info("target crashed under a request", "request", request.ID, "crash", crash)
-	message := peer.CrashNoted{Digest: string(request.Digest), Crash: crash}
-	for telling := range crashTellings {
-		time.AfterFunc(time.Duration(telling)*crashTellAgain, func() {
-			for _, other := range service.peers.Others() {
-				service.peers.Send(other, message)
-			}
-		})
-	}
-}
-
 // Drain refuses new requests from now on.
 func (service *Service) Drain() {
 	service.lock.Lock()
@@ -300,117 +269,3 @@
 	}
 	return ctx, end, mimosatide.Refusal{}
 }
-
-// account notes a request's result in the figures.
-func (service *Service) account(request Request, result Result) {
-	service.lock.Lock()
-	served, known := service.shares[request.Account.Name]
-	if !known {
-		served = &Served{}
-		service.shares[request.Account.Name] = served
-	}
-	if result.Refusal.Refused() {
-		served.Refused++
-	} else {
-		served.Requests++
-		served.Tokens += result.Tokens
-	}
-	service.lock.Unlock()
-	if result.Refusal.Refused() {
-		service.meter.CountRefusal(result.Refusal.Reason)
-		service.explain(request, "Refused", string(result.Refusal.Reason)+": "+result.Refusal.Detail)
-		service.log.Info("request refused", "request", request.ID, "account", request.Account.Name,
-			"reason", string(result.Refusal.Reason), "run", string(result.Refusal.Run), "detail", result.Refusal.Detail)
-		return
-	}
-	service.meter.CountServed(request.Account.Name, result.Tokens)
-	service.explain(request, "Served", "")
-	service.log.Info("request served", "request", request.ID, "account", request.Account.Name,
-		"status", result.Answer.Status, "tokens", result.Tokens, "took", service.clock.Now()-request.Arrived)
-}
-
-func (service *Service) noteWait(request Request, wait time.Duration) {
-	service.meter.ObserveQueueWait(request.Account.Name, wait)
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	if served, known := service.shares[request.Account.Name]; known {
-		served.Wait += wait
-		return
-	}
-	service.shares[request.Account.Name] = &Served{Wait: wait}
-}
-
-func (service *Service) explain(request Request, what, reason string, fields ...string) {
-	entry := journal.NewEntry(service.clock.Now(), what, reason).
-		With("Account", request.Account.Name).
-		WithNumber("Version", uint64(service.store.View().Version))
-	for index := 0; index+1 < len(fields); index += 2 {
-		entry = entry.With(fields[index], fields[index+1])
-	}
-	service.journal.Add(request.ID, entry)
-}
-
-// AccountShares returns what each account got at this node.
-func (service *Service) AccountShares() map[string]Served {
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	shares := map[string]Served{}
-	for name, served := range service.shares {
-		shares[name] = *served
-	}
-	return shares
-}
-
-// Waiting returns how many requests of each account wait, by model.
-func (service *Service) Waiting() map[string]map[string]int {
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	waiting := map[string]map[string]int{}
-	for model, line := range service.lines {
-		if line.waiting.Len() > 0 {
-			waiting[model] = line.waiting.Accounts()
-		}
-	}
-	return waiting
-}
-
-// budget returns the retry budget of a name; the lock is held.
-func budget(budgets map[string]*RetryBudget, name string) *RetryBudget {
-	known, found := budgets[name]
-	if !found {
-		known = NewRetryBudget()
-		budgets[name] = known
-	}
-	return known
-}
-
-// noteAnswer remembers whether a target answers. That a caller went away says nothing of it.
-func (service *Service) noteAnswer(target string, answer mimosatide.Answer) {
-	if answer.Failure == mimosatide.CallCancelled {
-		return
-	}
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	service.health.note(service.clock.Now(), target, answer.Failure == mimosatide.CallSucceeded)
-}
-
-func (service *Service) earnRetries(account, target string) {
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	budget(service.accounts, account).Earn()
-	budget(service.retries, target).Earn()
-}
-
-// mayRetry takes one retry from the budgets of the account and of the failed target.
-func (service *Service) mayRetry(account, target string, reason metric.RetryReason) bool {
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	ofAccount, ofTarget := budget(service.accounts, account), budget(service.retries, target)
-	if !ofAccount.CanSpend() || !ofTarget.CanSpend() {
-		return false
-	}
-	ofAccount.Spend()
-	ofTarget.Spend()
-	service.meter.CountRetry(reason)
-	return true
-}
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -9,7 +9,6 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/dispatch"
-	"mimosatide.example/mimosatide/internal/peer"
 )
 
 func ignore(mimosatide.Event) error { return nil }
@@ -228,7 +227,7 @@
 func TestCrashesSeenElsewhereStopARequest(t *testing.T) {
 	made := newBench(t, 1)
 	for _, crash := range []string{"model@1", "model@1", "model@2"} {
-		made.service.TakeCrash(peer.CrashNoted{Digest: "bad", Crash: crash})
+		made.service.TakeCrash(dispatch.Crash{Digest: "bad", Crash: crash})
 	}
 	request := made.request("bad", paid)
 	if result := made.service.RunModel(context.Background(), request, ignore); result.Refusal.Reason != mimosatide.ReasonPoisonRequest {
--- a/internal/experiment/baseline.go
+++ b/internal/experiment/router.go
@@ -17,16 +17,16 @@
 )
 
 const (
-	baselinePoll = 50 * time.Millisecond
-	// baselineWait bounds a request's wait for its model.
-	baselineWait = 5 * time.Minute
+	routerPoll = 50 * time.Millisecond
+	// routerWait bounds a request's wait for its model.
+	routerWait = 5 * time.Minute
 )
 
-// Baseline is a router without any of the product's decisions: round robin over
+// SimpleRouter is a router without any of the product's decisions: round robin over
 // the engines, first come first served, a load on the first demand at whatever
 // engine comes next, and an unload after a fixed idle time. Each router decides
 // for itself, as routers without coordination do.
-type Baseline struct {
+type SimpleRouter struct {
 	targets *target.Client
 	engines []mimosatide.TargetSpec
 	memory  int64
@@ -36,10 +36,10 @@
 	lock   sync.Mutex
 	next   int
 	orders mimosatide.FencingNumber
-	loaded map[string]*baselineModel
+	loaded map[string]*routedModel
 }
 
-type baselineModel struct {
+type routedModel struct {
 	placement string
 	engine    mimosatide.TargetSpec
 	ready     chan struct{}
@@ -47,19 +47,19 @@
 	lastUse   time.Time
 }
 
-// NewBaseline returns a router for the given engines.
-func NewBaseline(name string, engines []mimosatide.TargetSpec, memory int64, idle time.Duration) (*Baseline, error) {
+// NewSimpleRouter returns a router for the given engines.
+func NewSimpleRouter(name string, engines []mimosatide.TargetSpec, memory int64, idle time.Duration) (*SimpleRouter, error) {
 	targets, err := target.New(target.DefaultSettings())
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Baseline{
-		name: name, targets: targets, engines: engines, memory: memory, idle: idle, loaded: map[string]*baselineModel{},
+	return &SimpleRouter{
+		name: name, targets: targets, engines: engines, memory: memory, idle: idle, loaded: map[string]*routedModel{},
 	}, nil
 }
 
 // Serve answers callers at the addresses until the context ends.
-func (router *Baseline) Serve(ctx context.Context, addresses ...string) error {
+func (router *SimpleRouter) Serve(ctx context.Context, addresses ...string) error {
 	server := &http.Server{Handler: router, ReadHeaderTimeout: time.Minute}
 	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
@@ -68,7 +68,7 @@
 		}
 		go func() { _ = server.Serve(listener) }()
 	}
-	ticker := time.NewTicker(baselinePoll)
+	ticker := time.NewTicker(routerPoll)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -81,7 +81,7 @@
 }
 
 // ServeHTTP routes one chat request.
-func (router *Baseline) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+func (router *SimpleRouter) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/readyz" {
 		return
 	}
@@ -94,7 +94,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), baselineWait)
+	ctx, cancel := context.WithTimeout(request.Context(), routerWait)
 	defer cancel()
 	model := router.acquire(ctx, asked.Model)
 	defer router.release(model)
@@ -107,7 +107,7 @@
 	router.pass(ctx, writer, request, body, model)
 }
 
-func (router *Baseline) pass(ctx context.Context, writer http.ResponseWriter, request *http.Request, body []byte, model *baselineModel) {
+func (router *SimpleRouter) pass(ctx context.Context, writer http.ResponseWriter, request *http.Request, body []byte, model *routedModel) {
 	call := mimosatide.Call{
 		Request: fmt.Sprintf("%s-%d", router.name, time.Now().UnixNano()), Placement: model.placement, Method: http.MethodPost,
 		Path: request.URL.Path, Body: body, Stream: true, Headers: map[string]string{"Content-Type": "application/json"},
@@ -126,14 +126,14 @@
 }
 
 // acquire returns the model, loaded or loading.
-func (router *Baseline) acquire(ctx context.Context, name string) *baselineModel {
+func (router *SimpleRouter) acquire(ctx context.Context, name string) *routedModel {
 	router.lock.Lock()
 	defer router.lock.Unlock()
 	model, known := router.loaded[name]
 	if !known {
 		router.next++
 		router.orders++
-		model = &baselineModel{
+		model = &routedModel{
 			placement: fmt.Sprintf("%s@%s-%d", name, router.name, router.orders),
 			engine:    router.engines[router.next%len(router.engines)],
 			ready:     make(chan struct{}),
@@ -145,14 +145,14 @@
 	return model
 }
 
-func (router *Baseline) release(model *baselineModel) {
+func (router *SimpleRouter) release(model *routedModel) {
 	router.lock.Lock()
 	defer router.lock.Unlock()
 	model.running--
 	model.lastUse = time.Now()
 }
 
-func (router *Baseline) load(ctx context.Context, name string, model *baselineModel) {
+func (router *SimpleRouter) load(ctx context.Context, name string, model *routedModel) {
 	order := mimosatide.Order{Kind: mimosatide.OrderLoad, Placement: model.placement, Model: name, Memory: router.memory, Number: 1}
 	for {
 		state, err := router.targets.SendOrder(ctx, model.engine, order)
@@ -160,11 +160,11 @@
 			close(model.ready)
 			return
 		}
-		time.Sleep(baselinePoll)
+		time.Sleep(routerPoll)
 	}
 }
 
-func (router *Baseline) unloadIdle(ctx context.Context) {
+func (router *SimpleRouter) unloadIdle(ctx context.Context) {
 	router.lock.Lock()
 	defer router.lock.Unlock()
 	for name, model := range router.loaded {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -266,6 +267,7 @@
 	for _, member := range head.Members {
 		core.members[member.Address] = member
 	}
+	core.forgetOthers()
 	if head.Last != nil {
 		core.log.offer(head.Sequence, *head.Last)
 	}
@@ -273,6 +275,18 @@
 	core.applyEntries()
 }
 
+// forgetOthers drops what was kept about addresses that belong to no present or proposed member.
+func (core *Core) forgetOthers() {
+	known := map[string]bool{}
+	for _, member := range core.peers() {
+		known[member.Address] = true
+	}
+	core.freshness.forget(known)
+	maps.DeleteFunc(core.hosts.missing, func(member mimosatide.Member, _ time.Duration) bool {
+		return !known[member.Address]
+	})
+}
+
 // Head returns the newest known head.
 func (core *Core) Head() Head {
 	return core.head
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,6 +38,14 @@
 	}
 }
 
+// forget drops all but the known addresses.
+func (fresh *freshness) forget(known map[string]bool) {
+	unknown := func(address string, _ time.Duration) bool { return !known[address] }
+	maps.DeleteFunc(fresh.heard, unknown)
+	maps.DeleteFunc(fresh.silent, unknown)
+	maps.DeleteFunc(fresh.statements, func(address string, _ statement) bool { return !known[address] })
+}
+
 // readAt notes a read of the table that was begun at the given time.
 func (fresh *freshness) readAt(started time.Duration) {
 	fresh.hasRead = true
@@ -116,7 +126,7 @@
 	if half == 0 || len(asked) < half {
 		return 0, false
 	}
-	slices.SortFunc(asked, func(left, right time.Duration) int { return int(right - left) })
+	slices.SortFunc(asked, func(left, right time.Duration) int { return cmp.Compare(right, left) })
 	return asked[half-1], true
 }
 
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -183,11 +185,11 @@
 		addresses[holder.Address] = true
 	}
 	delete(addresses, "")
-	var keys []string
-	for address := range addresses {
+	keys := make([]string, 0, len(addresses))
+	for _, address := range slices.Sorted(maps.Keys(addresses)) {
 		keys = append(keys, leaseKey(address))
 	}
-	return sortedStrings(keys)
+	return keys
 }
 
 func (core *Core) observeLeases(rows map[string]mimosatide.Row) {
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -289,8 +289,3 @@
 func (core *Core) Holders() []Holder {
 	return slices.Clone(core.shares.holders)
 }
-
-func sortedStrings(values []string) []string {
-	slices.Sort(values)
-	return values
-}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,26 +43,15 @@
 		return others
 	}
 	slices.SortFunc(others, func(left, right mimosatide.Member) int {
-		return compareAddresses(left.Address, right.Address)
+		return cmp.Compare(left.Address, right.Address)
 	})
 	first, _ := slices.BinarySearchFunc(others, core.settings.Self.Address, func(member mimosatide.Member, self string) int {
-		return compareAddresses(member.Address, self)
+		return cmp.Compare(member.Address, self)
 	})
 	ring := append(slices.Clone(others[first:]), others[:first]...)
 	return ring[:core.settings.WatchLimit]
 }
 
-func compareAddresses(left, right string) int {
-	switch {
-	case left < right:
-		return -1
-	case left > right:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // tellSilent passes on which watched members don't answer.
 func (core *Core) tellSilent() {
 	if len(core.head.Members) <= core.settings.WatchLimit+1 || core.now < core.freshness.nextTelling {
@@ -70,7 +60,12 @@
 	core.freshness.nextTelling = core.now + MinLiveAfter
 	for _, member := range core.watched() {
 		heard, known := core.freshness.heard[member.Address]
-		if !known || core.now-heard < MinLiveAfter {
+		if !known {
+			// A member that never says a word is silent from the first look at it.
+			core.freshness.heard[member.Address] = core.now
+			continue
+		}
+		if core.now-heard < MinLiveAfter {
 			continue
 		}
 		for _, peer := range core.peers() {
--- a/internal/limit/main_test.go
+++ b/internal/limit/main_test.go
@@ -1,19 +1,12 @@
 package limit_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"mimosatide.example/mimosatide/internal/schedule"
 )
 
-// TestMain gives rapid a fixed seed and few checks, unless flags say otherwise.
 func TestMain(m *testing.M) {
-	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "25", "rapid.nofailfile": "true"}
-	for name, value := range defaults {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(schedule.Run(m, 25))
 }
--- /dev/null
+++ b/internal/node/counted_table.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/metric"
+)
+
+// countedTable counts what this node reads from and writes to the table.
+type countedTable struct {
+	table mimosatide.Table
+	meter *metric.Meter
+}
+
+// Read returns the rows of the given keys that exist.
+func (counted countedTable) Read(ctx context.Context, keys ...string) ([]mimosatide.Row, error) {
+	counted.meter.CountTable(len(keys), 0)
+	return counted.table.Read(ctx, keys...)
+}
+
+// Scan returns the rows whose keys start with prefix.
+func (counted countedTable) Scan(ctx context.Context, prefix string) ([]mimosatide.Row, error) {
+	rows, err := counted.table.Scan(ctx, prefix)
+	counted.meter.CountTable(max(1, len(rows)), 0)
+	return rows, err
+}
+
+// Commit applies a transaction.
+func (counted countedTable) Commit(ctx context.Context, transaction mimosatide.Transaction) mimosatide.CommitOutcome {
+	counted.meter.CountTable(0, len(transaction.Writes))
+	return counted.table.Commit(ctx, transaction)
+}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/dispatch"
 	"mimosatide.example/mimosatide/internal/fleet"
 	"mimosatide.example/mimosatide/internal/journal"
 	"mimosatide.example/mimosatide/internal/limit"
@@ -42,7 +43,7 @@
 		node.keeper.TakeAskEvict(message)
 	case placement.TargetLeaving:
 		node.keeper.NoteLeaving(message.Target)
-	case peer.CrashNoted:
+	case dispatch.Crash:
 		node.dispatch.TakeCrash(message)
 	case peer.AskJournal:
 		node.hub.Send(from, peer.GiveJournal{ID: message.ID, Entries: node.journal.Get(message.Subject)})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,7 +152,7 @@
 		Bank:       node.bank,
 		Gate:       gate{node: node},
 		Peers:      node.fleet,
-		Placements: placements{keeper: node.keeper},
+		Placements: node.keeper,
 		Meter:      node.meter,
 		Journal:    node.journal,
 		Log:        node.log,
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,6 +8,7 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/chart"
+	"mimosatide.example/mimosatide/internal/dispatch"
 	"mimosatide.example/mimosatide/internal/fleet"
 	"mimosatide.example/mimosatide/internal/journal"
 	"mimosatide.example/mimosatide/internal/limit"
@@ -213,8 +214,8 @@
 		return kindAskEvict, nameWire{Name: message.Placement}, nil
 	case placement.TargetLeaving:
 		return kindTargetLeaving, nameWire{Name: message.Target}, nil
-	case CrashNoted:
-		return kindCrash, crashWire(message), nil
+	case dispatch.Crash:
+		return kindCrash, crashWire{Digest: string(message.Digest), Crash: message.Crash}, nil
 	case AskJournal:
 		return kindAskJournal, askJournalWire(message), nil
 	case GiveJournal:
@@ -260,9 +261,11 @@
 	}),
 	kindAskEvict:      decoder(func(wire nameWire) any { return placement.AskEvict{Placement: wire.Name} }),
 	kindTargetLeaving: decoder(func(wire nameWire) any { return placement.TargetLeaving{Target: wire.Name} }),
-	kindCrash:         decoder(func(wire crashWire) any { return CrashNoted(wire) }),
-	kindAskJournal:    decoder(func(wire askJournalWire) any { return AskJournal(wire) }),
-	kindGiveJournal:   decoder(func(wire giveJournalWire) any { return journalFromWire(wire) }),
+	kindCrash: decoder(func(wire crashWire) any {
+		return dispatch.Crash{Digest: dispatch.Digest(wire.Digest), Crash: wire.Crash}
+	}),
+	kindAskJournal:  decoder(func(wire askJournalWire) any { return AskJournal(wire) }),
+	kindGiveJournal: decoder(func(wire giveJournalWire) any { return journalFromWire(wire) }),
 }
 
 func decoder[Wire any](convert func(Wire) any) func([]byte) (any, error) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -2,12 +2,6 @@
 
 import "mimosatide.example/mimosatide/internal/journal"
 
-// CrashNoted tells every node of a request that was at a target when it crashed.
-type CrashNoted struct {
-	Digest string
-	Crash  string
-}
-
 // AskJournal asks a node what it decided about a subject.
 type AskJournal struct {
 	ID      uint64
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,160 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide/internal/dispatch"
+	"mimosatide.example/mimosatide/internal/fleet"
+	"mimosatide.example/mimosatide/internal/journal"
+	"mimosatide.example/mimosatide/internal/limit"
+	"mimosatide.example/mimosatide/internal/peer"
+	"mimosatide.example/mimosatide/internal/placement"
+)
+
+func messages() []any {
+	return []any{
+		fleet.Ping{Round: 1, Row: 2},
+		fleet.Statement{Round: 3, Row: 4, Head: []byte("head")},
+		fleet.Push{Round: 5, Row: 6, Head: []byte("head")},
+		fleet.Silent{Address: "127.0.0.1:1"},
+		fleet.AskRead{Round: 7, Row: 8},
+		fleet.ReadFor{Round: 9, Row: 10, Head: []byte("head")},
+		fleet.AskEntries{After: 11},
+		fleet.GiveEntries{First: 12, Entries: [][]byte{[]byte("entry")}},
+		limit.Ask{ID: 13, Account: "schools", Tokens: 1.5},
+		limit.Give{ID: 14, Account: "schools", Tokens: 2.5, Balance: 3.5},
+		limit.Return{ID: 15, Account: "schools", Tokens: 4.5},
+		placement.Want{Model: "m", Waiting: 1, Outstanding: 2, Adapters: map[string]int{"a": 3}, Zone: "z", Stake: 4},
+		placement.List{Model: "m", Row: 5, Outstanding: 6, Holdup: "h", Placements: []placement.Placement{{
+			ID: "m@1", Model: "m", Version: "v", Target: "t", State: placement.Ready, Number: 7,
+			Adapters: []placement.AdapterState{{Name: "a", Version: "v", Ready: true}},
+		}}},
+		placement.Stakes{ByModel: map[string]float64{"m": 1}},
+		placement.SlotFreed{},
+		placement.AskHarmless{Placement: "m@1"},
+		placement.Harmless{Placement: "m@1", Incarnation: 8},
+		placement.AskEvict{Placement: "m@1"},
+		placement.TargetLeaving{Target: "t"},
+		dispatch.Crash{Digest: "d", Crash: "c"},
+		peer.AskJournal{ID: 16, Subject: "s"},
+		peer.GiveJournal{ID: 17, Entries: []journal.Entry{{At: 1, What: "w", Reason: "r", Fields: []journal.Field{{Name: "n", Value: "v"}}}}},
+	}
+}
+
+func TestEveryMessageSurvivesItsEncoding(t *testing.T) {
+	for _, message := range messages() {
+		data, err := peer.Encode(message)
+		if err != nil {
+			t.Fatalf("%T: %v", message, err)
+		}
+		decoded, err := peer.Decode(data)
+		if err != nil || !reflect.DeepEqual(decoded, message) {
+			t.Errorf("%T: %+v became %+v, %v", message, message, decoded, err)
+		}
+	}
+}
+
+// FuzzDecode makes sure that no bytes from a peer stop the process.
+func FuzzDecode(f *testing.F) {
+	for _, message := range messages() {
+		data, _ := peer.Encode(message)
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = peer.Decode(data)
+	})
+}
+
+type received struct {
+	from    string
+	message any
+}
+
+// startHub runs a hub on a free port until the test ends, or until it is stopped.
+func startHub(t *testing.T, address, secret string) (chan received, *peer.Hub, context.CancelFunc) {
+	t.Helper()
+	inbox := make(chan received, 100)
+	settings := peer.Settings{Self: address, Listen: address, Secret: []byte(secret), PingEvery: 100 * time.Millisecond}
+	hub, err := peer.New(settings, logr.Discard(), func(from string, message any) { inbox <- received{from: from, message: message} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		hub.Run(ctx)
+		close(ended)
+	}()
+	end := func() {
+		stop()
+		<-ended
+	}
+	t.Cleanup(end)
+	return inbox, hub, end
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// sendUntil sends numbered messages until one arrives: a hub may lose some.
+func sendUntil(t *testing.T, hub *peer.Hub, to string, inbox chan received) received {
+	t.Helper()
+	for round := range uint64(200) {
+		hub.Send(to, fleet.Ping{Round: round})
+		select {
+		case got := <-inbox:
+			return got
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	t.Fatal("nothing arrived")
+	return received{}
+}
+
+func TestHubsLinkAndLinkAgain(t *testing.T) {
+	first, second := freeAddress(t), freeAddress(t)
+	_, sender, _ := startHub(t, first, "the same secret")
+	inbox, _, stop := startHub(t, second, "the same secret")
+	if got := sendUntil(t, sender, second, inbox); got.from != first {
+		t.Fatalf("from %s", got.from)
+	}
+	stop()
+	again, _, _ := startHub(t, second, "the same secret")
+	sendUntil(t, sender, second, again)
+}
+
+func TestHubRefusesAnotherSecret(t *testing.T) {
+	first, second := freeAddress(t), freeAddress(t)
+	_, sender, _ := startHub(t, first, "a wrong secret")
+	inbox, _, _ := startHub(t, second, "the right secret")
+	for round := range uint64(20) {
+		sender.Send(second, fleet.Ping{Round: round})
+		time.Sleep(10 * time.Millisecond)
+	}
+	if len(inbox) != 0 {
+		t.Fatal("a peer without the secret was heard")
+	}
+}
+
+func TestPeerPortIsExclusive(t *testing.T) {
+	address := freeAddress(t)
+	startHub(t, address, "secret")
+	_, err := peer.New(peer.Settings{Self: address, Listen: address}, logr.Discard(), nil)
+	if err == nil {
+		t.Fatal(fmt.Sprint("two processes listen at ", address))
+	}
+}
--- a/internal/placement/keeper.go
+++ b/internal/placement/keeper.go
@@ -92,48 +92,6 @@
 	OnList func(List)
 }
 
-// modelState is what the keeper knows of one model.
-type modelState struct {
-	wants     map[string]wantOf
-	lastUse   time.Duration
-	due       time.Duration
-	busy      bool
-	again     bool
-	list      List
-	listed    bool
-	listeners map[string]time.Duration
-	evict     map[string]time.Duration
-	holdup    string
-	slotWait  bool
-	// skipped is how many candidates were found to be full.
-	skipped int
-	// unloaded is when the newest answered unload of a placement was sent.
-	unloaded map[string]time.Duration
-	// harmlessAt is when this node first knew that no order for a placement was under way.
-	harmlessAt map[string]time.Duration
-}
-
-type wantOf struct {
-	want Want
-	at   time.Duration
-}
-
-type stakeOf struct {
-	stake float64
-	at    time.Duration
-}
-
-type cachedRow struct {
-	value   []byte
-	version mimosatide.RowVersion
-	at      time.Duration
-}
-
-type harmlessKey struct {
-	placement string
-	orderer   Orderer
-}
-
 // New returns a keeper that has not started.
 func New(settings Settings, parts Dependencies) *Keeper {
 	return &Keeper{
@@ -211,9 +169,11 @@
 	keeper.sendStakes(now)
 }
 
+// submit runs work on the pool. The work clears flags that keep it from being
+// started twice, so that it runs beside a full pool rather than never.
 func (keeper *Keeper) submit(work func()) {
 	if err := keeper.run(work); err != nil {
-		keeper.log.Info("work put off", "reason", err.Error())
+		go work()
 	}
 }
 
@@ -256,23 +216,6 @@
 	return keeper.home(model) == keeper.settings.Self && keeper.fleet.Self().Incarnation > 0
 }
 
-// state returns what is known of a model; the lock is held.
-func (keeper *Keeper) state(model string) *modelState {
-	known, found := keeper.models[model]
-	if !found {
-		known = &modelState{
-			wants:      map[string]wantOf{},
-			listeners:  map[string]time.Duration{},
-			evict:      map[string]time.Duration{},
-			unloaded:   map[string]time.Duration{},
-			harmlessAt: map[string]time.Duration{},
-			lastUse:    keeper.clock.Now(),
-		}
-		keeper.models[model] = known
-	}
-	return known
-}
-
 func (keeper *Keeper) dueModels(now time.Duration) []string {
 	keeper.lock.Lock()
 	defer keeper.lock.Unlock()
@@ -351,8 +294,11 @@
 		return outcome == mimosatide.CommitConflict
 	}
 	keeper.rememberRows(decision.Transaction)
-	if decision.Kind == MarkLoaded || decision.Kind == MarkAdapter {
+	switch decision.Kind {
+	case MarkLoaded, MarkAdapter:
 		keeper.tellSlotFreed()
+	case ReleaseMemory, ForgetLost:
+		keeper.forgetPlacement(decision.Placement)
 	}
 	return true
 }
