--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,14 +11,14 @@
 # shellcheck disable=SC2086
 {
   NODE_FLAGS="--min-keep 10s --keep-factor 0" scripts/cluster.sh 8 $large -- bin/load --nodes 8 burst --pause 25s
-  scripts/baseline.sh 8 $large -- --idle 10s --coordinated -- bin/load --nodes 8 burst --pause 25s --no-configure --name "one router"
-  scripts/baseline.sh 8 $large -- --idle 10s -- bin/load --nodes 8 burst --pause 25s --no-configure --name "8 routers"
+  scripts/routers.sh 8 $large -- --idle 10s --coordinated -- bin/load --nodes 8 burst --pause 25s --no-configure --name "one router"
+  scripts/routers.sh 8 $large -- --idle 10s -- bin/load --nodes 8 burst --pause 25s --no-configure --name "8 routers"
 }
 echo "== twice what one engine can do, most of it from one account"
 # shellcheck disable=SC2086
 {
   scripts/cluster.sh 8 $one --concurrency 16 --load-time 1s -- bin/load --nodes 8 overload
-  scripts/baseline.sh 8 $one --concurrency 16 --load-time 1s -- --engines 1 --idle 60s --coordinated -- \
+  scripts/routers.sh 8 $one --concurrency 16 --load-time 1s -- --engines 1 --idle 60s --coordinated -- \
     bin/load --nodes 8 overload --no-configure --name "one router"
 }
 echo "== warm requests through one node and directly"
