Let the witnesses finish an orphaned proposal one after the other

Found by reading: every member adopted it in the same step, which at 3,200 members is as many writes of one row.

--- a/internal/fleet/patch.go
+++ b/internal/fleet/patch.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"fmt"
+	"slices"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -28,6 +29,14 @@
 	patchUnsettled chart.State = "Unsettled"
 )
 
+// patchOutcomes are what the final states mean to an operator.
+var patchOutcomes = map[chart.State]PatchOutcome{
+	patchAccepted:  PatchAccepted,
+	patchRejected:  PatchRejected,
+	patchStale:     PatchStale,
+	patchUnsettled: PatchUnsettled,
+}
+
 // patch is one change on its way into the log, driven by this node.
 type patch struct {
 	state chart.State
@@ -100,13 +109,7 @@
 
 // finishPatch answers the operator once the patch has reached a final state.
 func (core *Core) finishPatch(active *patch) {
-	outcomes := map[chart.State]PatchOutcome{
-		patchAccepted:  PatchAccepted,
-		patchRejected:  PatchRejected,
-		patchStale:     PatchStale,
-		patchUnsettled: PatchUnsettled,
-	}
-	outcome, final := outcomes[active.state]
+	outcome, final := patchOutcomes[active.state]
 	if !final {
 		return
 	}
@@ -323,9 +326,21 @@
 	}
 }
 
+// adoptionDelay lets the witnesses try one after the other, and the other nodes after them.
+func (core *Core) adoptionDelay() time.Duration {
+	witnesses := core.head.witnessSets(core.settings.WitnessLimit)[0]
+	rank := slices.IndexFunc(witnesses, func(witness mimosatide.Member) bool {
+		return witness.Address == core.settings.Self.Address
+	})
+	if rank < 0 {
+		rank = len(witnesses)
+	}
+	return time.Duration(rank) * core.settings.ReadEvery
+}
+
 // adoptOrphan carries on with a proposal whose proposer has not finished it.
 func (core *Core) adoptOrphan() {
-	patience := 2*core.settings.ProposalDeadline + core.settings.Freshness
+	patience := 2*core.settings.ProposalDeadline + core.settings.Freshness + core.adoptionDelay()
 	if core.head.Proposal == nil || core.now-core.orphan.since < patience {
 		return
 	}
--- a/internal/load/demo.go
+++ b/internal/load/demo.go
@@ -87,6 +87,9 @@
 	return fleet.GrantKey(ctx, withdrawnKey, "schools", true)
 }
 
+// oversizedBody is more than a node takes, in bytes.
+const oversizedBody = 5 << 20
+
 const demoOrder = `{"Item":"stamps","Count":2}`
 
 func demoSteps(fleet Fleet) []demoStep {
@@ -103,6 +106,11 @@
 	again.Node = node(1)
 	twoKeys := Chat(node(0), schoolsKey, "translate", "hello", 4, false)
 	twoKeys.Headers = map[string]string{"X-Api-Key": reviewsKey}
+	malformed := client.Call{Node: node(0), Method: http.MethodPost, Path: "/v1/completions", Key: schoolsKey, Body: []byte("{")}
+	oversized := Chat(node(0), schoolsKey, "translate", strings.Repeat("a", oversizedBody), 4, false)
+	get := func(path string) client.Call {
+		return client.Call{Node: node(0), Method: http.MethodGet, Path: path, Key: schoolsKey}
+	}
 	return []demoStep{
 		{name: "cold request", call: Chat(node(0), schoolsKey, "translate", "Dear pen friend", 16, true), status: 200, check: wholeStream(16)},
 		{name: "warm streamed request", call: Chat(node(1), schoolsKey, "translate", "Dear pen friend", 16, true), status: 200, check: wholeStream(16)},
@@ -115,10 +123,10 @@
 		{name: "two keys", call: twoKeys, status: 401, reason: "TwoKeys"},
 		{name: "unknown model", call: Chat(node(0), schoolsKey, "poems", "hello", 4, false), status: 404, reason: "UnknownModel"},
 		{name: "absurd token count", call: Chat(node(0), schoolsKey, "translate", "hello", 1<<30, false), status: 400, reason: "BadTokenCount"},
-		{name: "malformed body", call: client.Call{Node: node(0), Method: http.MethodPost, Path: "/v1/completions", Key: schoolsKey, Body: []byte("{")}, status: 400, reason: "Malformed"},
-		{name: "oversized body", call: Chat(node(0), schoolsKey, "translate", strings.Repeat("a", 5<<20), 4, false), status: 413, reason: "TooLarge"},
-		{name: "unknown route", call: client.Call{Node: node(0), Method: http.MethodGet, Path: "/services/parcels/1", Key: schoolsKey}, status: 404, reason: "UnknownRoute"},
-		{name: "wrong method", call: client.Call{Node: node(0), Method: http.MethodGet, Path: "/v1/chat/completions", Key: schoolsKey}, status: 405, reason: "WrongMethod"},
+		{name: "malformed body", call: malformed, status: 400, reason: "Malformed"},
+		{name: "oversized body", call: oversized, status: 413, reason: "TooLarge"},
+		{name: "unknown route", call: get("/services/parcels/1"), status: 404, reason: "UnknownRoute"},
+		{name: "wrong method", call: get("/v1/chat/completions"), status: 405, reason: "WrongMethod"},
 		{name: "open lookup without a key", call: client.Call{Node: node(2), Method: http.MethodGet, Path: "/services/lookups/7"}, status: 200},
 	}
 }
