Try a request at its only replica again after half a second

Cause, found by reading: a target that had failed a request once was excluded for the rest of it, so that with a single replica an engine's word that it was busy ended as WaitExpired. Before: the new test waits 20 s and is refused; after: served at the second try.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -31,8 +31,8 @@
 type waiter struct {
 	request Request
 	granted chan grant
-	// exclude are targets that have failed this request.
-	exclude map[string]bool
+	// failed is when each target last failed this request.
+	failed map[string]time.Duration
 }
 
 // grant lets a request run.
@@ -211,7 +211,16 @@
 // chooseReplica picks a replica that can run the request now.
 func (service *Service) chooseReplica(line *line, waiting *waiter) (Candidate, bool) {
 	candidates := service.candidates(line, waiting.request)
-	return service.chooser.Choose(candidates, waiting.exclude)
+	return service.chooser.Choose(candidates, waiting.excluded(service.clock.Now()))
+}
+
+// excluded are the targets that the request isn't tried at again yet.
+func (waiting *waiter) excluded(now time.Duration) map[string]bool {
+	excluded := map[string]bool{}
+	for target, at := range waiting.failed {
+		excluded[target] = now-at < tryAgainAfter
+	}
+	return excluded
 }
 
 func (service *Service) candidates(line *line, request Request) []Candidate {
--- a/internal/dispatch/run_model.go
+++ b/internal/dispatch/run_model.go
@@ -42,7 +42,7 @@
 	if refusal := service.checkRate(run.request); refusal.Refused() {
 		return refused(refusal)
 	}
-	waiting := &waiter{request: run.request, granted: make(chan grant, 1), exclude: map[string]bool{}}
+	waiting := &waiter{request: run.request, granted: make(chan grant, 1), failed: map[string]time.Duration{}}
 	run.cold = !service.serves(run.request)
 	for try := 1; ; try++ {
 		given, refusal := service.acquire(ctx, waiting)
@@ -66,7 +66,7 @@
 		if !again {
 			return result
 		}
-		waiting.exclude[given.candidate.Target] = true
+		waiting.failed[given.candidate.Target] = service.clock.Now()
 		waiting.granted = make(chan grant, 1)
 	}
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -22,7 +22,9 @@
 	quietWantEvery = 2 * time.Second
 	tendEvery      = 100 * time.Millisecond
 	// maxTries bounds how often one request is sent.
-	maxTries        = 4
+	maxTries = 4
+	// tryAgainAfter is how long a request goes to other targets than the one that failed it.
+	tryAgainAfter   = 500 * time.Millisecond
 	firstEventGrace = 200 * time.Millisecond
 )
 
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -186,6 +186,26 @@
 	made.place(engines)
 }
 
+// TestOnlyReplicaIsTriedAgain refuses the first try at the only replica there is.
+func TestOnlyReplicaIsTriedAgain(t *testing.T) {
+	made := newBench(t, 1)
+	made.target.answer = func(_ string, call mimosatide.Call, _ func(mimosatide.Event) error) mimosatide.Answer {
+		if made.target.count() == 1 {
+			return mimosatide.Answer{Status: 429}
+		}
+		return success(call)
+	}
+	results := make(chan dispatch.Result)
+	go func() { results <- made.service.RunModel(context.Background(), made.request("busy", paid), ignore) }()
+	placeOnceAsked(made, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go made.service.Run(ctx)
+	if result := <-results; result.Refusal.Refused() {
+		t.Fatalf("%+v", result.Refusal)
+	}
+}
+
 func TestEveryWaitingRequestIsAnsweredInTime(t *testing.T) {
 	made := newBench(t, 1)
 	request := made.request("waits", paid)
