Give the operators' commands the exit codes that their help promises

Cause: the command line library wraps the error, so that a refusal was not recognised and every failure ended with 1. Ruled out: the API (the texts were right).

--- a/cmd/mimosatide/cluster_test.go
+++ b/cmd/mimosatide/cluster_test.go
@@ -51,6 +51,8 @@
 	nodes  []*exec.Cmd
 	caller *client.Caller
 	flags  []string
+	// logs are the nodes' log files.
+	logs []string
 }
 
 // startCluster starts the outside and the nodes, and puts a configuration in force.
@@ -133,6 +135,7 @@
 		c.t.Fatal(err)
 	}
 	node.Stderr = log
+	c.logs = append(c.logs, log.Name())
 	c.t.Cleanup(func() {
 		if c.t.Failed() {
 			data, _ := os.ReadFile(log.Name())
--- a/cmd/mimosatide/main.go
+++ b/cmd/mimosatide/main.go
@@ -43,9 +43,9 @@
 }
 
 func exitCode(err error) int {
-	refusal, refused := errors.Cause(err).(*client.Error)
+	var refusal *client.Error
 	switch {
-	case !refused:
+	case !errors.As(err, &refusal):
 		return exitFailed
 	case refusal.Kind == "Stale":
 		return exitStale
