--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -86,10 +86,10 @@
 	busyEvery  = 100 * time.Millisecond
 	quietEvery = 2 * time.Second
 	// rowLife is how long a cached row of a model in demand is believed.
-	rowLife = 3 * time.Second
+	rowLife = 10 * time.Second
 	// slotLife and memoryLife are how long rows are believed by a model that waits for them to change.
-	slotLife   = 150 * time.Millisecond
-	memoryLife = 400 * time.Millisecond
+	slotLife   = 500 * time.Millisecond
+	memoryLife = 800 * time.Millisecond
 	// quietRowLife is how long the other rows are believed.
 	quietRowLife = time.Minute
 	// wantLife is how long a node's statement of its demand counts.
