Spend from every node's bank in the fleet's random schedules

The schedules checked who holds a share, but not what is spent from it. Now a greedy account takes all it can at every node at every step, and the sum over the fleet is held against burst + rate·t in every interval, through kills, restarts at the same address, pauses past the term, replaced hosts and outages. Also a lowered rate, and five times the rate at one node.

--- a/internal/experiment/limits.go
+++ b/internal/experiment/limits.go
@@ -210,6 +210,7 @@
 			run.OutageFrom, run.OutageTo = 15*time.Second, 45*time.Second
 		}),
 		named("500 %, at all nodes", func(run *LimitRun) { run.Spread, run.Load = Even, 5 }),
+		named("500 %, at one node", func(run *LimitRun) { run.Spread, run.Load = AllAtOne, 5 }),
 		named("500 %, moving every second", func(run *LimitRun) { run.Spread, run.Load = MovingEverySecond, 5 }),
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -253,3 +253,18 @@
 		}
 	}
 }
+
+// TestGreedyAccountGetsItsWholeRate makes sure that the worlds' spends are worth checking.
+func TestGreedyAccountGetsItsWholeRate(t *testing.T) {
+	w := settledWorld(t, 12, 8)
+	spent := 0.0
+	before := w.excess
+	for range 500 {
+		w.step()
+		spent += w.excess - before + greedy.Rate*worldStep.Seconds()
+		before = w.excess
+	}
+	if least := 0.9 * greedy.Rate * (500 * worldStep).Seconds(); spent < least {
+		t.Fatalf("%f tokens were spent, at least %f are due", spent, least)
+	}
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -9,6 +9,7 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/fleet"
+	"mimosatide.example/mimosatide/internal/limit"
 	"mimosatide.example/mimosatide/internal/platform"
 )
 
@@ -46,11 +47,19 @@
 	settledAt   map[uint64]time.Duration
 	starts      int
 	headRow     mimosatide.RowVersion
+	// excess is how far the spends run ahead of the account's rate.
+	excess    float64
+	lastSpend time.Duration
 	// witnesses and watches are the limits of the fleet's settings.
 	witnesses int
 	watches   int
 }
 
+// greedy asks for far more than its rate at every node all the time.
+var greedy = mimosatide.Account{Name: "greedy", Rate: 1000, Burst: 2000}
+
+const greedyTokens = 20
+
 type acceptedEntry struct {
 	nonce string
 	at    time.Duration
@@ -68,6 +77,7 @@
 	entries map[uint64]string
 	inbox   []fleet.Event
 	left    bool
+	bank    *limit.Bank
 }
 
 type worldMail struct {
@@ -120,6 +130,10 @@
 	node.rate = 1 + (w.random.Float64()*2-1)*clockError
 	node.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
 	node.entries = map[uint64]string{}
+	bankSettings := limit.DefaultSettings()
+	bankSettings.RateMargin = clockError
+	node.bank = limit.New(bankSettings)
+	node.bank.SetAccount(w.clock(node), greedy)
 	node.dead, node.paused, node.left = false, false, false
 	node.inbox = nil
 }
@@ -146,11 +160,27 @@
 		for _, event := range events {
 			w.perform(node, node.core.Step(w.clock(node), event))
 		}
+		w.spend(node)
 	}
 	w.watchTable()
 	w.check()
 }
 
+// spend takes what the node's bank gives, and demands that all nodes together
+// never give more than the burst and the rate in any interval.
+func (w *world) spend(node *worldNode) {
+	for {
+		if _, granted := node.bank.Spend(w.clock(node), greedy.Name, greedyTokens); !granted {
+			return
+		}
+		w.excess = max(0, w.excess-greedy.Rate*(w.now-w.lastSpend).Seconds()) + greedyTokens
+		w.lastSpend = w.now
+		if w.excess > greedy.Burst {
+			w.fail("%f tokens above the rate were spent, the burst is %f", w.excess, greedy.Burst)
+		}
+	}
+}
+
 func (w *world) deliver() {
 	due := w.mail
 	w.mail = nil
@@ -183,6 +213,8 @@
 			w.applyEntry(node, effect)
 		case fleet.SettlePatch:
 			w.settlePatch(effect)
+		case fleet.ChangeShares:
+			node.bank.SetShares(w.clock(node), effect.Held, effect.Until)
 		case fleet.Left:
 			node.left = true
 		}
--- a/internal/limit/bank_test.go
+++ b/internal/limit/bank_test.go
@@ -290,6 +290,21 @@
 	}
 }
 
+func TestLoweredLimitsBindAtOnce(t *testing.T) {
+	bank := newBank(64)
+	now := 10 * time.Second
+	bank.SetAccount(now, mimosatide.Account{Name: "schools", Rate: 100, Burst: 200})
+	granted := 0.0
+	for ; now <= 20*time.Second; now += time.Millisecond {
+		if _, spent := bank.Spend(now, "schools", 10); spent {
+			granted += 10
+		}
+	}
+	if granted > 100*10+200 {
+		t.Fatalf("granted %f tokens in 10 s of the lowered rate", granted)
+	}
+}
+
 func TestLapsedSharesSpendNothing(t *testing.T) {
 	bank := newBank(64)
 	bank.SetShares(time.Second, 64, 5*time.Second)
