--- a/cmd/mimosatide/process_test.go
+++ b/cmd/mimosatide/process_test.go
@@ -177,13 +177,16 @@
 	c.mustServe(0, "schools", "model-00", "warm up", 2)
 	runs := 0
 	poisoned := false
-	for try := 0; try < 12 && !poisoned; try++ {
+	// While the engine is away its refusals come fast, so that the tries end by time and not by number.
+	deadline := time.Now().Add(waitLong)
+	for try := 0; !poisoned && time.Now().Before(deadline); try++ {
 		answer, err := c.chat(try%3, "schools", "model-00", standin.CrashMark, 4)
 		if err != nil || answer.Whole {
 			t.Fatalf("try %d: %+v, %v", try, answer, err)
 		}
 		runs += c.truth().Runs[answer.Request]
 		poisoned = answer.Reason == "PoisonRequest"
+		time.Sleep(pollEvery)
 	}
 	if !poisoned || runs > 2 {
 		t.Fatalf("poisoned %t after %d crashes", poisoned, runs)
