Serve the whole path on the users' platform through an adapter

Cause: nothing of the project could run on the users' machines: their settings, table service, targets and requests have a format of their own. Ruled out: hertz for this path. Its standard transport does not notice that a caller has left while a handler runs, and its client hides whether a byte was written before a failure; both are needed for honest refusals.

--- a/cmd/mimosatide/main.go
+++ b/cmd/mimosatide/main.go
@@ -20,6 +20,7 @@
 
 type commandLine struct {
 	Serve   serveCommand   `cmd:"" help:"Run a node."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry node on the users' platform."`
 	Config  configCommand  `cmd:"" help:"Show and patch the configuration."`
 	Key     keyCommand     `cmd:"" help:"Grant and withdraw callers' keys."`
 	Account accountCommand `cmd:"" help:"Show and change client accounts."`
--- /dev/null
+++ b/internal/entrynode/node.go
@@ -0,0 +1,223 @@
+package entrynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/allowance"
+	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/exchange"
+	"mimosatide.example/mimosatide/internal/feed"
+	"mimosatide.example/mimosatide/internal/gateway"
+	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/peer"
+	"mimosatide.example/mimosatide/internal/registry"
+	"mimosatide.example/mimosatide/platform"
+)
+
+// The tables that this system keeps in the platform's store.
+const (
+	hostTable  = "mimosatide-hosts"
+	leaseTable = "mimosatide-leases"
+)
+
+// The bounds of callers' connections.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	headerBytes   = 64 << 10
+	// housekeepEvery is how often old connections and lapsed targets are looked for.
+	housekeepEvery = 500 * time.Millisecond
+)
+
+// Node is one entry node.
+type Node struct {
+	settings    platform.Settings
+	log         logr.Logger
+	incarnation uint64
+	self        string
+
+	store      *platform.Store
+	engines    *platform.Engines
+	deployment atomic.Pointer[mimosatide.Deployment]
+	targets    *registry.Registry
+	tracker    *balance.Tracker
+	ledger     *allowance.Ledger
+	exchange   *exchange.Exchange
+	repeats    *gateway.Repeats
+	meter      *metric.Meter
+	hub        *peer.Hub
+	followers  map[string]*feed.Follower
+	fleet      *fleet
+	loader     *loader
+
+	draining atomic.Bool
+	metrics  string
+}
+
+// New returns a node that has not started; metricsPort is where its metrics are served.
+func New(settings platform.Settings, metricsPort string, log logr.Logger) (*Node, error) {
+	dialer := newDialer()
+	node := &Node{
+		settings:    settings,
+		log:         log,
+		incarnation: uint64(time.Now().UnixNano()),
+		self:        net.JoinHostPort(settings.IP, strconv.Itoa(settings.Listen.PeerPort)),
+		store:       platform.NewStore(settings.Store.Address, dialer),
+		engines: platform.NewEngines(&http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdle,
+		}),
+		targets:   registry.New(log),
+		tracker:   balance.New(settings.Zone),
+		ledger:    allowance.New(settings.FirstStart),
+		exchange:  exchange.New(dialer),
+		repeats:   gateway.NewRepeats(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
+		meter:     metric.New(),
+		followers: map[string]*feed.Follower{},
+		metrics:   net.JoinHostPort(settings.IP, metricsPort),
+	}
+	hub, err := peer.New(peer.Settings{
+		Codec:     gossip.Codec{},
+		Self:      node.self,
+		Listen:    node.self,
+		PingEvery: peer.DefaultPingEvery,
+	}, log, node.receive)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	node.hub = hub
+	node.fleet = newFleet(node)
+	node.loader = newLoader(node)
+	node.follow(platform.ConfigurationTable, node.applyConfiguration)
+	node.follow(platform.TargetTable, node.applyTargets)
+	node.follow(hostTable, node.fleet.applyHosts)
+	return node, nil
+}
+
+// engineIdle is how long a connection for orders is kept; engines close idle ones.
+const engineIdle = 2 * time.Second
+
+func (node *Node) follow(table string, apply func(feed.Update)) {
+	node.followers[table] = feed.New(table, node.store, node.log, apply)
+}
+
+// Run serves until the context ends, then drains.
+func (node *Node) Run(ctx context.Context) error {
+	node.log.Info("node starts", "node", node.settings.Node, "zone", node.settings.Zone, "peers", node.self,
+		"callers", node.settings.Listen.Callers, "incarnation", node.incarnation, "firstStart", node.settings.FirstStart)
+	working, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group sync.WaitGroup
+	background := []func(context.Context){node.hub.Run, node.fleet.run, node.loader.run, node.housekeep}
+	for _, follower := range node.followers {
+		background = append(background, follower.Run)
+	}
+	for _, work := range background {
+		group.Go(func() { work(working) })
+	}
+	callers, err := node.listen(working)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	<-ctx.Done()
+	node.drain(callers)
+	stop()
+	group.Wait()
+	node.log.Info("node ends", "node", node.settings.Node)
+	return node.meter.Close()
+}
+
+// applyConfiguration puts a configuration in force; one that can't be read leaves the last one in force.
+func (node *Node) applyConfiguration(update feed.Update) {
+	for _, change := range update.Rows {
+		if change.Key != platform.ConfigurationKey || change.Deleted {
+			continue
+		}
+		deployment, err := platform.DecodeDeployment(change.Value)
+		if err != nil {
+			node.log.Error(err, "configuration unreadable", "row", change.Version)
+			continue
+		}
+		node.deployment.Store(&deployment)
+		node.log.Info("configuration in force", "version", deployment.Version, "row", change.Version,
+			"routes", deployment.Routes(), "accounts", len(deployment.Accounts))
+		node.loader.configure(&deployment)
+	}
+}
+
+func (node *Node) applyTargets(update feed.Update) {
+	for _, change := range update.Rows {
+		if change.Deleted {
+			node.targets.Delete(change.Key, update.Recovering, time.Now())
+			continue
+		}
+		instance, err := platform.DecodeInstance(change.Row)
+		if err != nil {
+			node.log.Info("target row unreadable", "row", change.Key, "version", change.Version, "reason", err.Error())
+			node.targets.Delete(change.Key, false, time.Now())
+			continue
+		}
+		node.targets.Put(instance)
+	}
+}
+
+// ready says whether the node takes new connections.
+func (node *Node) ready() bool {
+	return !node.draining.Load() && node.deployment.Load() != nil &&
+		node.followers[platform.TargetTable].State().Known
+}
+
+func (node *Node) housekeep(ctx context.Context) {
+	ticker := time.NewTicker(housekeepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			node.exchange.Sweep()
+			node.targets.Expire(now)
+			view := node.targets.View()
+			node.tracker.Keep(func(id string) bool {
+				_, known := view.Instance(id)
+				return known
+			})
+		}
+	}
+}
+
+// receive takes a message of a peer.
+func (node *Node) receive(from string, message any) {
+	now := time.Now()
+	switch message := message.(type) {
+	case gossip.Digest:
+		node.fleet.hear(from, message, now)
+	case gossip.Usage:
+		node.loader.hearUsage(message, now)
+	case gossip.Need:
+		node.loader.hearNeed(message, now)
+	case gossip.Placement:
+		node.loader.hearPlacement(message)
+	case gossip.AskRows:
+		if follower, found := node.followers[message.Table]; found && follower.State().Known {
+			node.hub.Send(from, gossip.EncodeRows(message.Table, follower.Snapshot()))
+		}
+	case gossip.GiveRows:
+		if follower, found := node.followers[message.Table]; found {
+			node.log.V(1).Info("rows of a peer", "peer", from, "table", message.Table, "version", message.Version)
+			follower.Offer(message.Batch())
+		}
+	default:
+		node.log.Info("peer message unknown", "peer", from)
+	}
+}
--- /dev/null
+++ b/internal/feed/follower.go
@@ -0,0 +1,232 @@
+// Package feed keeps a copy of a table of the platform's store up to date.
+//
+// A Follower reads the whole table once and then follows its changes with one
+// long poll at a time. A node that the store refuses takes snapshots from its
+// peers instead: versions come from a single counter, so the highest one wins,
+// from whichever side it came, and nothing reverts.
+//
+// # Usage
+//
+//	follower := feed.New(feed.Settings{Table: "hosts"}, store, log, apply)
+//	go follower.Run(ctx)
+//	follower.Offer(snapshotOfAPeer)
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+)
+
+// The times of a follower.
+const (
+	// pollWait is how long the store holds a poll open; a longer one costs fewer calls.
+	pollWait = 10 * time.Second
+	// answerSlack is how much later than asked the store may answer a poll.
+	answerSlack     = 2 * time.Second
+	snapshotTimeout = 2 * time.Second
+	retryAfter      = 150 * time.Millisecond
+	// recoveryTime is how long after an outage rows may still be missing that
+	// lapsed while the store was away.
+	recoveryTime = 2500 * time.Millisecond
+)
+
+// Update is what a follower hands on: the changed rows, and whether a deletion
+// may be an effect of an outage.
+type Update struct {
+	Rows []mimosatide.RowChange
+	// Recovering says that the store was away until a moment ago.
+	Recovering bool
+}
+
+// State is how current a follower is.
+type State struct {
+	// Version is the version up to which all changes are known.
+	Version mimosatide.RowVersion
+	// Changed is the version of the newest change.
+	Changed mimosatide.RowVersion
+	// Healthy says that the store answers this node.
+	Healthy bool
+	// Known says that the whole table has been read, here or by a peer.
+	Known bool
+}
+
+// Follower holds a copy of one table.
+type Follower struct {
+	table string
+	store mimosatide.RowFeed
+	log   logr.Logger
+	apply func(Update)
+
+	lock      sync.Mutex
+	rows      map[string]mimosatide.Row
+	state     State
+	lostAt    time.Time
+	regained  time.Time
+	everAsked bool
+}
+
+// New returns a follower of a table that hands changes to apply, one call at a time.
+func New(table string, store mimosatide.RowFeed, log logr.Logger, apply func(Update)) *Follower {
+	return &Follower{
+		table: table,
+		store: store,
+		log:   log,
+		apply: apply,
+		rows:  map[string]mimosatide.Row{},
+	}
+}
+
+// State returns how current the copy is.
+func (follower *Follower) State() State {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	return follower.state
+}
+
+// Snapshot returns the whole copy, for a peer that the store refuses.
+func (follower *Follower) Snapshot() mimosatide.RowBatch {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	batch := mimosatide.RowBatch{Version: follower.state.Version, Complete: true}
+	for _, row := range follower.rows {
+		batch.Rows = append(batch.Rows, mimosatide.RowChange{Row: row})
+	}
+	return batch
+}
+
+// Run follows the table until the context ends.
+func (follower *Follower) Run(ctx context.Context) {
+	complete := false
+	for ctx.Err() == nil {
+		err := follower.poll(ctx, &complete)
+		if ctx.Err() != nil {
+			return
+		}
+		follower.note(err)
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, mimosatide.ErrHistoryGone) {
+			complete = false
+			continue
+		}
+		sleep(ctx, retryAfter+rand.N(retryAfter))
+	}
+}
+
+// poll asks once; complete says whether the copy has a version to go on from.
+func (follower *Follower) poll(ctx context.Context, complete *bool) error {
+	if !*complete {
+		bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		batch, err := follower.store.Snapshot(bounded, follower.table)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		follower.Offer(batch)
+		*complete = true
+		return nil
+	}
+	wait := pollWait
+	state := follower.State()
+	if !state.Healthy {
+		wait = 0
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	batch, err := follower.store.Changes(bounded, follower.table, state.Version, wait)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	follower.Offer(batch)
+	return nil
+}
+
+// note logs when the store is lost or regained.
+func (follower *Follower) note(err error) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	healthy := err == nil
+	if healthy == follower.state.Healthy && follower.everAsked {
+		return
+	}
+	if healthy {
+		if !follower.lostAt.IsZero() {
+			follower.regained = time.Now()
+		}
+		follower.log.Info("store answers", "table", follower.table, "version", follower.state.Version)
+	} else {
+		follower.lostAt = time.Now()
+		follower.log.Info("store lost", "table", follower.table, "version", follower.state.Version, "reason", err.Error())
+	}
+	follower.state.Healthy = healthy
+	follower.everAsked = true
+}
+
+// Offer takes rows from the store or from a peer; what is older than the copy is left out.
+func (follower *Follower) Offer(batch mimosatide.RowBatch) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if batch.Version < follower.state.Version || (!batch.Complete && !follower.state.Known) {
+		return
+	}
+	update := Update{Recovering: follower.recovering()}
+	seen := map[string]bool{}
+	for _, change := range batch.Rows {
+		seen[change.Key] = true
+		known, found := follower.rows[change.Key]
+		if found && change.Version <= known.Version {
+			continue
+		}
+		if change.Deleted {
+			delete(follower.rows, change.Key)
+			if !found {
+				continue
+			}
+		} else {
+			follower.rows[change.Key] = change.Row
+		}
+		update.Rows = append(update.Rows, change)
+	}
+	if batch.Complete {
+		for key, row := range follower.rows {
+			if !seen[key] && row.Version <= batch.Version {
+				delete(follower.rows, key)
+				gone := mimosatide.RowChange{Row: mimosatide.Row{Key: key, Version: batch.Version}, Deleted: true}
+				update.Rows = append(update.Rows, gone)
+			}
+		}
+	}
+	for _, change := range update.Rows {
+		follower.state.Changed = max(follower.state.Changed, change.Version)
+	}
+	follower.state.Version = batch.Version
+	first := !follower.state.Known
+	follower.state.Known = true
+	if len(update.Rows) > 0 || first {
+		follower.apply(update)
+	}
+}
+
+func (follower *Follower) recovering() bool {
+	if follower.lostAt.IsZero() {
+		return false
+	}
+	return !follower.state.Healthy || time.Since(follower.regained) < recoveryTime
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/loading/holding.go
@@ -0,0 +1,65 @@
+package loading
+
+import "mimosatide.example/mimosatide"
+
+func holds(holdings []mimosatide.Holding, model string) bool {
+	for _, holding := range holdings {
+		if holding.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+func holdsAdapter(instance mimosatide.Instance, model, adapter string) bool {
+	for _, holding := range instance.Holdings {
+		if holding.Model == model && (contains(holding.Adapters, adapter) || contains(holding.Coming, adapter)) {
+			return true
+		}
+	}
+	return false
+}
+
+// without returns a copy of an instance that does not hold a model.
+func without(instance mimosatide.Instance, model string) mimosatide.Instance {
+	var kept []mimosatide.Holding
+	for _, holding := range instance.Holdings {
+		if holding.Model != model {
+			kept = append(kept, holding)
+		}
+	}
+	instance.Holdings = kept
+	return instance
+}
+
+// withAdapter returns a copy of an instance that holds an adapter.
+func withAdapter(instance mimosatide.Instance, model, adapter string) mimosatide.Instance {
+	return mapAdapters(instance, model, func(adapters []string) []string {
+		return append(append([]string{}, adapters...), adapter)
+	})
+}
+
+// withoutAdapter returns a copy of an instance that does not hold an adapter.
+func withoutAdapter(instance mimosatide.Instance, model, adapter string) mimosatide.Instance {
+	return mapAdapters(instance, model, func(adapters []string) []string {
+		var kept []string
+		for _, each := range adapters {
+			if each != adapter {
+				kept = append(kept, each)
+			}
+		}
+		return kept
+	})
+}
+
+func mapAdapters(instance mimosatide.Instance, model string, change func([]string) []string) mimosatide.Instance {
+	holdings := make([]mimosatide.Holding, len(instance.Holdings))
+	copy(holdings, instance.Holdings)
+	for index, holding := range holdings {
+		if holding.Model == model {
+			holdings[index].Adapters = change(holding.Adapters)
+		}
+	}
+	instance.Holdings = holdings
+	return instance
+}
--- /dev/null
+++ b/internal/loading/worker.go
@@ -0,0 +1,313 @@
+package loading
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+)
+
+// The times of orders.
+const (
+	// orderTimeout is how long an engine's answer to an order is waited for.
+	orderTimeout = 600 * time.Millisecond
+	// reportEvery is how often an engine with an order under way is asked for its state.
+	reportEvery = 100 * time.Millisecond
+	// adapterTime is how long an adapter takes to arrive.
+	adapterTime = 8 * time.Millisecond
+	// unloadTimeout bounds the wait for the runs of a model that makes way.
+	unloadTimeout = 10 * time.Second
+	// loadSlack is how much longer than expected a load may take.
+	loadSlack = 20 * time.Second
+	// usedNow is how recently an adapter must have been used to count as in use.
+	usedNow = 300 * time.Millisecond
+)
+
+// Engines gives orders to engines.
+type Engines interface {
+	Order(ctx context.Context, instance mimosatide.Instance, order mimosatide.ModelOrder) (mimosatide.OrderOutcome, error)
+	Report(ctx context.Context, instance mimosatide.Instance) (mimosatide.InstanceReport, error)
+}
+
+// errNoTerm says that this node may not order at this moment.
+var errNoTerm = errors.New("this node does not hold the lease")
+
+// worker gives the orders to one incarnation of an engine, one at a time.
+type worker struct {
+	instance mimosatide.Instance
+	holder   string
+	engines  Engines
+	term     func() (mimosatide.FencingNumber, bool)
+	publish  func(mimosatide.Instance)
+	log      logr.Logger
+
+	// orders serialises the orders; state guards what is known.
+	orders sync.Mutex
+	state  sync.Mutex
+	// known is the engine as the accepted orders have left it.
+	known    mimosatide.Instance
+	synced   bool
+	occupied bool
+	placedAt time.Time
+	// failedAt is when the engine last gave no answer.
+	failedAt time.Time
+}
+
+func (worker *worker) view() (known mimosatide.Instance, occupied bool, placedAt time.Time) {
+	worker.state.Lock()
+	defer worker.state.Unlock()
+	unreached := time.Since(worker.failedAt) < time.Second
+	return worker.known, worker.occupied || unreached, worker.placedAt
+}
+
+// claim marks the engine as occupied; it fails if it was.
+func (worker *worker) claim() bool {
+	worker.state.Lock()
+	defer worker.state.Unlock()
+	if worker.occupied {
+		return false
+	}
+	worker.occupied = true
+	return true
+}
+
+func (worker *worker) free() {
+	worker.state.Lock()
+	defer worker.state.Unlock()
+	worker.occupied = false
+}
+
+// place makes room for a model and loads it.
+func (worker *worker) place(ctx context.Context, class mimosatide.EngineClass, step Step) error {
+	worker.orders.Lock()
+	defer worker.orders.Unlock()
+	if err := worker.sync(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	for _, victim := range step.Victims {
+		if err := worker.unload(ctx, victim); err != nil {
+			return errors.Annotatef(err, "unloading %s", victim)
+		}
+	}
+	known, _, _ := worker.view()
+	if known.Holds(step.Model) {
+		return nil
+	}
+	if UsedMB(class, known)+class.Models[step.Model].MemoryMB > class.MemoryMB {
+		return errors.Errorf("no room for %s", step.Model)
+	}
+	if err := worker.order(ctx, mimosatide.ModelOrder{Kind: mimosatide.OrderLoad, Model: step.Model}); err != nil {
+		return errors.Annotatef(err, "loading %s", step.Model)
+	}
+	sleep(ctx, step.LoadTime)
+	return errors.Trace(worker.await(ctx, step.LoadTime+loadSlack, func(report mimosatide.InstanceReport) bool {
+		return holds(report.Holdings, step.Model)
+	}))
+}
+
+// unload takes a model off the engine; no node sends requests for it from the order on.
+func (worker *worker) unload(ctx context.Context, model string) error {
+	known, _, _ := worker.view()
+	if !known.Holds(model) {
+		return nil
+	}
+	worker.publish(without(known, model))
+	if err := worker.order(ctx, mimosatide.ModelOrder{Kind: mimosatide.OrderUnload, Model: model}); err != nil {
+		worker.publish(known)
+		return errors.Trace(err)
+	}
+	return errors.Trace(worker.await(ctx, unloadTimeout, func(report mimosatide.InstanceReport) bool {
+		return !holds(report.Holdings, model)
+	}))
+}
+
+// await asks the engine for its state until the order that was accepted last is done.
+func (worker *worker) await(ctx context.Context, limit time.Duration, done func(mimosatide.InstanceReport) bool) error {
+	for begun := time.Now(); time.Since(begun) < limit && ctx.Err() == nil; sleep(ctx, reportEvery) {
+		report, err := worker.report(ctx)
+		if err != nil {
+			continue
+		}
+		known, _, _ := worker.view()
+		if report.Orders < known.Orders || report.Busy || !done(report) {
+			continue
+		}
+		worker.adopt(report)
+		return nil
+	}
+	worker.unsure()
+	return errors.Timeoutf("order of %s", worker.instance.ID)
+}
+
+// loadAdapter loads an adapter beside its model, in the place of one that is not in use.
+func (worker *worker) loadAdapter(
+	ctx context.Context, class mimosatide.EngineClass, model, adapter string, idle func(AdapterAt) time.Duration,
+) error {
+	worker.orders.Lock()
+	defer worker.orders.Unlock()
+	if err := worker.sync(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	known, _, _ := worker.view()
+	if !known.Holds(model) || holdsAdapter(known, model, adapter) {
+		return nil
+	}
+	for worker.adapters() >= class.AdapterSlots || worker.lacks(class, class.Models[model].AdapterMemoryMB) {
+		victim, found := worker.idlest(idle)
+		if !found {
+			return errors.Errorf("no adapter of %s is idle", worker.instance.ID)
+		}
+		order := mimosatide.ModelOrder{Kind: mimosatide.OrderUnload, Model: victim.Model, Adapter: victim.Adapter}
+		worker.publish(withoutAdapter(worker.now(), victim.Model, victim.Adapter))
+		if err := worker.order(ctx, order); err != nil {
+			worker.publish(worker.now())
+			return errors.Annotatef(err, "unloading adapter %s/%s", victim.Model, victim.Adapter)
+		}
+		worker.change(func(known mimosatide.Instance) mimosatide.Instance {
+			return withoutAdapter(known, victim.Model, victim.Adapter)
+		})
+	}
+	order := mimosatide.ModelOrder{Kind: mimosatide.OrderLoadAdapter, Model: model, Adapter: adapter}
+	if err := worker.order(ctx, order); err != nil {
+		return errors.Annotatef(err, "loading adapter %s/%s", model, adapter)
+	}
+	worker.change(func(known mimosatide.Instance) mimosatide.Instance {
+		return withAdapter(known, model, adapter)
+	})
+	sleep(ctx, adapterTime)
+	worker.publish(worker.now())
+	return nil
+}
+
+func (worker *worker) now() mimosatide.Instance {
+	known, _, _ := worker.view()
+	return known
+}
+
+func (worker *worker) adapters() int {
+	count := 0
+	for _, holding := range worker.now().Holdings {
+		count += len(holding.Adapters) + len(holding.Coming)
+	}
+	return count
+}
+
+func (worker *worker) lacks(class mimosatide.EngineClass, memoryMB float64) bool {
+	return UsedMB(class, worker.now())+memoryMB > class.MemoryMB
+}
+
+// idlest returns the adapter that has been idle longest.
+func (worker *worker) idlest(idle func(AdapterAt) time.Duration) (AdapterAt, bool) {
+	var candidates []AdapterAt
+	for _, holding := range worker.now().Holdings {
+		for _, adapter := range holding.Adapters {
+			candidates = append(candidates, AdapterAt{Instance: worker.instance.ID, Model: holding.Model, Adapter: adapter})
+		}
+	}
+	if len(candidates) == 0 {
+		return AdapterAt{}, false
+	}
+	sort.SliceStable(candidates, func(i, j int) bool { return idle(candidates[i]) > idle(candidates[j]) })
+	return candidates[0], idle(candidates[0]) > usedNow
+}
+
+// order gives one order under the condition that no other was accepted since. It
+// returns without an error only when the engine has accepted the order; one that
+// got no answer is sent again with the same condition, so that at most one of
+// the two is carried out.
+func (worker *worker) order(ctx context.Context, order mimosatide.ModelOrder) error {
+	term, held := worker.term()
+	if !held {
+		return errors.Trace(errNoTerm)
+	}
+	order.Holder = worker.holder
+	order.Term = term
+	order.After = worker.now().Orders
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	outcome, err := worker.engines.Order(bounded, worker.instance, order)
+	cancel()
+	worker.log.Info("order", "target", worker.instance.ID, "kind", order.Kind, "model", order.Model, "adapter", order.Adapter,
+		"after", order.After, "term", order.Term, "outcome", outcome, "reason", text(err))
+	switch outcome {
+	case mimosatide.OrderAccepted, mimosatide.OrderHolds:
+		worker.change(func(known mimosatide.Instance) mimosatide.Instance {
+			known.Orders = order.After + 1
+			return known
+		})
+		return nil
+	case mimosatide.OrderUnknown:
+		worker.unsure()
+		worker.unreached()
+		return errors.Trace(err)
+	default:
+		worker.unsure()
+		return errors.Errorf("%s: order refused: %s", worker.instance.ID, outcome)
+	}
+}
+
+// sync asks the engine for its state unless it is known.
+func (worker *worker) sync(ctx context.Context) error {
+	worker.state.Lock()
+	synced := worker.synced
+	worker.state.Unlock()
+	if synced {
+		return nil
+	}
+	report, err := worker.report(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if report.Busy || report.Orders < worker.now().Orders {
+		return errors.Errorf("%s is busy with an order", worker.instance.ID)
+	}
+	worker.adopt(report)
+	return nil
+}
+
+func (worker *worker) report(ctx context.Context) (mimosatide.InstanceReport, error) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := worker.engines.Report(bounded, worker.instance)
+	if err != nil {
+		worker.unreached()
+		worker.log.Info("report failed", "target", worker.instance.ID, "reason", err.Error())
+	}
+	return report, errors.Trace(err)
+}
+
+// adopt takes the engine's word on its state and tells all nodes.
+func (worker *worker) adopt(report mimosatide.InstanceReport) {
+	worker.state.Lock()
+	worker.known.Orders = report.Orders
+	worker.known.Holdings = report.Holdings
+	worker.known.InMemory = report.InMemory
+	worker.known.OnDisk = report.OnDisk
+	worker.synced = true
+	worker.placedAt = time.Now()
+	known := worker.known
+	worker.state.Unlock()
+	worker.publish(known)
+}
+
+func (worker *worker) change(apply func(mimosatide.Instance) mimosatide.Instance) {
+	worker.state.Lock()
+	defer worker.state.Unlock()
+	worker.known = apply(worker.known)
+}
+
+func (worker *worker) unsure() {
+	worker.state.Lock()
+	defer worker.state.Unlock()
+	worker.synced = false
+}
+
+func (worker *worker) unreached() {
+	worker.state.Lock()
+	defer worker.state.Unlock()
+	worker.failedAt = time.Now()
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -120,6 +120,11 @@
 	meter.observe("first_token", nil, wait)
 }
 
+// ObserveAnswer notes the time from a request's arrival to the end of its answer.
+func (meter *Meter) ObserveAnswer(took time.Duration) {
+	meter.observe("answer", nil, took)
+}
+
 // ObserveColdStart notes the time to the first token of a request that found no replica.
 func (meter *Meter) ObserveColdStart(wait time.Duration) {
 	meter.observe("cold_start", nil, wait)
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -25,8 +25,25 @@
 	idleLink = time.Minute
 )
 
+// Codec makes bytes of messages and messages of bytes.
+type Codec interface {
+	Encode(message any) ([]byte, error)
+	Decode(data []byte) (any, error)
+}
+
+// FleetCodec is the codec of the messages of package fleet and its users.
+type FleetCodec struct{}
+
+// Encode makes bytes of a message.
+func (FleetCodec) Encode(message any) ([]byte, error) { return Encode(message) }
+
+// Decode makes a message of bytes.
+func (FleetCodec) Decode(data []byte) (any, error) { return Decode(data) }
+
 // Settings are the parameters of a Hub.
 type Settings struct {
+	// Codec is FleetCodec where none is given.
+	Codec Codec
 	// Self is the address under which peers reach this node.
 	Self   string
 	Listen string
@@ -60,6 +77,9 @@
 
 // New binds the peer port, exclusively, and returns a hub that has not started.
 func New(settings Settings, log logr.Logger, onReceive func(from string, message any)) (*Hub, error) {
+	if settings.Codec == nil {
+		settings.Codec = FleetCodec{}
+	}
 	listener, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
 		return nil, errors.Annotate(err, "peer port")
@@ -215,7 +235,7 @@
 }
 
 func (hub *Hub) write(ctx context.Context, connection *websocket.Conn, message any) error {
-	data, err := Encode(message)
+	data, err := hub.settings.Codec.Encode(message)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -249,7 +269,7 @@
 		if err != nil {
 			return
 		}
-		message, err := Decode(data)
+		message, err := hub.settings.Codec.Decode(data)
 		if err != nil {
 			hub.log.Info("peer message discarded", "peer", from, "reason", err.Error())
 			continue
