Refuse at once what an account's rate can't reach; don't load for it

Ruled out: a race in placement (one home, one decision each time). Change: an account that lacks tokens counts as demand again only once a request of it was granted; what its rate can't reach within the wait limit is refused.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/limit"
 	"mimosatide.example/mimosatide/internal/queue"
 )
@@ -42,6 +45,7 @@
 
 // block passes the account over until it should have tokens again; the lock is held.
 func (service *Service) block(line *line, account string, wait time.Duration) {
+	service.refuseHopeless(line, account)
 	wait = min(wait, maxBlock)
 	line.blocked[account] = service.clock.Now() + wait
 	time.AfterFunc(wait, func() {
@@ -51,6 +55,41 @@
 	})
 }
 
+// refuseHopeless refuses the requests of an account without tokens whose turn
+// can't come within their wait limits; the lock is held. The account's tokens
+// are used up on the whole fleet, and this node may count on its part of what accrues.
+func (service *Service) refuseHopeless(line *line, account string) {
+	now := service.clock.Now()
+	var waiting []*waiter
+	for _, each := range line.waiters {
+		if each.request.Account.Name == account {
+			waiting = append(waiting, each)
+		}
+	}
+	slices.SortFunc(waiting, func(left, right *waiter) int {
+		return cmp.Or(cmp.Compare(left.request.Arrived, right.request.Arrived), cmp.Compare(left.request.ID, right.request.ID))
+	})
+	nodes := float64(len(service.peers.Others()) + 1)
+	ahead := -service.bank.Balance(now, account)
+	for _, each := range waiting {
+		request := each.request
+		ahead += request.Tokens
+		left := request.Arrived + request.WaitLimit - now
+		if ahead <= request.Account.Rate/nodes*left.Seconds() {
+			continue
+		}
+		ahead -= request.Tokens
+		line.waiting.Remove(request.ID)
+		delete(line.waiters, request.ID)
+		after := time.Duration(0)
+		if request.Account.Rate > 0 {
+			after = time.Duration(ahead / request.Account.Rate * float64(time.Second))
+		}
+		each.granted <- grant{refusal: mimosatide.Refuse(mimosatide.ReasonOverRate,
+			"the account's rate does not reach this request within its wait limit").WithRetryAfter(after)}
+	}
+}
+
 // openLoan is a loan that waits for its peers' answers.
 type openLoan struct {
 	line    *line
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -40,6 +40,8 @@
 	candidate Candidate
 	spec      mimosatide.TargetSpec
 	receipt   limit.Receipt
+	// refusal is set instead of the others where the wait is in vain.
+	refusal mimosatide.Refusal
 }
 
 func newLine() *line {
@@ -62,11 +64,14 @@
 }
 
 // payable counts the waiting requests whose accounts have tokens: one that
-// waits for its account's rate is no reason to load another replica.
-func (line *line) payable(now time.Duration) int {
+// waits for its account's rate is no reason to load another replica. An account
+// that lacked tokens or asks its peers for some counts again once a request of
+// it was granted.
+func (line *line) payable() int {
 	count := 0
 	for account, waiting := range line.waiting.Accounts() {
-		if now >= line.blocked[account] {
+		_, lacking := line.blocked[account]
+		if !lacking && !line.borrowing[account] {
 			count += waiting
 		}
 	}
@@ -113,7 +118,7 @@
 	defer timer.Stop()
 	select {
 	case given := <-waiting.granted:
-		return given, mimosatide.Refusal{}
+		return given, given.refusal
 	case <-timer.C:
 		return service.giveUp(waiting, mimosatide.ReasonWaitExpired)
 	case <-ctx.Done():
@@ -130,6 +135,9 @@
 	delete(line.waiters, waiting.request.ID)
 	select {
 	case given := <-waiting.granted:
+		if given.refusal.Refused() {
+			return grant{}, given.refusal
+		}
 		line.release(given.candidate.Placement)
 	default:
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -169,7 +169,7 @@
 	now := service.clock.Now()
 	want := placement.Want{
 		Model:       line.model.Name,
-		Waiting:     line.payable(now),
+		Waiting:     line.payable(),
 		Outstanding: line.total(),
 		Adapters:    line.adapters(),
 		Stake:       line.stake(now),
