--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -11,7 +11,7 @@
 //
 //	ledger := allowance.New(true)
 //	ledger.SetPeers([]string{"10.1.0.2:7600"})
-//	granted, wait := ledger.Spend("schools", limit, 1200, now)
+//	verdict := ledger.Spend("schools", limit, 1200, now)
 package allowance
 
 import (
@@ -102,10 +102,21 @@
 	}
 }
 
+// Verdict is the answer to a spend, with what decided it.
+type Verdict struct {
+	Granted bool
+	// Wait is how long it takes until the tokens are there.
+	Wait time.Duration
+	// Level is what the bucket held before.
+	Level float64
+	// Part is the part of the rate that this node and the peers it hears may spend.
+	Part float64
+}
+
 // Spend takes tokens from an account's bucket, or says how long it takes until they are there.
-func (ledger *Ledger) Spend(account string, limit Limit, tokens float64, now time.Time) (bool, time.Duration) {
+func (ledger *Ledger) Spend(account string, limit Limit, tokens float64, now time.Time) Verdict {
 	if limit.Rate <= 0 {
-		return true, 0
+		return Verdict{Granted: true, Part: 1}
 	}
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
@@ -122,11 +133,13 @@
 	held.at = now
 	if held.level < tokens && held.level < limit.Burst*part {
 		missing := min(tokens, limit.Burst*part) - held.level
-		return false, time.Duration(missing / (limit.Rate * part) * float64(time.Second))
+		wait := time.Duration(missing / (limit.Rate * part) * float64(time.Second))
+		return Verdict{Wait: wait, Level: held.level, Part: part}
 	}
+	verdict := Verdict{Granted: true, Level: held.level, Part: part}
 	held.level -= tokens
 	ledger.spent[account] += tokens
-	return true, 0
+	return verdict
 }
 
 // Refund gives back what a request that did not run was charged.
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -17,9 +17,12 @@
 
 // The times of the fleet.
 const (
-	// digestEvery is how often a digest is sent while there is news, idleDigest while there is none.
+	// digestEvery is how often a digest is sent while there is news, in a fleet of
+	// up to digestHosts; a larger one sends fewer, so that a node's messages stay bounded.
 	digestEvery = 200 * time.Millisecond
-	idleDigest  = 400 * time.Millisecond
+	digestHosts = 20
+	// idleFactor is how much rarer a digest without news is.
+	idleFactor = 2
 	// joinEvery is how often a node that is not on the list of hosts tries to join.
 	joinEvery = 500 * time.Millisecond
 	// deadAfter is after how long a host that is not heard is taken off the list.
@@ -134,7 +137,8 @@
 				go fleet.join(ctx)
 			}
 			digest, news := fleet.digest()
-			if news || now.Sub(sentAt) >= idleDigest {
+			every := fleet.every()
+			if since := now.Sub(sentAt); news && since >= every || since >= idleFactor*every {
 				sentAt = now
 				for _, address := range fleet.addresses() {
 					fleet.node.hub.Send(address, digest)
@@ -146,6 +150,13 @@
 	}
 }
 
+// every is the time between two digests in a fleet of this size.
+func (fleet *fleet) every() time.Duration {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	return digestEvery * time.Duration(1+len(fleet.members)/digestHosts)
+}
+
 func (fleet *fleet) isJoined() bool {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
@@ -215,6 +226,8 @@
 		Spent:       map[string]float64{},
 		Tables:      map[string]uint64{},
 		Owned:       node.loader.owned(),
+		GivenUp:     node.loader.givenUp(),
+		Crashes:     node.suspects.Own(time.Now()),
 	}
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{Running: load.Running, PrefillMillis: load.Prefill.Milliseconds()}
@@ -226,7 +239,6 @@
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
-	fleet.rounds++
 	for account, total := range spent {
 		if total != fleet.lastSpent[account] {
 			news = true
@@ -252,6 +264,8 @@
 	}
 	node.tracker.Hear(digest.Node, loads, now)
 	node.loader.hearOwners(from, digest.Owned, now)
+	node.loader.hearGivenUp(digest.GivenUp)
+	node.suspects.Hear(digest.Node, digest.Crashes)
 	fleet.askForNews(from, digest.Tables, now)
 }
 
--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -257,6 +257,30 @@
 	return owned
 }
 
+// givenUp lists the leases that this node gave up because the store did not answer it.
+func (loader *loader) givenUp() []gossip.Handover {
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	var handovers []gossip.Handover
+	for name, known := range loader.services {
+		if row, idle, given := known.owner.Lease().GivenUp(); given {
+			handovers = append(handovers, gossip.Handover{Service: name, Row: uint64(row), IdleMillis: idle.Milliseconds()})
+		}
+	}
+	return handovers
+}
+
+func (loader *loader) hearGivenUp(handovers []gossip.Handover) {
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	for _, handover := range handovers {
+		if known, found := loader.services[handover.Service]; found {
+			idle := time.Duration(handover.IdleMillis) * time.Millisecond
+			known.owner.Lease().HearGivenUp(mimosatide.RowVersion(handover.Row), idle)
+		}
+	}
+}
+
 func (loader *loader) holdsAny() bool {
 	return len(loader.owned()) > 0
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -36,6 +36,10 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
 	headerBytes   = 64 << 10
+	// staleParts is how many polls fit into the time after which knowledge is stale.
+	staleParts = 4
+	// drainParts is the part of the drain time for which targets' changes are gathered.
+	drainParts = 4
 	// housekeepEvery is how often old connections and lapsed targets are looked for.
 	housekeepEvery = 500 * time.Millisecond
 )
@@ -55,6 +59,7 @@
 	ledger     *allowance.Ledger
 	exchange   *exchange.Exchange
 	repeats    *gateway.Repeats
+	suspects   *gateway.Suspects
 	meter      *metric.Meter
 	hub        *peer.Hub
 	followers  map[string]*feed.Follower
@@ -82,6 +87,7 @@
 		ledger:    allowance.New(settings.FirstStart),
 		exchange:  exchange.New(dialer),
 		repeats:   gateway.NewRepeats(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
+		suspects:  gateway.NewSuspects(),
 		meter:     metric.New(),
 		followers: map[string]*feed.Follower{},
 		metrics:   net.JoinHostPort(settings.IP, metricsPort),
@@ -108,7 +114,15 @@
 const engineIdle = 2 * time.Second
 
 func (node *Node) follow(table string, apply func(feed.Update)) {
-	node.followers[table] = feed.New(table, node.store, node.log, apply)
+	settings := feed.Settings{Table: table}
+	if table == platform.TargetTable {
+		// Targets write often; what counts is that one that leaves is known well within the drain time.
+		settings.Gather = node.settings.Bounds.Drain / drainParts
+	}
+	if node.settings.Bounds.StopWhenStale {
+		settings.Wait = node.settings.Bounds.StaleAfter / staleParts
+	}
+	node.followers[table] = feed.New(settings, node.store, bootClock{}, node.log, apply)
 }
 
 // Run serves until the context ends, then drains.
@@ -137,6 +151,18 @@
 	return node.meter.Close()
 }
 
+// current returns the configuration in force, or nil while none may be served on.
+func (node *Node) current() *mimosatide.Deployment {
+	bounds := node.settings.Bounds
+	if bounds.StopWhenStale {
+		age := bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().CurrentAt
+		if age > bounds.StaleAfter {
+			return nil
+		}
+	}
+	return node.deployment.Load()
+}
+
 // applyConfiguration puts a configuration in force; one that can't be read leaves the last one in force.
 func (node *Node) applyConfiguration(update feed.Update) {
 	for _, change := range update.Rows {
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -25,13 +24,14 @@
 // listen starts the servers of callers, readiness and metrics.
 func (node *Node) listen(ctx context.Context) (*http.Server, error) {
 	gate := gateway.New(gateway.Parts{
-		Deployment: func() *mimosatide.Deployment { return node.deployment.Load() },
+		Deployment: node.current,
 		Targets:    node.targets,
 		Tracker:    node.tracker,
 		Ledger:     node.ledger,
 		Exchange:   node.exchange,
 		Loader:     node.loader,
 		Repeats:    node.repeats,
+		Suspects:   node.suspects,
 		Meter:      node.meter,
 	}, node.log)
 	callers := &http.Server{
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -33,6 +33,8 @@
 // The bounds of a connection.
 const (
 	dialTimeout = time.Second
+	// reachTimeout bounds the check whether a target has crashed.
+	reachTimeout = 300 * time.Millisecond
 	// defaultIdle is how long a connection is kept whose target names no timeout.
 	defaultIdle = 3 * time.Second
 	// idleMargin is how long before a target's timeout its connection is given up.
@@ -232,6 +234,18 @@
 	return err == nil && quiet
 }
 
+// Reachable says whether a target accepts connections.
+func (exchange *Exchange) Reachable(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	dialled, err := exchange.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = dialled.Close()
+	return true
+}
+
 // Body returns the answer's body.
 func (reply *Reply) Body() io.Reader {
 	return reply.Response.Body
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	follower := feed.New(feed.Settings{Table: "hosts"}, store, log, apply)
+//	follower := feed.New(feed.Settings{Table: "hosts"}, store, clock, log, apply)
 //	go follower.Run(ctx)
 //	follower.Offer(snapshotOfAPeer)
 package feed
@@ -26,12 +26,14 @@
 
 // The times of a follower.
 const (
-	// pollWait is how long the store holds a poll open; a longer one costs fewer calls.
-	pollWait = 10 * time.Second
+	// DefaultWait is how long the store holds a poll open; a longer one costs fewer calls.
+	DefaultWait = 10 * time.Second
 	// answerSlack is how much later than asked the store may answer a poll.
 	answerSlack     = 2 * time.Second
 	snapshotTimeout = 2 * time.Second
 	retryAfter      = 150 * time.Millisecond
+	// DefaultGather is how long changes are gathered after one has come, to save calls.
+	DefaultGather = 200 * time.Millisecond
 	// recoveryTime is how long after an outage rows may still be missing that
 	// lapsed while the store was away.
 	recoveryTime = 2500 * time.Millisecond
@@ -53,16 +55,36 @@
 	Changed mimosatide.RowVersion
 	// Healthy says that the store answers this node.
 	Healthy bool
+	// CurrentAt is the reading of the clock at which the copy was last known to be current.
+	CurrentAt time.Duration
 	// Known says that the whole table has been read, here or by a peer.
 	Known bool
 }
 
+// Clock reads a clock that counts the time in which the machine is suspended.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Settings are the parameters of a Follower.
+type Settings struct {
+	Table string
+	// Wait is how long the store holds a poll open; zero stands for DefaultWait.
+	// The copy is never known to be more current than that.
+	Wait time.Duration
+	// Gather is how long changes are gathered after one has come; zero stands for DefaultGather.
+	Gather time.Duration
+}
+
 // Follower holds a copy of one table.
 type Follower struct {
-	table string
-	store mimosatide.RowFeed
-	log   logr.Logger
-	apply func(Update)
+	table  string
+	store  mimosatide.RowFeed
+	log    logr.Logger
+	apply  func(Update)
+	clock  Clock
+	wait   time.Duration
+	gather time.Duration
 
 	lock      sync.Mutex
 	rows      map[string]mimosatide.Row
@@ -73,13 +95,22 @@
 }
 
 // New returns a follower of a table that hands changes to apply, one call at a time.
-func New(table string, store mimosatide.RowFeed, log logr.Logger, apply func(Update)) *Follower {
+func New(settings Settings, store mimosatide.RowFeed, clock Clock, log logr.Logger, apply func(Update)) *Follower {
+	if settings.Wait <= 0 {
+		settings.Wait = DefaultWait
+	}
+	if settings.Gather <= 0 {
+		settings.Gather = DefaultGather
+	}
 	return &Follower{
-		table: table,
-		store: store,
-		log:   log,
-		apply: apply,
-		rows:  map[string]mimosatide.Row{},
+		table:  settings.Table,
+		wait:   settings.Wait,
+		gather: settings.Gather,
+		clock:  clock,
+		store:  store,
+		log:    log,
+		apply:  apply,
+		rows:   map[string]mimosatide.Row{},
 	}
 }
 
@@ -123,6 +154,7 @@
 
 // poll asks once; complete says whether the copy has a version to go on from.
 func (follower *Follower) poll(ctx context.Context, complete *bool) error {
+	begun := follower.clock.Now()
 	if !*complete {
 		bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
@@ -131,10 +163,11 @@
 			return errors.Trace(err)
 		}
 		follower.Offer(batch)
+		follower.confirm(begun)
 		*complete = true
 		return nil
 	}
-	wait := pollWait
+	wait := follower.wait
 	state := follower.State()
 	if !state.Healthy {
 		wait = 0
@@ -146,9 +179,20 @@
 		return errors.Trace(err)
 	}
 	follower.Offer(batch)
+	follower.confirm(begun)
+	if len(batch.Rows) > 0 {
+		sleep(ctx, follower.gather)
+	}
 	return nil
 }
 
+// confirm notes that the copy was current at a time of the clock.
+func (follower *Follower) confirm(at time.Duration) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	follower.state.CurrentAt = max(follower.state.CurrentAt, at)
+}
+
 // note logs when the store is lost or regained.
 func (follower *Follower) note(err error) {
 	follower.lock.Lock()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
 
 	"mimosatide.example/mimosatide"
@@ -68,9 +70,11 @@
 	}
 	tokens := passage.entry.Tokens(account.TokensPerCall)
 	limit := allowance.Limit{Rate: account.Rate, Burst: account.Burst}
-	granted, wait := passage.gate.Ledger.Spend(account.Name, limit, tokens, passage.arrived)
-	if !granted {
-		return mimosatide.Refuse(mimosatide.ReasonOverRate, "the account's rate is used up").WithRetryAfter(wait)
+	verdict := passage.gate.Ledger.Spend(account.Name, limit, tokens, passage.arrived)
+	if !verdict.Granted {
+		detail := fmt.Sprintf("%.0f tokens asked, %.0f left of a rate of %.0f and a burst of %.0f; this node's side may spend %.2f of it",
+			tokens, verdict.Level, account.Rate, account.Burst, verdict.Part)
+		return mimosatide.Refuse(mimosatide.ReasonOverRate, detail).WithRetryAfter(verdict.Wait)
 	}
 	passage.charged = tokens
 	return mimosatide.Refusal{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	Exchange   *exchange.Exchange
 	Loader     Loader
 	Repeats    *Repeats
+	Suspects   *Suspects
 	Meter      *metric.Meter
 }
 
@@ -86,6 +87,11 @@
 	if entry.Wait > 0 && (limit <= 0 || entry.Wait < limit) {
 		limit = entry.Wait
 	}
+	passage.digest = contentDigest(entry)
+	if gate.Suspects.Suspect(passage.digest) {
+		passage.refuse(mimosatide.Refuse(mimosatide.ReasonPoisonRequest, "targets crashed while they ran this request"))
+		return
+	}
 	passage.deadline = arrived.Add(limit)
 	ctx, cancel := context.WithDeadline(request.Context(), passage.deadline)
 	defer cancel()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -185,6 +185,7 @@
 		result = balance.Failed
 	}
 	passage.ticket.End(result, time.Now())
+	passage.gate.Suspects.Served(passage.digest)
 	passage.gate.Meter.ObserveAnswer(time.Since(passage.arrived))
 	passage.log(outcome.head.Status, "Served", "")
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,6 +35,7 @@
 	arrived  time.Time
 	deadline time.Time
 	charged  float64
+	digest   uint64
 	// waitingSince is when the request began to wait for its model.
 	waitingSince time.Time
 
@@ -143,6 +144,9 @@
 		if failure != mimosatide.CallNotSent {
 			passage.runs++
 		}
+		if failure == mimosatide.CallCut {
+			go passage.gate.checkCrash(passage.digest, passage.entry.ID, instance)
+		}
 		return passage.failed(ctx, failure, err.Error())
 	}
 	return passage.judge(reply)
@@ -171,6 +175,15 @@
 	return outcome
 }
 
+// checkCrash notes a request whose target can't be reached after it broke off.
+func (gate *Gateway) checkCrash(digest uint64, request string, instance mimosatide.Instance) {
+	if gate.Exchange.Reachable(instance.Address) {
+		return
+	}
+	count := gate.Suspects.Crashed(digest, time.Now())
+	gate.log.Info("target crashed under a request", "request", request, "target", instance.ID, "crashes", count)
+}
+
 // judge looks at the head of an answer: whose it is, and whether the target ran the request.
 func (passage *passage) judge(reply *exchange.Reply) sent {
 	head := platform.DecodeAnswerHead(reply.Response)
@@ -204,7 +217,7 @@
 
 // mayRepeat says whether the request may be sent once more.
 func (passage *passage) mayRepeat(ctx context.Context, outcome sent) bool {
-	if ctx.Err() != nil || passage.sends >= maxSends {
+	if ctx.Err() != nil || passage.sends >= maxSends || passage.gate.Suspects.Suspect(passage.digest) {
 		return false
 	}
 	if outcome.failure == mimosatide.CallNotSent {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -29,6 +29,10 @@
 	Tables map[string]uint64 `cbor:"5,keyasint,omitempty"`
 	// Owned are the services whose targets the node orders.
 	Owned []Ownership `cbor:"6,keyasint,omitempty"`
+	// GivenUp are leases under which the node will not order again.
+	GivenUp []Handover `cbor:"7,keyasint,omitempty"`
+	// Crashes are requests at whose start a target crashed, by the digest of their content.
+	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
 }
 
 // Load is what a node has under way at a target.
@@ -44,6 +48,14 @@
 	Row     uint64 `cbor:"3,keyasint"`
 }
 
+// Handover is a lease that was given up before its term's end.
+type Handover struct {
+	Service string `cbor:"1,keyasint"`
+	Row     uint64 `cbor:"2,keyasint"`
+	// IdleMillis is how long ago the last order left.
+	IdleMillis int64 `cbor:"3,keyasint"`
+}
+
 // Usage tells the owner of a service what is asked for.
 type Usage struct {
 	Node    string              `cbor:"1,keyasint"`
--- a/internal/loading/holding.go
+++ b/internal/loading/holding.go
@@ -32,6 +32,16 @@
 	return instance
 }
 
+// withModel returns a copy of an instance that holds a model.
+func withModel(instance mimosatide.Instance, model string) mimosatide.Instance {
+	if instance.Holds(model) {
+		return instance
+	}
+	holdings := append([]mimosatide.Holding{}, instance.Holdings...)
+	instance.Holdings = append(holdings, mimosatide.Holding{Model: model})
+	return instance
+}
+
 // withAdapter returns a copy of an instance that holds an adapter.
 func withAdapter(instance mimosatide.Instance, model, adapter string) mimosatide.Instance {
 	return mapAdapters(instance, model, func(adapters []string) []string {
@@ -53,8 +63,7 @@
 }
 
 func mapAdapters(instance mimosatide.Instance, model string, change func([]string) []string) mimosatide.Instance {
-	holdings := make([]mimosatide.Holding, len(instance.Holdings))
-	copy(holdings, instance.Holdings)
+	holdings := append([]mimosatide.Holding{}, instance.Holdings...)
 	for index, holding := range holdings {
 		if holding.Model == model {
 			holdings[index].Adapters = change(holding.Adapters)
--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -16,12 +16,17 @@
 const (
 	// renewEvery is how often the holder renews, several times within a term.
 	renewEvery = 800 * time.Millisecond
+	// renewTimeout bounds a renewal, and renewAgain is when one without an answer is repeated.
+	renewTimeout = 600 * time.Millisecond
+	renewAgain   = 200 * time.Millisecond
 	// termTime is how long after the start of a renewal the holder may order.
 	termTime = 3 * time.Second
 	// termMargin covers clocks that run at different speeds.
 	termMargin = 200 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 1500 * time.Millisecond
+	// maxFailing is the number of renewals without an answer after which the lease is given up.
+	maxFailing = 2
 	// silentOwner is after how long without its word an owner is taken to be away.
 	silentOwner = 1200 * time.Millisecond
 	// rankDelay keeps the candidates from asking the store all at once.
@@ -67,6 +72,12 @@
 	// seenRow and seenAt say since when the row of another holder has been known unchanged.
 	seenRow mimosatide.RowVersion
 	seenAt  time.Duration
+	// orderedAt is when the last order left; givenUp is the row of another node's lease that it gave up.
+	orderedAt time.Duration
+	givenUp   mimosatide.RowVersion
+	idleFor   time.Duration
+	// failing counts the renewals without an answer.
+	failing int
 	// heardAt is when another node last said that it holds the lease.
 	heardAt time.Duration
 	heard   bool
@@ -105,6 +116,34 @@
 	lease.see(row)
 }
 
+// Ordered notes that an order is about to leave.
+func (lease *Lease) Ordered() {
+	lease.lock.Lock()
+	defer lease.lock.Unlock()
+	lease.orderedAt = lease.clock.Now()
+}
+
+// HearGivenUp takes another node's word that it will not order under its lease
+// again, and how long ago its last order left.
+func (lease *Lease) HearGivenUp(row mimosatide.RowVersion, idle time.Duration) {
+	lease.lock.Lock()
+	defer lease.lock.Unlock()
+	lease.heard = false
+	lease.givenUp = row
+	lease.idleFor = idle
+}
+
+// GivenUp returns the row of a lease that this node gave up because the store
+// did not answer, and how long ago its last order left.
+func (lease *Lease) GivenUp() (row mimosatide.RowVersion, idle time.Duration, given bool) {
+	lease.lock.Lock()
+	defer lease.lock.Unlock()
+	if lease.failing < maxFailing {
+		return 0, 0, false
+	}
+	return lease.row, lease.clock.Now() - lease.orderedAt, true
+}
+
 // see notes since when a row version has been known.
 func (lease *Lease) see(row mimosatide.RowVersion) {
 	if row > lease.seenRow {
@@ -129,8 +168,7 @@
 	lease.lock.Unlock()
 	switch {
 	case holds:
-		lease.renew(ctx)
-		return renewEvery
+		return lease.renew(ctx)
 	case away:
 		return lease.takeOver(ctx)
 	default:
@@ -139,16 +177,19 @@
 }
 
 // renew writes the row again under the condition that nobody else has.
-func (lease *Lease) renew(ctx context.Context) {
+func (lease *Lease) renew(ctx context.Context) time.Duration {
+	bounded, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
 	lease.lock.Lock()
 	term, row := lease.term, lease.row
 	lease.lock.Unlock()
 	begun := lease.clock.Now()
-	outcome, version, err := lease.write(ctx, row, leaseRow{Holder: lease.holder, Term: term})
+	outcome, version, err := lease.write(bounded, row, leaseRow{Holder: lease.holder, Term: term})
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
 	switch outcome {
 	case mimosatide.CommitDone:
+		lease.failing = 0
 		lease.row = version
 		lease.until = begun + termTime
 	case mimosatide.CommitConflict:
@@ -158,7 +199,15 @@
 	default:
 		lease.log.Info("lease not renewed", "lease", lease.key, "term", term, "outcome", outcome.String(),
 			"left", lease.until-lease.clock.Now(), "reason", text(err))
+		lease.failing++
+		if lease.failing >= maxFailing {
+			// The store may answer another node: it need not wait for the term's end.
+			lease.log.Info("lease given up", "lease", lease.key, "term", term, "row", row)
+			lease.term = 0
+		}
+		return renewAgain
 	}
+	return renewEvery
 }
 
 // takeOver takes the lease if its holder has released it or has been away for a whole term.
@@ -185,8 +234,9 @@
 	own := present.Holder == lease.holder
 	lease.lock.Lock()
 	continued := own && present.Term == lease.lastTerm
+	given := version != 0 && version == lease.givenUp
 	lease.lock.Unlock()
-	if version != 0 && !present.Released && !own && waited < termTime+termMargin {
+	if version != 0 && !present.Released && !own && !given && waited < termTime+termMargin {
 		return min(termTime+termMargin-waited, renewEvery)
 	}
 	lease.take(ctx, version, present, continued)
@@ -207,6 +257,7 @@
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
 	lease.term = next.Term
+	lease.failing = 0
 	lease.row = row
 	lease.until = begun + termTime
 	lease.lastTerm = next.Term
@@ -215,6 +266,9 @@
 		if version != 0 {
 			lease.from += lease.quiet + termMargin
 		}
+		if version != 0 && version == lease.givenUp {
+			lease.from -= min(lease.idleFor, lease.quiet)
+		}
 	}
 	lease.log.Info("lease taken", "lease", lease.key, "term", next.Term, "row", row, "before", before.Holder,
 		"released", before.Released, "ordersIn", lease.from-lease.clock.Now())
--- a/internal/loading/owner.go
+++ b/internal/loading/owner.go
@@ -178,6 +178,7 @@
 		engines:  owner.engines,
 		term:     owner.lease.Term,
 		publish:  owner.publish,
+		ordered:  owner.lease.Ordered,
 		log:      owner.log,
 	}
 }
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -24,6 +24,8 @@
 	unloadTimeout = 10 * time.Second
 	// loadSlack is how much longer than expected a load may take.
 	loadSlack = 20 * time.Second
+	// loadMargin is added to the time of a load from copies at the target.
+	loadMargin = 15 * time.Millisecond
 	// usedNow is how recently an adapter must have been used to count as in use.
 	usedNow = 300 * time.Millisecond
 )
@@ -37,6 +39,9 @@
 // errNoTerm says that this node may not order at this moment.
 var errNoTerm = errors.New("this node does not hold the lease")
 
+// errConflict says that the engine has another order under way or has accepted one unknown to this node.
+var errConflict = errors.New("the engine is busy with another order")
+
 // worker gives the orders to one incarnation of an engine, one at a time.
 type worker struct {
 	instance mimosatide.Instance
@@ -44,7 +49,9 @@
 	engines  Engines
 	term     func() (mimosatide.FencingNumber, bool)
 	publish  func(mimosatide.Instance)
-	log      logr.Logger
+	// ordered is told of each order before it leaves.
+	ordered func()
+	log     logr.Logger
 
 	// orders serialises the orders; state guards what is known.
 	orders sync.Mutex
@@ -101,10 +108,15 @@
 	if UsedMB(class, known)+class.Models[step.Model].MemoryMB > class.MemoryMB {
 		return errors.Errorf("no room for %s", step.Model)
 	}
-	if err := worker.order(ctx, mimosatide.ModelOrder{Kind: mimosatide.OrderLoad, Model: step.Model}); err != nil {
+	if err := worker.loadAfterUnload(ctx, step.Model); err != nil {
 		return errors.Annotatef(err, "loading %s", step.Model)
 	}
 	sleep(ctx, step.LoadTime)
+	if step.Tier != mimosatide.TierRemote {
+		// The time of a load from the target's own copies is known, and its report lags.
+		sleep(ctx, loadMargin)
+		worker.publish(withModel(worker.now(), step.Model))
+	}
 	return errors.Trace(worker.await(ctx, step.LoadTime+loadSlack, func(report mimosatide.InstanceReport) bool {
 		return holds(report.Holdings, step.Model)
 	}))
@@ -121,9 +133,29 @@
 		worker.publish(known)
 		return errors.Trace(err)
 	}
-	return errors.Trace(worker.await(ctx, unloadTimeout, func(report mimosatide.InstanceReport) bool {
-		return !holds(report.Holdings, model)
-	}))
+	worker.change(func(known mimosatide.Instance) mimosatide.Instance { return without(known, model) })
+	return nil
+}
+
+// loadAfterUnload orders a load; while an unload still waits for its runs the
+// engine refuses it, so that memory is never promised twice.
+func (worker *worker) loadAfterUnload(ctx context.Context, model string) error {
+	order := mimosatide.ModelOrder{Kind: mimosatide.OrderLoad, Model: model}
+	begun := time.Now()
+	for {
+		err := worker.order(ctx, order)
+		if !errors.Is(err, errConflict) || time.Since(begun) > unloadTimeout || ctx.Err() != nil {
+			return errors.Trace(err)
+		}
+		sleep(ctx, reportEvery)
+		report, reportErr := worker.report(ctx)
+		if reportErr != nil {
+			return errors.Trace(reportErr)
+		}
+		if report.Orders > worker.now().Orders {
+			return errors.Annotate(err, "another order came in between")
+		}
+	}
 }
 
 // await asks the engine for its state until the order that was accepted last is done.
@@ -228,6 +260,7 @@
 	order.Holder = worker.holder
 	order.Term = term
 	order.After = worker.now().Orders
+	worker.ordered()
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	outcome, err := worker.engines.Order(bounded, worker.instance, order)
 	cancel()
@@ -244,6 +277,9 @@
 		worker.unsure()
 		worker.unreached()
 		return errors.Trace(err)
+	case mimosatide.OrderConflict:
+		worker.unsure()
+		return errors.Annotate(errConflict, worker.instance.ID)
 	default:
 		worker.unsure()
 		return errors.Errorf("%s: order refused: %s", worker.instance.ID, outcome)
