--- /dev/null
+++ b/internal/feed/follower_test.go
@@ -0,0 +1,139 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/feed"
+)
+
+// script is a store that answers from a list, and then waits.
+type script struct {
+	lock    sync.Mutex
+	answers []answer
+	asked   []string
+}
+
+type answer struct {
+	batch mimosatide.RowBatch
+	err   error
+}
+
+func (script *script) next(ctx context.Context, what string) (mimosatide.RowBatch, error) {
+	script.lock.Lock()
+	script.asked = append(script.asked, what)
+	if len(script.answers) == 0 {
+		script.lock.Unlock()
+		<-ctx.Done()
+		return mimosatide.RowBatch{}, ctx.Err()
+	}
+	given := script.answers[0]
+	script.answers = script.answers[1:]
+	script.lock.Unlock()
+	return given.batch, given.err
+}
+
+func (script *script) Snapshot(ctx context.Context, _ string) (mimosatide.RowBatch, error) {
+	return script.next(ctx, "snapshot")
+}
+
+func (script *script) Changes(
+	ctx context.Context, _ string, _ mimosatide.RowVersion, _ time.Duration,
+) (mimosatide.RowBatch, error) {
+	return script.next(ctx, "changes")
+}
+
+func row(key string, version mimosatide.RowVersion) mimosatide.RowChange {
+	return mimosatide.RowChange{Row: mimosatide.Row{Key: key, Value: []byte("v"), Version: version}}
+}
+
+// collector keeps what a follower hands on.
+type collector struct {
+	updates chan feed.Update
+}
+
+func newFollower(store mimosatide.RowFeed) (*feed.Follower, collector) {
+	collected := collector{updates: make(chan feed.Update, 100)}
+	follower := feed.New(feed.Settings{Table: "t", Gather: time.Millisecond}, store, mimosatide.NewMonotonicClock(),
+		logr.Discard(), func(update feed.Update) { collected.updates <- update })
+	return follower, collected
+}
+
+func TestForgottenHistoryIsReadAnewWithItsDeletions(t *testing.T) {
+	store := &script{answers: []answer{
+		{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1), row("b", 2)}, Version: 2, Complete: true}},
+		{err: errors.Trace(mimosatide.ErrHistoryGone)},
+		{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 2), row("c", 7)}, Version: 9, Complete: true}},
+	}}
+	follower, collected := newFollower(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go follower.Run(ctx)
+	if first := <-collected.updates; len(first.Rows) != 2 {
+		t.Fatalf("first update: %+v", first)
+	}
+	second := <-collected.updates
+	changes := map[string]bool{}
+	for _, change := range second.Rows {
+		changes[change.Key] = change.Deleted
+	}
+	if len(changes) != 2 || !changes["a"] || changes["c"] {
+		t.Errorf("second update: %+v", second.Rows)
+	}
+}
+
+func TestOlderRowsOfAPeerRevertNothing(t *testing.T) {
+	follower, collected := newFollower(&script{})
+	follower.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 5)}, Version: 6, Complete: true})
+	<-collected.updates
+	follower.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 3)}, Version: 4, Complete: true})
+	follower.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 3)}, Version: 7})
+	if len(collected.updates) != 0 {
+		t.Errorf("an older row was handed on: %+v", <-collected.updates)
+	}
+	if state := follower.State(); state.Version != 7 || state.Changed != 5 {
+		t.Errorf("state: %+v", state)
+	}
+}
+
+func TestChangesBeforeTheFirstSnapshotAreLeftOut(t *testing.T) {
+	follower, collected := newFollower(&script{})
+	follower.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 5)}, Version: 6})
+	if follower.State().Known || len(collected.updates) != 0 {
+		t.Error("a part of a table was taken for the whole")
+	}
+}
+
+func TestPeerWithTheStoreHelpsOneWithoutIt(t *testing.T) {
+	first, _ := newFollower(&script{})
+	first.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 5)}, Version: 6, Complete: true})
+	second, collected := newFollower(&script{})
+	second.Offer(first.Snapshot())
+	if update := <-collected.updates; len(update.Rows) != 1 || !second.State().Known {
+		t.Errorf("update: %+v", update)
+	}
+}
+
+func TestRowsThatLapseDuringAnOutageAreMarked(t *testing.T) {
+	store := &script{answers: []answer{
+		{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 2, Complete: true}},
+		{err: errors.New("down")},
+		{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{{Row: mimosatide.Row{Key: "a", Version: 3}, Deleted: true}}, Version: 3}},
+	}}
+	follower, collected := newFollower(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go follower.Run(ctx)
+	if first := <-collected.updates; first.Recovering {
+		t.Error("the first read counts as recovery")
+	}
+	if second := <-collected.updates; !second.Recovering {
+		t.Error("a row that went with an outage counts as gone for good")
+	}
+}
--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -155,12 +155,12 @@
 // Run renews the lease or takes it over when its holder is away. rank orders the candidates.
 func (lease *Lease) Run(ctx context.Context, rank func() int) {
 	for ctx.Err() == nil {
-		sleep(ctx, lease.step(ctx, rank()))
+		sleep(ctx, lease.Step(ctx, rank()))
 	}
 }
 
-// step does what is due and returns the time until the next step.
-func (lease *Lease) step(ctx context.Context, rank int) time.Duration {
+// Step does what is due and returns the time until the next step.
+func (lease *Lease) Step(ctx context.Context, rank int) time.Duration {
 	lease.lock.Lock()
 	now := lease.clock.Now()
 	holds := lease.term != 0 && now < lease.until
