--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -10,18 +10,31 @@
 // # Usage
 //
 //	ledger := allowance.New(true)
-//	ledger.SetPeers([]string{"10.1.0.2:7600"})
+//	ledger.SetPeers([]string{"10.1.0.2:7600"}, 200*time.Millisecond)
 //	verdict := ledger.Spend("schools", limit, 1200, now)
 package allowance
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
-// silentAfter is after how long a peer that is not heard is left its part of
-// the rate; digests come several times within it.
-const silentAfter = time.Second
+// The figures of a ledger.
+const (
+	// silentDigests is the number of digests in whose time nothing comes from a
+	// peer before its part of the rate is left to it; idle peers send every second one.
+	silentDigests = 5
+	// creditFrom is the time between digests above which a node spends on credit
+	// only: below it, what all nodes spend unseen is well within the users' slack.
+	creditFrom = 500 * time.Millisecond
+	// creditFactor is how much more than its usual part a node may spend between two digests.
+	creditFactor = 1.25
+	// shareMemory is the time over which a node's usual part is averaged.
+	shareMemory = 3 * time.Second
+	// defaultEvery stands for the time between digests until the fleet is known.
+	defaultEvery = 200 * time.Millisecond
+)
 
 // Limit is the rate in tokens a second and the burst in tokens of an account.
 type Limit struct {
@@ -32,6 +45,33 @@
 type bucket struct {
 	level float64
 	at    time.Time
+	// unseen is what this node has spent since its last digest.
+	unseen float64
+	// told is what the last digest has told for the first time.
+	told float64
+	// own and fleet are what this node and all nodes have lately spent. What this
+	// node spends enters them a digest later, when its peers' spends of the same
+	// time are known, too.
+	own   float64
+	fleet float64
+}
+
+// tell moves this node's spends one digest on.
+func (bucket *bucket) tell() {
+	bucket.own += bucket.told
+	bucket.fleet += bucket.told
+	bucket.told = bucket.unseen
+	bucket.unseen = 0
+}
+
+// refill adds what has accrued, and lets earlier spends fade.
+func (bucket *bucket) refill(limit Limit, part float64, now time.Time) {
+	passed := now.Sub(bucket.at)
+	bucket.level = min(bucket.level+limit.Rate*part*passed.Seconds(), limit.Burst*part)
+	bucket.at = now
+	faded := math.Exp(-passed.Seconds() / shareMemory.Seconds())
+	bucket.own *= faded
+	bucket.fleet *= faded
 }
 
 type peer struct {
@@ -44,8 +84,10 @@
 
 // Ledger holds the buckets of one node.
 type Ledger struct {
-	lock    sync.Mutex
-	full    bool
+	lock sync.Mutex
+	full bool
+	// every is the time between two digests with news.
+	every   time.Duration
 	buckets map[string]*bucket
 	spent   map[string]float64
 	peers   map[string]*peer
@@ -56,16 +98,18 @@
 func New(full bool) *Ledger {
 	return &Ledger{
 		full:    full,
+		every:   defaultEvery,
 		buckets: map[string]*bucket{},
 		spent:   map[string]float64{},
 		peers:   map[string]*peer{},
 	}
 }
 
-// SetPeers names the other members of the fleet.
-func (ledger *Ledger) SetPeers(names []string) {
+// SetPeers names the other members of the fleet, and the time between two digests.
+func (ledger *Ledger) SetPeers(names []string, every time.Duration) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
+	ledger.every = every
 	peers := make(map[string]*peer, len(names))
 	for _, name := range names {
 		known, found := ledger.peers[name]
@@ -98,6 +142,7 @@
 		known.spent[account] = total
 		if held, found := ledger.buckets[account]; found && more > 0 && !covered {
 			held.level -= more
+			held.fleet += more
 		}
 	}
 }
@@ -129,8 +174,10 @@
 		}
 		ledger.buckets[account] = held
 	}
-	held.level = min(held.level+limit.Rate*part*now.Sub(held.at).Seconds(), limit.Burst*part)
-	held.at = now
+	held.refill(limit, part, now)
+	if credit := ledger.credit(held, limit, part); held.unseen > 0 && held.unseen+tokens > credit {
+		return Verdict{Wait: ledger.every, Level: held.level, Part: part}
+	}
 	if held.level < tokens && held.level < limit.Burst*part {
 		missing := min(tokens, limit.Burst*part) - held.level
 		wait := time.Duration(missing / (limit.Rate * part) * float64(time.Second))
@@ -138,10 +185,33 @@
 	}
 	verdict := Verdict{Granted: true, Level: held.level, Part: part}
 	held.level -= tokens
+	held.unseen += tokens
 	ledger.spent[account] += tokens
 	return verdict
 }
 
+// credit is what this node may spend between two digests: its usual part of what
+// there is, or an equal part. In a small fleet, whose digests come often, it has no bound.
+func (ledger *Ledger) credit(held *bucket, limit Limit, part float64) float64 {
+	if ledger.every < creditFrom {
+		return math.Inf(1)
+	}
+	share := 1 / float64(len(ledger.peers)+1)
+	if held.fleet > 0 {
+		share = max(share, creditFactor*held.own/held.fleet)
+	}
+	return (max(held.level+held.unseen, 0) + limit.Rate*part*ledger.every.Seconds()) * min(share, 1)
+}
+
+// Told notes that the other nodes were told what this node has spent.
+func (ledger *Ledger) Told() {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	for _, held := range ledger.buckets {
+		held.tell()
+	}
+}
+
 // Refund gives back what a request that did not run was charged.
 func (ledger *Ledger) Refund(account string, tokens float64) {
 	ledger.lock.Lock()
@@ -167,7 +237,7 @@
 func (ledger *Ledger) part(now time.Time) float64 {
 	heard := 1
 	for _, known := range ledger.peers {
-		if now.Sub(known.heard) > silentAfter {
+		if now.Sub(known.heard) > silentDigests*ledger.every {
 			known.silent = true
 		}
 		if !known.silent {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -31,8 +31,6 @@
 	failureMemory = 5 * time.Second
 	// keptParts bounds the prompt parts that are remembered for one target.
 	keptParts = 512
-	// hintAge is after how long another node's figures are forgotten.
-	hintAge = time.Second
 )
 
 // Outcome is how a request at a target ended.
@@ -68,7 +66,7 @@
 }
 
 type hint struct {
-	at    time.Time
+	until time.Time
 	loads map[string]Load
 }
 
@@ -85,11 +83,11 @@
 	return &Tracker{zone: zone, own: map[string]*state{}, hints: map[string]hint{}}
 }
 
-// Hear takes another node's loads.
-func (tracker *Tracker) Hear(node string, loads map[string]Load, now time.Time) {
+// Hear takes another node's loads, which count until a time.
+func (tracker *Tracker) Hear(node string, loads map[string]Load, until time.Time) {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
-	tracker.hints[node] = hint{at: now, loads: loads}
+	tracker.hints[node] = hint{until: until, loads: loads}
 }
 
 // Loads returns what this node has under way.
@@ -129,7 +127,7 @@
 		sum = known.load
 	}
 	for _, heard := range tracker.hints {
-		if now.Sub(heard.at) > hintAge {
+		if now.After(heard.until) {
 			continue
 		}
 		sum.Running += heard.loads[id].Running
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -23,6 +23,8 @@
 	digestHosts = 20
 	// idleFactor is how much rarer a digest without news is.
 	idleFactor = 2
+	// hintDigests is the number of digests for whose time a host's loads are believed.
+	hintDigests = 4
 	// joinEvery is how often a node that is not on the list of hosts tries to join.
 	joinEvery = 500 * time.Millisecond
 	// deadAfter is after how long a host that is not heard is taken off the list.
@@ -36,12 +38,15 @@
 type hostRow struct {
 	Address     string
 	Incarnation uint64
+	// CPUShare is the part of a core that the host gives the node.
+	CPUShare float64
 }
 
 // member is another host on the list.
 type member struct {
 	name    string
 	address string
+	cpu     float64
 	row     mimosatide.RowVersion
 	heard   time.Time
 	since   time.Time
@@ -86,7 +91,7 @@
 			continue
 		}
 		fleet.members[change.Key] = &member{
-			name: change.Key, address: row.Address, row: change.Version, since: time.Now(),
+			name: change.Key, address: row.Address, cpu: row.CPUShare, row: change.Version, since: time.Now(),
 		}
 		fleet.node.log.Info("host known", "host", change.Key, "address", row.Address, "row", change.Version)
 	}
@@ -94,7 +99,7 @@
 	for name := range fleet.members {
 		names = append(names, name)
 	}
-	fleet.node.ledger.SetPeers(names)
+	fleet.node.ledger.SetPeers(names, every(len(names)))
 }
 
 // addresses returns the peer addresses of all other hosts.
@@ -109,13 +114,16 @@
 	return addresses
 }
 
-// rank is this node's place among the hosts that are heard, in the order of their names.
+// rank is this node's place among the hosts that are heard: those with more
+// processor time come first, then those with lower names.
 func (fleet *fleet) rank() int {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	rank := 0
+	own := fleet.node.settings
 	for name, member := range fleet.members {
-		if name < fleet.node.settings.Node && time.Since(member.heard) < time.Second {
+		before := member.cpu > own.Limits.CPUShare || member.cpu == own.Limits.CPUShare && name < own.Node
+		if before && time.Since(member.heard) < hintDigests*every(len(fleet.members)) {
 			rank++
 		}
 	}
@@ -140,6 +148,7 @@
 			every := fleet.every()
 			if since := now.Sub(sentAt); news && since >= every || since >= idleFactor*every {
 				sentAt = now
+				fleet.node.ledger.Told()
 				for _, address := range fleet.addresses() {
 					fleet.node.hub.Send(address, digest)
 				}
@@ -150,11 +159,15 @@
 	}
 }
 
-// every is the time between two digests in a fleet of this size.
+// every is the time between two digests with news in a fleet with so many other hosts.
+func every(others int) time.Duration {
+	return digestEvery * time.Duration(1+others/digestHosts)
+}
+
 func (fleet *fleet) every() time.Duration {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
-	return digestEvery * time.Duration(1+len(fleet.members)/digestHosts)
+	return every(len(fleet.members))
 }
 
 func (fleet *fleet) isJoined() bool {
@@ -165,7 +178,9 @@
 
 // join writes this node's row; the list of hosts itself shows whether it took effect.
 func (fleet *fleet) join(ctx context.Context) {
-	value, err := cbor.Marshal(hostRow{Address: fleet.node.self, Incarnation: fleet.node.incarnation})
+	value, err := cbor.Marshal(hostRow{
+		Address: fleet.node.self, Incarnation: fleet.node.incarnation, CPUShare: fleet.node.settings.Limits.CPUShare,
+	})
 	if err != nil {
 		fleet.node.log.Error(err, "host row")
 		return
@@ -262,7 +277,7 @@
 	for id, load := range digest.Loads {
 		loads[id] = balance.Load{Running: load.Running, Prefill: time.Duration(load.PrefillMillis) * time.Millisecond}
 	}
-	node.tracker.Hear(digest.Node, loads, now)
+	node.tracker.Hear(digest.Node, loads, now.Add(hintDigests*fleet.every()))
 	node.loader.hearOwners(from, digest.Owned, now)
 	node.loader.hearGivenUp(digest.GivenUp)
 	node.suspects.Hear(digest.Node, digest.Crashes)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -38,8 +38,8 @@
 	headerBytes   = 64 << 10
 	// staleParts is how many polls fit into the time after which knowledge is stale.
 	staleParts = 4
-	// drainParts is the part of the drain time for which targets' changes are gathered.
-	drainParts = 4
+	// gatherPart is the part of the drain time for which targets' changes are gathered.
+	gatherPart = 0.35
 	// housekeepEvery is how often old connections and lapsed targets are looked for.
 	housekeepEvery = 500 * time.Millisecond
 )
@@ -117,7 +117,7 @@
 	settings := feed.Settings{Table: table}
 	if table == platform.TargetTable {
 		// Targets write often; what counts is that one that leaves is known well within the drain time.
-		settings.Gather = node.settings.Bounds.Drain / drainParts
+		settings.Gather = time.Duration(float64(node.settings.Bounds.Drain) * gatherPart)
 	}
 	if node.settings.Bounds.StopWhenStale {
 		settings.Wait = node.settings.Bounds.StaleAfter / staleParts
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,6 +44,8 @@
 	tried map[string]bool
 	sends int
 	runs  int
+	// waited is the time until the first send.
+	waited time.Duration
 	// instance and ticket belong to the present send.
 	instance mimosatide.Instance
 	ticket   *balance.Ticket
@@ -115,6 +117,9 @@
 	passage.instance = instance
 	passage.tried[instance.ID] = true
 	passage.sends++
+	if passage.sends == 1 {
+		passage.waited = time.Since(passage.arrived)
+	}
 	query := passage.query()
 	passage.ticket = passage.gate.Tracker.Begin(instance.ID, query, time.Now())
 	if passage.entry.Adapter != "" {
