Tell of adapters in use for as long as their requests run

Ruled out: an order count that drifts (outcomes of adapter orders do advance it). Change: nodes report adapters in use in each report.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -25,7 +25,9 @@
 	// use holds this node's running totals of prompts, and adapters used since the last report.
 	use      map[string]float64
 	adapters map[loading.AdapterAt]bool
-	changed  map[string]bool
+	// running counts this node's requests that use an adapter at a target.
+	running map[loading.AdapterAt]int
+	changed map[string]bool
 }
 
 // loader leads needs to the owner of each service, which may be this node.
@@ -91,6 +93,7 @@
 		owner:    owner,
 		use:      map[string]float64{},
 		adapters: map[loading.AdapterAt]bool{},
+		running:  map[loading.AdapterAt]int{},
 		changed:  map[string]bool{},
 	}
 }
@@ -168,12 +171,26 @@
 	}
 }
 
-// UseAdapter notes that a request uses an adapter at a target.
-func (loader *loader) UseAdapter(service string, adapter loading.AdapterAt) {
+// UseAdapter notes that a request uses an adapter at a target until it calls the returned function.
+func (loader *loader) UseAdapter(service string, adapter loading.AdapterAt) func() {
 	loader.lock.Lock()
 	defer loader.lock.Unlock()
-	if known, found := loader.services[service]; found {
-		known.adapters[adapter] = true
+	known, found := loader.services[service]
+	if !found {
+		return func() {}
+	}
+	known.adapters[adapter] = true
+	known.running[adapter]++
+	return func() { loader.endAdapter(known, adapter) }
+}
+
+func (loader *loader) endAdapter(known *service, adapter loading.AdapterAt) {
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	known.adapters[adapter] = true
+	known.running[adapter]--
+	if known.running[adapter] <= 0 {
+		delete(known.running, adapter)
 	}
 }
 
@@ -184,6 +201,9 @@
 	for _, known := range loader.services {
 		_, _, own := known.owner.Lease().Held()
 		fresh := known.peer != "" && now.Sub(known.heard) < ownerHeard
+		for adapter := range known.running {
+			known.adapters[adapter] = true
+		}
 		if !own && !fresh || len(known.changed) == 0 && len(known.adapters) == 0 {
 			continue
 		}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -62,7 +62,7 @@
 
 func (loader *fakeLoader) Use(string, string, time.Duration) {}
 
-func (loader *fakeLoader) UseAdapter(string, loading.AdapterAt) {}
+func (loader *fakeLoader) UseAdapter(string, loading.AdapterAt) func() { return func() {} }
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,8 +34,8 @@
 	Need(need loading.Need)
 	// Use counts a prompt that came for a model.
 	Use(service, model string, prefill time.Duration)
-	// UseAdapter notes that a request uses an adapter at a target.
-	UseAdapter(service string, adapter loading.AdapterAt)
+	// UseAdapter notes that a request uses an adapter at a target until it calls the returned function.
+	UseAdapter(service string, adapter loading.AdapterAt) func()
 }
 
 // Parts are what a Gateway works with.
@@ -66,7 +66,7 @@
 // ServeHTTP answers one request.
 func (gate *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
-	passage := &passage{gate: gate, writer: writer, arrived: arrived, tried: map[string]bool{}}
+	passage := &passage{gate: gate, writer: writer, arrived: arrived, tried: map[string]bool{}, endUse: func() {}}
 	deployment := gate.Deployment()
 	if deployment == nil {
 		passage.refuse(mimosatide.Refuse(mimosatide.ReasonNotFresh, "no configuration is known yet").WithRetryAfter(startRetry))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,8 @@
 	// instance and ticket belong to the present send.
 	instance mimosatide.Instance
 	ticket   *balance.Ticket
+	// endUse ends the use of the adapter at the present target.
+	endUse func()
 	// headSent says that the answer to the caller has begun; lastEvent is its last event.
 	headSent  bool
 	lastEvent string
@@ -80,6 +82,7 @@
 // serve sends the request until it is answered.
 func (passage *passage) serve(ctx context.Context) {
 	gate := passage.gate
+	defer func() { passage.endUse() }()
 	gate.Repeats.Request(passage.service.Name)
 	if passage.service.Engine != nil {
 		gate.Loader.Use(passage.service.Name, passage.entry.Model, passage.query().PrefillTime())
@@ -123,7 +126,8 @@
 	query := passage.query()
 	passage.ticket = passage.gate.Tracker.Begin(instance.ID, query, time.Now())
 	if passage.entry.Adapter != "" {
-		passage.gate.Loader.UseAdapter(passage.service.Name, loading.AdapterAt{
+		passage.endUse()
+		passage.endUse = passage.gate.Loader.UseAdapter(passage.service.Name, loading.AdapterAt{
 			Instance: instance.ID, Model: passage.entry.Model, Adapter: passage.entry.Adapter,
 		})
 	}
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -26,8 +26,9 @@
 	loadSlack = 20 * time.Second
 	// loadMargin is added to the time of a load from copies at the target.
 	loadMargin = 15 * time.Millisecond
-	// usedNow is how recently an adapter must have been used to count as in use.
-	usedNow = 300 * time.Millisecond
+	// usedNow is how recently an adapter must have been used to count as in use;
+	// nodes tell of those in use several times within it.
+	usedNow = 500 * time.Millisecond
 )
 
 // Engines gives orders to engines.
