Drive the owner and its workers against engines that lose and delay orders

Change: 30 seeds of a minute each in virtual time, 20 % of the answers lost, 20 % of the orders carried out 2 to 12 s late; no engine may hold more than it has room for. A worker's turn is a channel, so that a wait for it ends with its context.

--- a/internal/loading/owner.go
+++ b/internal/loading/owner.go
@@ -173,6 +173,7 @@
 	known.Orders = 0
 	return &worker{
 		instance: instance,
+		turn:     make(chan struct{}, 1),
 		known:    known,
 		holder:   owner.settings.Holder,
 		engines:  owner.engines,
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -54,9 +54,9 @@
 	ordered func()
 	log     logr.Logger
 
-	// orders serialises the orders; state guards what is known.
-	orders sync.Mutex
-	state  sync.Mutex
+	// turn holds a token while orders are given; state guards what is known.
+	turn  chan struct{}
+	state sync.Mutex
 	// known is the engine as the accepted orders have left it.
 	known    mimosatide.Instance
 	synced   bool
@@ -90,10 +90,26 @@
 	worker.occupied = false
 }
 
+// takeTurn waits until no other order of this node is being given to the engine.
+func (worker *worker) takeTurn(ctx context.Context) error {
+	select {
+	case worker.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+func (worker *worker) endTurn() {
+	<-worker.turn
+}
+
 // place makes room for a model and loads it.
 func (worker *worker) place(ctx context.Context, class mimosatide.EngineClass, step Step) error {
-	worker.orders.Lock()
-	defer worker.orders.Unlock()
+	if err := worker.takeTurn(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	defer worker.endTurn()
 	if err := worker.sync(ctx); err != nil {
 		return errors.Trace(err)
 	}
@@ -181,8 +197,10 @@
 func (worker *worker) loadAdapter(
 	ctx context.Context, class mimosatide.EngineClass, model, adapter string, idle func(AdapterAt) time.Duration,
 ) error {
-	worker.orders.Lock()
-	defer worker.orders.Unlock()
+	if err := worker.takeTurn(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	defer worker.endTurn()
 	if err := worker.sync(ctx); err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/loading/worker_test.go
@@ -0,0 +1,189 @@
+package loading_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/loading"
+	"mimosatide.example/mimosatide/internal/registry"
+)
+
+// fakeEngines plays engines by the platform's rules: one order at a time, a
+// condition on the number of accepted orders, lost answers and late orders.
+type fakeEngines struct {
+	class mimosatide.EngineClass
+
+	lock    sync.Mutex
+	random  *rand.Rand
+	lost    float64
+	late    float64
+	engines map[string]*fakeEngine
+	faults  []string
+}
+
+type fakeEngine struct {
+	orders   int64
+	busyTo   time.Time
+	holdings map[string][]string
+	// lastOrder is when the last order arrived, holder who gave it.
+	lastOrder time.Time
+	holder    string
+	term      mimosatide.FencingNumber
+}
+
+func newEngines(seed uint64, ids ...string) *fakeEngines {
+	engines := &fakeEngines{
+		class:   class(),
+		random:  rand.New(rand.NewPCG(seed, 7)),
+		engines: map[string]*fakeEngine{},
+	}
+	for _, id := range ids {
+		engines.engines[id] = &fakeEngine{holdings: map[string][]string{}}
+	}
+	return engines
+}
+
+func (engines *fakeEngines) fault(format string, arguments ...any) {
+	engines.faults = append(engines.faults, fmt.Sprintf(format, arguments...))
+}
+
+func (engines *fakeEngines) Order(
+	ctx context.Context, instance mimosatide.Instance, order mimosatide.ModelOrder,
+) (mimosatide.OrderOutcome, error) {
+	engines.lock.Lock()
+	defer engines.lock.Unlock()
+	if engines.random.Float64() < engines.late {
+		wait := time.Duration(2+engines.random.IntN(10)) * time.Second
+		time.AfterFunc(wait, func() {
+			engines.lock.Lock()
+			defer engines.lock.Unlock()
+			engines.carryOut(instance.ID, order)
+		})
+		return mimosatide.OrderUnknown, errors.New("no answer")
+	}
+	outcome := engines.carryOut(instance.ID, order)
+	if engines.random.Float64() < engines.lost {
+		return mimosatide.OrderUnknown, errors.New("no answer")
+	}
+	return outcome, ctx.Err()
+}
+
+func (engines *fakeEngines) carryOut(id string, order mimosatide.ModelOrder) mimosatide.OrderOutcome {
+	engine := engines.engines[id]
+	if order.Term < engine.term {
+		return mimosatide.OrderFenced
+	}
+	if time.Now().Before(engine.busyTo) || order.After != engine.orders {
+		return mimosatide.OrderConflict
+	}
+	engine.term, engine.holder = order.Term, order.Holder
+	engine.orders++
+	adapters, held := engine.holdings[order.Model]
+	switch {
+	case order.Kind == mimosatide.OrderLoadAdapter:
+		engine.holdings[order.Model] = append(adapters, order.Adapter)
+	case order.Adapter != "":
+		engine.holdings[order.Model] = slices.DeleteFunc(adapters, func(name string) bool { return name == order.Adapter })
+	case order.Kind == mimosatide.OrderUnload:
+		delete(engine.holdings, order.Model)
+		engine.busyTo = time.Now().Add(time.Duration(engines.random.IntN(300)) * time.Millisecond)
+	case !held:
+		engine.holdings[order.Model] = nil
+		engine.busyTo = time.Now().Add(400 * time.Millisecond)
+	}
+	engines.check(id, engine)
+	return mimosatide.OrderAccepted
+}
+
+// check demands that an engine never holds more than it has room for.
+func (engines *fakeEngines) check(id string, engine *fakeEngine) {
+	memory, adapters := 0.0, 0
+	for model, list := range engine.holdings {
+		memory += engines.class.Models[model].MemoryMB + float64(len(list))
+		adapters += len(list)
+	}
+	if memory > engines.class.MemoryMB || adapters > engines.class.AdapterSlots {
+		engines.fault("%s holds %v MB and %d adapters: %v", id, memory, adapters, engine.holdings)
+	}
+}
+
+func (engines *fakeEngines) Report(_ context.Context, instance mimosatide.Instance) (mimosatide.InstanceReport, error) {
+	engines.lock.Lock()
+	defer engines.lock.Unlock()
+	engine := engines.engines[instance.ID]
+	report := mimosatide.InstanceReport{Busy: time.Now().Before(engine.busyTo), Orders: engine.orders}
+	for model, adapters := range engine.holdings {
+		report.Holdings = append(report.Holdings, mimosatide.Holding{Model: model, Adapters: slices.Clone(adapters)})
+		report.OnDisk = append(report.OnDisk, model)
+	}
+	return report, nil
+}
+
+// TestEnginesAreNeverOvercommitted asks for random models and adapters while
+// orders lose their answers or are carried out late.
+func TestEnginesAreNeverOvercommitted(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			engines := newEngines(seed, "e0", "e1", "e2")
+			engines.lost, engines.late = 0.2, 0.2
+			met := driveOwner(t, engines, seed)
+			if len(engines.faults) > 0 {
+				t.Errorf("seed %d: %s", seed, engines.faults[0])
+			}
+			if met == 0 {
+				t.Errorf("seed %d: no need was ever met", seed)
+			}
+		})
+	}
+}
+
+// driveOwner runs an owner for a minute and returns how often a need was met.
+func driveOwner(t *testing.T, engines *fakeEngines, seed uint64) int {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	targets := registry.New(logr.Discard())
+	for id := range engines.engines {
+		targets.Put(mimosatide.Instance{ID: id, Service: "llm", Address: id, Slots: 64})
+	}
+	lease := newLease("a", newTable(), mimosatide.NewMonotonicClock())
+	go lease.Run(ctx, func() int { return 0 })
+	publish := func(instance mimosatide.Instance) {
+		targets.Place(registry.Placement{Instance: instance.ID, Orders: instance.Orders, Holdings: instance.Holdings})
+	}
+	owner := loading.New(loading.Settings{Service: "llm", Holder: "a"}, lease, engines, targets,
+		func() (mimosatide.EngineClass, bool) { return engines.class, true }, publish, logr.Discard())
+	go owner.Run(ctx)
+	random := rand.New(rand.NewPCG(seed, 3))
+	met := 0
+	for range 600 {
+		time.Sleep(100 * time.Millisecond)
+		model := fmt.Sprintf("m%d", random.IntN(5))
+		holder := ""
+		for _, instance := range targets.View().Service("llm") {
+			if instance.Holds(model) {
+				holder = instance.ID
+			}
+		}
+		if holder == "" {
+			owner.Need(loading.Need{Service: "llm", Model: model}, time.Now())
+			continue
+		}
+		met++
+		adapter := fmt.Sprintf("a%d", random.IntN(6))
+		owner.Need(loading.Need{Service: "llm", Model: model, Adapter: adapter, Instance: holder}, time.Now())
+	}
+	cancel()
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	return met
+}
