Tell the peers of a lease that the store did not let a node release

Ruled out: the quiet time (it is needed between two holders). Change: the release is told through the digests.

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -285,6 +285,12 @@
 	}
 	outcome, _, err := lease.write(ctx, row, leaseRow{Holder: lease.holder, Term: term, Released: true})
 	lease.log.Info("lease released", "lease", lease.key, "term", term, "outcome", outcome.String(), "reason", text(err))
+	if outcome != mimosatide.CommitDone {
+		// The store does not tell the others, so the peers are told.
+		lease.lock.Lock()
+		lease.failing = maxFailing
+		lease.lock.Unlock()
+	}
 }
 
 func (lease *Lease) write(
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -189,3 +189,14 @@
 		t.Errorf("term %d, held %v", term, held)
 	}
 }
+
+func TestReleaseThatTheStoreRefusesIsToldToThePeers(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	lease := newLease("a", table, clock)
+	lease.Step(context.Background(), 0)
+	table.refuse = true
+	lease.Release(context.Background())
+	if _, _, given := lease.GivenUp(); !given || may(lease) {
+		t.Error("the peers are not told of a lease that is not used any more")
+	}
+}
