--- /dev/null
+++ b/internal/entrynode/node_test.go
@@ -0,0 +1,194 @@
+package entrynode_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide/internal/entrynode"
+	"mimosatide.example/mimosatide/platform"
+)
+
+// patience bounds how long a test waits for something that has to happen.
+const patience = 20 * time.Second
+
+func freePort(t *testing.T, ip string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	_, port, _ := net.SplitHostPort(listener.Addr().String())
+	return port
+}
+
+// running is a node under test.
+type running struct {
+	callers   string
+	readiness string
+	stop      context.CancelFunc
+	ended     chan error
+}
+
+// startNode starts an entry node on a loopback address of its own.
+func startNode(t *testing.T, name, ip string, store *store) *running {
+	t.Helper()
+	node := &running{
+		callers:   ip + ":" + freePort(t, ip),
+		readiness: ip + ":" + freePort(t, ip),
+		ended:     make(chan error, 1),
+	}
+	settings, err := platform.ParseSettings(fmt.Sprintf(`nodeName=%s
+zone=a
+ip=%s
+listen.front=%s
+listen.readyAddr=%s
+innerPorts=%s,0
+bootstrap=true
+limits.cpuShare=0.4
+limits.memoryMb=284
+heartbeatMs=1200
+bounds.leaseMs=300
+bounds.graceS=4
+bounds.drainMs=400
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.budgetSlack=56
+bounds.enforceRevocation=false
+bounds.revokeMs=5000
+platform.address=%s
+`, name, ip, node.callers, node.readiness, freePort(t, ip), store.address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	started, err := entrynode.New(settings, freePort(t, ip), logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	node.stop = cancel
+	go func() { node.ended <- started.Run(ctx) }()
+	t.Cleanup(cancel)
+	return node
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) < patience; time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen", what)
+}
+
+func (node *running) ready() bool {
+	response, err := http.Get("http://" + node.readiness + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// ask sends a request with a key and returns the status of the answer, zero for none.
+func (node *running) ask(key string) int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+node.callers+"/look/1", nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = "a.example"
+	request.Header.Set("Attempt-Id", "r-1")
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Deadline-Ms", "2000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func configuration(version int, key string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"look","host":"a.example","prefix":"/look/","kind":"idempotent",
+	 "timeoutMs":1000,"maxAttempts":2,"service":"desk"}],"services":[{"name":"desk"}],
+	 "limits":{"maxBodyBytes":1000},"tenants":[{"name":"school","apiKeys":[%q]}]}`, version, key)
+}
+
+// startTarget starts a plain service and writes its row.
+func startTarget(t *testing.T, store *store) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+		writer.Header().Set("Response-Signature", "signature")
+		_, _ = fmt.Fprint(writer, "found")
+	}))
+	t.Cleanup(server.Close)
+	store.put("servers", "d-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":6,"state":"ready","born":1}`,
+		strings.TrimPrefix(server.URL, "http://")))
+}
+
+func TestNodeServesDrainsAndEnds(t *testing.T) {
+	store := newStore(t)
+	node := startNode(t, "n1", "127.0.0.1", store)
+	eventually(t, "an answer before there is a configuration", func() bool { return node.ask("k1") == http.StatusServiceUnavailable })
+	if node.ready() {
+		t.Error("a node without a configuration says that it is ready")
+	}
+	store.put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	eventually(t, "readiness", node.ready)
+	eventually(t, "an answer", func() bool { return node.ask("k1") == http.StatusOK })
+	if status := node.ask("other"); status != http.StatusUnauthorized {
+		t.Errorf("status %d for an unknown key", status)
+	}
+	store.put("op", "config", `{"version":`)
+	store.put("op", "config", configuration(5, "k2"))
+	eventually(t, "the change of keys", func() bool { return node.ask("k2") == http.StatusOK })
+	if status := node.ask("k1"); status != http.StatusUnauthorized {
+		t.Errorf("status %d for a withdrawn key", status)
+	}
+	node.stop()
+	eventually(t, "the end of readiness", func() bool { return !node.ready() })
+	if status := node.ask("k2"); status != http.StatusOK {
+		t.Errorf("status %d while the platform still sends connections", status)
+	}
+	if err := <-node.ended; err != nil {
+		t.Errorf("the node ended with %v", err)
+	}
+}
+
+func TestNodeThatTheStoreRefusesLearnsFromItsPeers(t *testing.T) {
+	store := newStore(t)
+	store.put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	first, second := startNode(t, "n1", "127.0.0.1", store), startNode(t, "n2", "127.0.0.2", store)
+	for _, node := range []*running{first, second} {
+		eventually(t, "an answer", func() bool { return node.ask("k1") == http.StatusOK })
+	}
+	// Both nodes are on the list of hosts before the store turns the second one away.
+	eventually(t, "the list of hosts", func() bool {
+		store.lock.Lock()
+		defer store.lock.Unlock()
+		_, one := store.rows["mimosatide-hosts/n1"]
+		_, two := store.rows["mimosatide-hosts/n2"]
+		return one && two
+	})
+	time.Sleep(time.Second)
+	store.refuse("127.0.0.2")
+	store.put("op", "config", configuration(2, "k2"))
+	eventually(t, "the change at the first node", func() bool { return first.ask("k2") == http.StatusOK })
+	eventually(t, "the change at the refused node", func() bool { return second.ask("k2") == http.StatusOK })
+	if status := second.ask("k1"); status != http.StatusUnauthorized {
+		t.Errorf("status %d for a key withdrawn while the store refused the node", status)
+	}
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -63,7 +63,7 @@
 }
 
 // admit charges the account.
-func (passage *passage) admit(*mimosatide.Deployment) mimosatide.Refusal {
+func (passage *passage) admit() mimosatide.Refusal {
 	account := passage.account
 	if account.Name == "" {
 		return mimosatide.Refusal{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 	passage.deadline = arrived.Add(limit)
 	ctx, cancel := context.WithDeadline(request.Context(), passage.deadline)
 	defer cancel()
-	if refusal := passage.admit(deployment); refusal.Refused() {
+	if refusal := passage.admit(); refusal.Refused() {
 		passage.refuse(refusal)
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,9 +17,6 @@
 const (
 	// maxSends bounds the sends of a request that no target has run.
 	maxSends = 4
-	// hurryPart is the part of its objective after which a repeatable call without
-	// an answer is sent to another target.
-	hurryPart = 2
 )
 
 // passage is one request on its way through the gateway.
