Tell a request beyond its account's rate when the rate reaches it

Cause: the refusal of a request that its rate can't reach counted the tokens ahead of it without its own; with nothing ahead Retry-After was negative. Ruled out: the balance. Change: its own tokens count; the test stays.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -78,13 +78,13 @@
 		if ahead <= request.Account.Rate/nodes*left.Seconds() {
 			continue
 		}
-		ahead -= request.Tokens
 		line.waiting.Remove(request.ID)
 		delete(line.waiters, request.ID)
 		after := time.Duration(0)
 		if request.Account.Rate > 0 {
 			after = time.Duration(ahead / request.Account.Rate * float64(time.Second))
 		}
+		ahead -= request.Tokens
 		each.granted <- grant{refusal: mimosatide.Refuse(mimosatide.ReasonOverRate,
 			"the account's rate does not reach this request within its wait limit").WithRetryAfter(after)}
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -123,7 +123,7 @@
 		Peers: noPeers{}, Placements: fixedPlacements{}, Meter: meter, Journal: journal.New(1000), Log: logr.Discard(),
 		Random: rand.New(rand.NewPCG(1, 1)), NewNonce: func() string { return fmt.Sprint(time.Now().UnixNano()) },
 	})
-	for _, account := range []mimosatide.Account{paid, free} {
+	for _, account := range []mimosatide.Account{paid, free, poor} {
 		bank.SetAccount(0, account)
 	}
 	return made
@@ -132,6 +132,7 @@
 var (
 	paid  = mimosatide.Account{Name: "paid", Rate: 1e12, Burst: 2e12, Weight: 4}
 	free  = mimosatide.Account{Name: "free", Rate: 1e12, Burst: 2e12, Weight: 1}
+	poor  = mimosatide.Account{Name: "poor", Rate: 0.001, Burst: 20, Weight: 1}
 	model = mimosatide.Model{Name: "model", Version: "1", WaitLimit: 20 * time.Second, MaxReplicas: 4, Concurrency: 4}
 )
 
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -222,6 +222,34 @@
 	}
 }
 
+func TestRequestThatItsRateCannotReachIsRefusedAtOnce(t *testing.T) {
+	made := newBench(t, 1)
+	made.target.answer = func(string, mimosatide.Call, func(mimosatide.Event) error) mimosatide.Answer {
+		return mimosatide.Answer{Status: 200}
+	}
+	first := made.request("first", poor)
+	first.Tokens, first.PromptTokens = 19, 19
+	results := make(chan dispatch.Result)
+	go func() { results <- made.service.RunModel(context.Background(), first, ignore) }()
+	placeOnceAsked(made, 1)
+	if result := <-results; result.Refusal.Refused() {
+		t.Fatalf("%+v", result.Refusal)
+	}
+	request := made.request("hopeless", poor)
+	request.Tokens = 19
+	request.WaitLimit = 10 * time.Minute
+	// The caller leaves long before the wait limit, which alone ended such a request.
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	refusal := made.service.RunModel(ctx, request, ignore).Refusal
+	if refusal.Reason != mimosatide.ReasonOverRate || refusal.Run != mimosatide.NotRun || refusal.RetryAfter <= 0 {
+		t.Fatalf("%+v", refusal)
+	}
+	if len(made.service.Waiting()) != 0 || !made.service.Idle() {
+		t.Fatal("the request is still there")
+	}
+}
+
 func TestKeyWithdrawnWhileWaitingIsNotServed(t *testing.T) {
 	made := newBench(t, 1)
 	made.target.answer = func(_ string, call mimosatide.Call, _ func(mimosatide.Event) error) mimosatide.Answer {
