--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -67,7 +67,9 @@
 	loader     *loader
 
 	draining atomic.Bool
-	metrics  string
+	// refuseWaiting is closed when requests that still wait can't be served before the end.
+	refuseWaiting chan struct{}
+	metrics       string
 }
 
 // New returns a node that has not started; metricsPort is where its metrics are served.
@@ -82,15 +84,16 @@
 		engines: platform.NewEngines(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdle,
 		}),
-		targets:   registry.New(log),
-		tracker:   balance.New(settings.Zone),
-		ledger:    allowance.New(settings.FirstStart),
-		exchange:  exchange.New(dialer),
-		repeats:   gateway.NewRepeats(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
-		suspects:  gateway.NewSuspects(),
-		meter:     metric.New(),
-		followers: map[string]*feed.Follower{},
-		metrics:   net.JoinHostPort(settings.IP, metricsPort),
+		targets:       registry.New(log),
+		tracker:       balance.New(settings.Zone),
+		ledger:        allowance.New(settings.FirstStart),
+		exchange:      exchange.New(dialer),
+		repeats:       gateway.NewRepeats(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
+		suspects:      gateway.NewSuspects(),
+		meter:         metric.New(),
+		followers:     map[string]*feed.Follower{},
+		refuseWaiting: make(chan struct{}),
+		metrics:       net.JoinHostPort(settings.IP, metricsPort),
 	}
 	hub, err := peer.New(peer.Settings{
 		Codec:     gossip.Codec{},
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -33,6 +33,7 @@
 		Repeats:    node.repeats,
 		Suspects:   node.suspects,
 		Meter:      node.meter,
+		Draining:   node.refuseWaiting,
 	}, node.log)
 	callers := &http.Server{
 		Handler:           gate,
@@ -85,6 +86,7 @@
 	node.loader.release(bounded)
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(rotationTime)
+	close(node.refuseWaiting)
 	if err := callers.Shutdown(bounded); err != nil {
 		node.log.Info("connections left at the end of the grace", "reason", err.Error())
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -38,6 +38,8 @@
 	targets *registry.Registry
 	ledger  *allowance.Ledger
 	loader  *fakeLoader
+	// drain tells the gateway that its process ends.
+	drain chan struct{}
 
 	lock     sync.Mutex
 	arrivals []arrival
@@ -71,6 +73,7 @@
 		targets: registry.New(logr.Discard()),
 		ledger:  allowance.New(true),
 		loader:  &fakeLoader{},
+		drain:   make(chan struct{}),
 	}
 	deployment := testDeployment()
 	gate := gateway.New(gateway.Parts{
@@ -83,6 +86,7 @@
 		Repeats:    gateway.NewRepeats(0.2, 56),
 		Suspects:   gateway.NewSuspects(),
 		Meter:      metric.New(),
+		Draining:   created.drain,
 	}, logr.Discard())
 	created.server = httptest.NewServer(gate)
 	t.Cleanup(created.server.Close)
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -19,6 +19,8 @@
 	loadOverhead = 300 * time.Millisecond
 	// startRetry is when a caller may try a node that has just started again.
 	startRetry = 500 * time.Millisecond
+	// drainRetry is when a caller may come back, to another node.
+	drainRetry = 50 * time.Millisecond
 	// capacityRetry is when a caller may come back after finding no target.
 	capacityRetry = time.Second
 )
@@ -42,7 +44,7 @@
 			return mimosatide.Instance{}, refusal
 		}
 		passage.need(loading.Need{Service: passage.service.Name, Model: passage.entry.Model})
-		if !wait(ctx, changed, needEvery) {
+		if !passage.wait(ctx, changed) {
 			return mimosatide.Instance{}, passage.waitedOut(ctx)
 		}
 	}
@@ -86,7 +88,7 @@
 		passage.need(loading.Need{
 			Service: passage.service.Name, Model: passage.entry.Model, Adapter: passage.entry.Adapter, Instance: chosen.ID,
 		})
-		if !wait(ctx, changed, needEvery) {
+		if !passage.wait(ctx, changed) {
 			return mimosatide.Instance{}, passage.waitedOut(ctx)
 		}
 		if _, present := passage.gate.Targets.View().Instance(chosen.ID); !present || time.Now().After(until) {
@@ -137,16 +139,22 @@
 	if ctx.Err() == context.Canceled {
 		return mimosatide.Refuse(mimosatide.ReasonCallerGone, "the caller left while the request waited")
 	}
+	if ctx.Err() == nil {
+		return mimosatide.Refuse(mimosatide.ReasonDraining, "the node ends before the request could be served").WithRetryAfter(drainRetry)
+	}
 	return mimosatide.Refuse(mimosatide.ReasonWaitExpired, "no target became ready in time").WithRetryAfter(capacityRetry)
 }
 
-// wait returns false when the context ended.
-func wait(ctx context.Context, changed <-chan struct{}, longest time.Duration) bool {
-	timer := time.NewTimer(longest)
+// wait returns when something changed or a need is to be told again; it returns
+// false when the request can't wait any longer.
+func (passage *passage) wait(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(needEvery)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
+	case <-passage.gate.Draining:
+		return false
 	case <-changed:
 	case <-timer.C:
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	Repeats    *Repeats
 	Suspects   *Suspects
 	Meter      *metric.Meter
+	// Draining is closed when requests that still wait for a target have to be
+	// refused, because the process would end before they were served.
+	Draining <-chan struct{}
 }
 
 // Gateway is the HTTP handler of the callers' requests.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -241,6 +241,24 @@
 	}
 }
 
+func TestRequestThatWaitsIsRefusedBeforeItsNodeEnds(t *testing.T) {
+	world := newWorld(t)
+	world.target("e-1", "llm", events(1, 1, true))
+	waits := make(chan struct{}, 100)
+	world.loader.meet = func(loading.Need) { waits <- struct{}{} }
+	go func() {
+		<-waits
+		close(world.drain)
+	}()
+	response, body, _ := world.send(chat(world, "/chat/", "m"))
+	if response == nil || response.StatusCode != http.StatusServiceUnavailable || !strings.HasPrefix(body, "Draining") {
+		t.Errorf("response %v, body %q", response, body)
+	}
+	if response.Header.Get("Retry-After") == "" {
+		t.Error("the caller is not told when to come back")
+	}
+}
+
 func TestRequestThatCrashesItsTargetsIsStopped(t *testing.T) {
 	world := newWorld(t)
 	for _, id := range []string{"d-1", "d-2", "d-3", "d-4"} {
