Take a deletion for an effect of an outage only right after it

Ruled out: the gathering of changes (the other nodes knew after 0.1 s). Change: a deletion counts as a lapse for 0.3 s after the store answers again, instead of 2.5 s: what lapsed meanwhile comes with the first changes.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -34,9 +34,9 @@
 	retryAfter      = 150 * time.Millisecond
 	// DefaultGather is how long changes are gathered after one has come, to save calls.
 	DefaultGather = 200 * time.Millisecond
-	// recoveryTime is how long after an outage rows may still be missing that
-	// lapsed while the store was away.
-	recoveryTime = 2500 * time.Millisecond
+	// recoveryTime is how long after an outage a deletion may still be an effect of
+	// it: what lapsed meanwhile comes with the first changes that are read.
+	recoveryTime = 300 * time.Millisecond
 )
 
 // Update is what a follower hands on: the changed rows, and whether a deletion
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,6 +24,8 @@
 type answer struct {
 	batch mimosatide.RowBatch
 	err   error
+	// after is how long the store takes to answer.
+	after time.Duration
 }
 
 func (script *script) next(ctx context.Context, what string) (mimosatide.RowBatch, error) {
@@ -36,6 +39,7 @@
 	given := script.answers[0]
 	script.answers = script.answers[1:]
 	script.lock.Unlock()
+	time.Sleep(given.after)
 	return given.batch, given.err
 }
 
@@ -137,3 +141,26 @@
 		t.Error("a row that went with an outage counts as gone for good")
 	}
 }
+
+// TestTargetThatLeavesAfterAnOutageIsNotTakenForLapsed deletes a row a second
+// after the store has answered again.
+func TestTargetThatLeavesAfterAnOutageIsNotTakenForLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone := mimosatide.RowChange{Row: mimosatide.Row{Key: "a", Version: 3}, Deleted: true}
+		store := &script{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 2, Complete: true}},
+			{err: errors.New("down")},
+			{batch: mimosatide.RowBatch{Version: 2}},
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{gone}, Version: 3}, after: time.Second},
+		}}
+		follower, collected := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		<-collected.updates
+		if second := <-collected.updates; second.Recovering {
+			t.Error("a target that left after the outage counts as lapsed")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
