Let a process on another host not speak for the member before it

Cause: of a member whose host is gone the proposer says that it holds a proposal, because it can admit no work.

Ruled out: clock error, restarts on the same host (what such a process reads is at least as new as what the one before it said).

Change: a statement names its host and counts for the member on that host only. TestReplacedHostDoesNotSpeakForItsMember fails without it ("admits work without knowing of entry 4").

The random schedules' recovery listed the hosts once; a real node does so every 2 s, and a process that had read no head at that moment never saw a lost host. It now lists them as often as a real node does; what is demanded is unchanged. The soak's default is 2,000 steps: 30 were too short to find this.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 TOOLS := $(CURDIR)/.tools
 
 SEED ?= 1
-STEPS ?= 30
-CHECKS ?= 100
+# Steps of a random schedule; some faults need hundreds of them.
+STEPS ?= 2000
+CHECKS ?= 10
 
 .DEFAULT_GOAL := help
 
--- a/internal/experiment/slopes.go
+++ b/internal/experiment/slopes.go
@@ -59,6 +59,8 @@
 	core  *fleet.Core
 	table *platform.MemoryTable
 	self  mimosatide.Member
+	// hosts are the members' hosts by address.
+	hosts map[string]string
 	row   mimosatide.RowVersion
 	cost  RoleCost
 	inbox []fleet.Event
@@ -76,7 +78,13 @@
 		}
 	}
 	before := heapInUse()
-	run := &roleRun{table: platform.NewMemoryTable(), self: list[place], cost: RoleCost{Role: role, Members: members}}
+	run := &roleRun{
+		table: platform.NewMemoryTable(), self: list[place], hosts: map[string]string{},
+		cost: RoleCost{Role: role, Members: members},
+	}
+	for _, member := range list {
+		run.hosts[member.Address] = member.Host
+	}
 	run.prepare(list)
 	run.core = fleet.New(fleet.DefaultSettings(run.self, "slope"))
 	run.play(list, role)
@@ -176,7 +184,8 @@
 func (run *roleRun) reply(effect fleet.SendMessage) {
 	switch message := effect.Message.(type) {
 	case fleet.Ping:
-		run.inbox = append(run.inbox, run.receive(effect.To, fleet.Statement{Round: message.Round, Row: run.row}))
+		statement := fleet.Statement{Round: message.Round, Row: run.row, Host: run.hosts[effect.To]}
+		run.inbox = append(run.inbox, run.receive(effect.To, statement))
 		// The members before this one watch it as it watches those behind it.
 		run.inbox = append(run.inbox, run.receive(effect.To, fleet.Ping{Round: message.Round, Row: run.row}))
 	case fleet.AskRead:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -140,6 +140,8 @@
 	// Round repeats the Ping's, or is zero for a push.
 	Round uint64
 	Row   mimosatide.RowVersion
+	// Host is where the sender runs.
+	Host string
 	// Head is the encoded head when the receiver's is older.
 	Head []byte
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -268,3 +268,29 @@
 		t.Fatalf("%f tokens were spent, at least %f are due", spent, least)
 	}
 }
+
+// A process that took over the address of a member on a lost host has read the
+// table before an entry was accepted: it must not vouch for that member.
+func TestReplacedHostDoesNotSpeakForItsMember(t *testing.T) {
+	w := settledWorld(t, 61, 4)
+	lonely, replaced := w.nodes[0], w.nodes[3]
+	replaced.member.Host += "x"
+	w.start(replaced)
+	for replaced.core.Head().Row == 0 {
+		w.step()
+	}
+	replaced.noTable, lonely.noTable = true, true
+	for _, other := range w.nodes[1:3] {
+		w.cutLink(lonely, other)
+		w.cutLink(replaced, other)
+	}
+	w.hosts[3].Name = replaced.member.Host
+	w.listHosts()
+	for range 60 {
+		w.run(500 * time.Millisecond)
+		w.ask(w.nodes[1])
+	}
+	if w.nodes[1].core.Head().Sequence == lonely.core.Head().Sequence {
+		t.Fatal("no entry was accepted meanwhile")
+	}
+}
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -24,7 +24,10 @@
 }
 
 type statement struct {
-	row mimosatide.RowVersion
+	// host is where the process that stated runs: a process on another host that
+	// has taken the address over does not speak for the member before it.
+	host string
+	row  mimosatide.RowVersion
 	// asked is when this node asked for the statement.
 	asked time.Duration
 }
@@ -69,7 +72,11 @@
 		return
 	}
 	earlier := fresh.statements[from]
+	if earlier.host != message.Host {
+		earlier = statement{}
+	}
 	fresh.statements[from] = statement{
+		host:  message.Host,
 		row:   max(earlier.row, message.Row),
 		asked: max(earlier.asked, asked),
 	}
@@ -118,7 +125,7 @@
 			asked = append(asked, core.now)
 			continue
 		}
-		if stated, known := core.freshness.statements[member.Address]; known {
+		if stated, known := core.freshness.statements[member.Address]; known && stated.host == member.Host {
 			asked = append(asked, stated.asked)
 		}
 	}
@@ -149,7 +156,8 @@
 	if core.hosts.gone(core.now, core.settings.HostLag, member) {
 		return true
 	}
-	return core.freshness.statements[member.Address].row >= row
+	stated := core.freshness.statements[member.Address]
+	return stated.host == member.Host && stated.row >= row
 }
 
 // majorityHolds says whether a majority of each member set holds the row.
@@ -254,7 +262,7 @@
 	if !core.freshness.hasRead {
 		return
 	}
-	answer := Statement{Round: round, Row: core.head.Row}
+	answer := Statement{Round: round, Row: core.head.Row, Host: core.settings.Self.Host}
 	if theirs < core.head.Row {
 		answer.Head = EncodeHead(core.head)
 	}
--- a/internal/fleet/soak_test.go
+++ b/internal/fleet/soak_test.go
@@ -84,6 +84,14 @@
 	})
 }
 
+// calm runs without faults; every node lists the hosts as often as a real one does.
+func (run soak) calm(duration time.Duration) {
+	for end := run.now + duration; run.now < end; {
+		run.listHosts()
+		run.world.run(2 * time.Second)
+	}
+}
+
 // recover ends all faults and demands that the fleet works again.
 func (run soak) recover() {
 	run.tableDown, run.loseAnswers, run.loseMail = false, 0, 0
@@ -93,14 +101,13 @@
 			run.start(node)
 		}
 	}
-	run.listHosts()
-	run.world.run(3 * testTerm)
+	run.calm(3 * testTerm)
 	for _, node := range run.nodes {
 		if node.left {
 			run.start(node)
 		}
 	}
-	run.world.run(testTerm)
+	run.calm(testTerm)
 	if fresh := freshNodes(run.world); fresh != len(run.nodes) {
 		run.fail("after every fault has ended %d of %d nodes are fresh", fresh, len(run.nodes))
 	}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -53,6 +53,8 @@
 	// witnesses and watches are the limits of the fleet's settings.
 	witnesses int
 	watches   int
+	// cutLinks holds the pairs of addresses between which no message passes.
+	cutLinks map[[2]string]bool
 }
 
 // greedy asks for far more than its rate at every node all the time.
@@ -103,6 +105,7 @@
 		accepted:  map[uint64]acceptedEntry{},
 		settled:   map[string]fleet.PatchOutcome{},
 		settledAt: map[uint64]time.Duration{},
+		cutLinks:  map[[2]string]bool{},
 	}
 	for index := range size {
 		member := mimosatide.Member{
@@ -248,6 +251,9 @@
 
 func (w *world) sendMessage(from *worldNode, effect fleet.SendMessage) {
 	to := w.find(effect.To)
+	if w.cutLinks[[2]string{from.member.Address, effect.To}] {
+		return
+	}
 	if to == nil || from.cutOff || to.cutOff || to.dead || w.random.Float64() < w.loseMail {
 		return
 	}
@@ -257,6 +263,12 @@
 	}
 }
 
+// cutLink lets no message pass between two nodes.
+func (w *world) cutLink(first, second *worldNode) {
+	w.cutLinks[[2]string{first.member.Address, second.member.Address}] = true
+	w.cutLinks[[2]string{second.member.Address, first.member.Address}] = true
+}
+
 func (w *world) find(address string) *worldNode {
 	for _, node := range w.nodes {
 		if node.member.Address == address {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -36,6 +36,13 @@
 	Head  []byte `cbor:"3,keyasint,omitempty"`
 }
 
+type statementWire struct {
+	Round uint64 `cbor:"1,keyasint"`
+	Row   uint64 `cbor:"2,keyasint"`
+	Head  []byte `cbor:"3,keyasint,omitempty"`
+	Host  string `cbor:"4,keyasint"`
+}
+
 type askEntriesWire struct {
 	After uint64
 }
@@ -179,7 +186,9 @@
 	case fleet.Ping:
 		return kindPing, pingWire{Round: message.Round, Row: uint64(message.Row)}, nil
 	case fleet.Statement:
-		return kindStatement, headWire{Round: message.Round, Row: uint64(message.Row), Head: message.Head}, nil
+		return kindStatement, statementWire{
+			Round: message.Round, Row: uint64(message.Row), Head: message.Head, Host: message.Host,
+		}, nil
 	case fleet.Push:
 		return kindPush, headWire{Round: message.Round, Row: uint64(message.Row), Head: message.Head}, nil
 	case fleet.Silent:
@@ -229,8 +238,8 @@
 	kindPing: decoder(func(wire pingWire) any {
 		return fleet.Ping{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row)}
 	}),
-	kindStatement: decoder(func(wire headWire) any {
-		return fleet.Statement{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row), Head: wire.Head}
+	kindStatement: decoder(func(wire statementWire) any {
+		return fleet.Statement{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row), Head: wire.Head, Host: wire.Host}
 	}),
 	kindPush: decoder(func(wire headWire) any {
 		return fleet.Push{Round: wire.Round, Row: mimosatide.RowVersion(wire.Row), Head: wire.Head}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -21,7 +21,7 @@
 func messages() []any {
 	return []any{
 		fleet.Ping{Round: 1, Row: 2},
-		fleet.Statement{Round: 3, Row: 4, Head: []byte("head")},
+		fleet.Statement{Round: 3, Row: 4, Host: "host", Head: []byte("head")},
 		fleet.Push{Round: 5, Row: 6, Head: []byte("head")},
 		fleet.Silent{Address: "127.0.0.1:1"},
 		fleet.AskRead{Round: 7, Row: 8},
