Pass a large fleet's news on over a relay in each zone

Cause: with 82 hosts every host sent digests to 81 others (once a second, to bound their number), sent placements to all, checked 81 links once a second, and polled the store's tables by itself.

Change: beyond 20 other hosts a host tells the relay of its zone, which passes on what it gathers in 100 ms, to its zone and to the relays of the others. Relays are chosen by each host by itself (most processor time, passed over when silent). The relay follows the tables and passes their changes on; a host asks the store itself when its relay is silent, does not lead, or when it must stop on old knowledge. Up to 20 hosts nothing changes.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -12,15 +12,14 @@
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/feed"
 	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/relay"
 	"mimosatide.example/mimosatide/platform"
 )
 
 // The times of the fleet.
 const (
-	// digestEvery is how often a digest is sent while there is news, in a fleet of
-	// up to digestHosts; a larger one sends fewer, so that a node's messages stay bounded.
+	// digestEvery is how often a digest is sent while there is news.
 	digestEvery = 200 * time.Millisecond
-	digestHosts = 20
 	// idleFactor is how much rarer a digest without news is.
 	idleFactor = 2
 	// hintDigests is the number of digests for whose time a host's loads are believed.
@@ -38,6 +37,7 @@
 type hostRow struct {
 	Address     string
 	Incarnation uint64
+	Zone        string
 	// CPUShare is the part of a core that the host gives the node.
 	CPUShare float64
 }
@@ -46,10 +46,13 @@
 type member struct {
 	name    string
 	address string
+	zone    string
 	cpu     float64
 	row     mimosatide.RowVersion
 	heard   time.Time
 	since   time.Time
+	// leads says that the host passes the changes of all tables on to its zone.
+	leads bool
 }
 
 // fleet knows the other hosts and talks with them.
@@ -62,11 +65,22 @@
 	joined    bool
 	askedAt   time.Time
 	lastSpent map[string]float64
-	rounds    int
+
+	relays *relay.Chooser
+	// near and far are what a relay has gathered for its zone and for the other
+	// zones; flushing says that it will be passed on soon.
+	near     gossip.Batch
+	far      gossip.Batch
+	flushing bool
 }
 
 func newFleet(node *Node) *fleet {
-	return &fleet{node: node, members: map[string]*member{}, lastSpent: map[string]float64{}}
+	return &fleet{
+		node:      node,
+		members:   map[string]*member{},
+		lastSpent: map[string]float64{},
+		relays:    relay.New(node.self),
+	}
 }
 
 // applyHosts takes changes of the list of hosts.
@@ -91,7 +105,7 @@
 			continue
 		}
 		fleet.members[change.Key] = &member{
-			name: change.Key, address: row.Address, cpu: row.CPUShare, row: change.Version, since: time.Now(),
+			name: change.Key, address: row.Address, zone: row.Zone, cpu: row.CPUShare, row: change.Version, since: time.Now(),
 		}
 		fleet.node.log.Info("host known", "host", change.Key, "address", row.Address, "row", change.Version)
 	}
@@ -145,13 +159,10 @@
 				go fleet.join(ctx)
 			}
 			digest, news := fleet.digest()
-			every := fleet.every()
-			if since := now.Sub(sentAt); news && since >= every || since >= idleFactor*every {
+			if news || now.Sub(sentAt) >= idleFactor*digestEvery {
 				sentAt = now
 				fleet.node.ledger.Told()
-				for _, address := range fleet.addresses() {
-					fleet.node.hub.Send(address, digest)
-				}
+				fleet.tell(gossip.Batch{Digests: []gossip.Digest{digest}})
 			}
 			fleet.node.loader.report(now)
 			fleet.removeDead(ctx, now)
@@ -159,9 +170,12 @@
 	}
 }
 
-// every is the time between two digests with news in a fleet with so many other hosts.
+// every is how old a digest may be when the next one comes, in a fleet with so many other hosts.
 func every(others int) time.Duration {
-	return digestEvery * time.Duration(1+others/digestHosts)
+	if others > directHosts {
+		return digestEvery + relayEvery
+	}
+	return digestEvery
 }
 
 func (fleet *fleet) every() time.Duration {
@@ -179,7 +193,8 @@
 // join writes this node's row; the list of hosts itself shows whether it took effect.
 func (fleet *fleet) join(ctx context.Context) {
 	value, err := cbor.Marshal(hostRow{
-		Address: fleet.node.self, Incarnation: fleet.node.incarnation, CPUShare: fleet.node.settings.Limits.CPUShare,
+		Address: fleet.node.self, Incarnation: fleet.node.incarnation, Zone: fleet.node.settings.Zone,
+		CPUShare: fleet.node.settings.Limits.CPUShare,
 	})
 	if err != nil {
 		fleet.node.log.Error(err, "host row")
@@ -243,6 +258,7 @@
 		Owned:       node.loader.owned(),
 		GivenUp:     node.loader.givenUp(),
 		Crashes:     node.suspects.Own(time.Now()),
+		Leads:       fleet.leads(time.Now()),
 	}
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{Running: load.Running, PrefillMillis: load.Prefill.Milliseconds()}
@@ -270,6 +286,7 @@
 	fleet.lock.Lock()
 	if known, found := fleet.members[digest.Node]; found {
 		known.heard = now
+		known.leads = digest.Leads
 	}
 	fleet.lock.Unlock()
 	node.ledger.Hear(digest.Node, digest.Incarnation, digest.Spent, now)
@@ -286,13 +303,15 @@
 
 // askForNews asks a peer that knows more for its rows while the store does not answer this node.
 func (fleet *fleet) askForNews(from string, tables map[string]uint64, now time.Time) {
+	host, _ := fleet.zoneRelay(now)
 	for table, changed := range tables {
 		follower, found := fleet.node.followers[table]
 		if !found {
 			continue
 		}
 		state := follower.State()
-		if state.Healthy || uint64(state.Changed) >= changed {
+		guided := host.Address == from && fleet.Guided(table)
+		if state.Healthy && !guided || uint64(state.Changed) >= changed {
 			continue
 		}
 		fleet.lock.Lock()
--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -111,9 +111,7 @@
 		message.Holdings = append(message.Holdings, gossip.Holding{Model: holding.Model, Adapters: holding.Adapters})
 	}
 	loader.hearPlacement(message)
-	for _, address := range loader.node.fleet.addresses() {
-		loader.node.hub.Send(address, message)
-	}
+	loader.node.fleet.tell(gossip.Batch{Placements: []gossip.Placement{message}})
 }
 
 func (loader *loader) hearPlacement(message gossip.Placement) {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -117,7 +117,7 @@
 const engineIdle = 2 * time.Second
 
 func (node *Node) follow(table string, apply func(feed.Update)) {
-	settings := feed.Settings{Table: table}
+	settings := feed.Settings{Table: table, Guide: node.fleet}
 	if table == platform.TargetTable {
 		// Targets write often; what counts is that one that leaves is known well within the drain time.
 		settings.Gather = time.Duration(float64(node.settings.Bounds.Drain) * gatherPart)
@@ -228,6 +228,7 @@
 // receive takes a message of a peer.
 func (node *Node) receive(from string, message any) {
 	now := time.Now()
+	node.fleet.relays.Hear(from, now)
 	switch message := message.(type) {
 	case gossip.Digest:
 		node.fleet.hear(from, message, now)
@@ -237,6 +238,10 @@
 		node.loader.hearNeed(message, now)
 	case gossip.Placement:
 		node.loader.hearPlacement(message)
+	case gossip.Batch:
+		node.fleet.hearBatch(message, now)
+	case gossip.Changes:
+		node.hearChanges(from, message)
 	case gossip.AskRows:
 		if follower, found := node.followers[message.Table]; found && follower.State().Known {
 			node.hub.Send(from, gossip.EncodeRows(message.Table, follower.Snapshot()))
@@ -250,3 +255,14 @@
 		node.log.Info("peer message unknown", "peer", from)
 	}
 }
+
+// hearChanges takes rows that the relay of the zone passes on, or asks it for the whole table.
+func (node *Node) hearChanges(from string, message gossip.Changes) {
+	follower, found := node.followers[message.Table]
+	if !found {
+		return
+	}
+	if !follower.OfferChanges(mimosatide.RowVersion(message.After), message.Batch(), message.Recovering) {
+		node.hub.Send(from, gossip.AskRows{Table: message.Table, From: node.self})
+	}
+}
--- /dev/null
+++ b/internal/entrynode/relay.go
@@ -0,0 +1,217 @@
+package entrynode
+
+import (
+	"sort"
+	"time"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/relay"
+)
+
+const (
+	// directHosts is the number of other hosts up to which every host tells every
+	// other one; beyond it the messages of all pairs cost more than the way over relays.
+	directHosts = 20
+	// relayEvery is for how long a relay gathers digests before it passes them on.
+	relayEvery = 100 * time.Millisecond
+)
+
+// relayed says whether news goes through relays.
+func (fleet *fleet) relayed() bool {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	return len(fleet.members) > directHosts
+}
+
+// hosts lists all hosts with this one.
+func (fleet *fleet) hosts(now time.Time) []relay.Host {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	own := fleet.node.settings
+	hosts := []relay.Host{{
+		Name: own.Node, Address: fleet.node.self, Zone: own.Zone, CPUShare: own.Limits.CPUShare, Heard: now,
+	}}
+	for _, member := range fleet.members {
+		hosts = append(hosts, relay.Host{
+			Name: member.name, Address: member.address, Zone: member.zone, CPUShare: member.cpu, Heard: member.heard,
+		})
+	}
+	return hosts
+}
+
+// zoneRelay returns the relay of this node's zone, and whether it is this node itself.
+func (fleet *fleet) zoneRelay(now time.Time) (relay.Host, bool) {
+	host, _ := fleet.relays.Choose(fleet.node.settings.Zone, fleet.hosts(now), now)
+	return host, host.Address == fleet.node.self
+}
+
+// tell hands this node's news to all others.
+func (fleet *fleet) tell(news gossip.Batch) {
+	if !fleet.relayed() {
+		fleet.tellDirectly(news)
+		return
+	}
+	host, self := fleet.zoneRelay(time.Now())
+	if self {
+		fleet.gather(news, gossip.ReachAll)
+		return
+	}
+	news.Reach = gossip.ReachAll
+	fleet.node.hub.Send(host.Address, news)
+}
+
+func (fleet *fleet) tellDirectly(news gossip.Batch) {
+	addresses := fleet.addresses()
+	for _, digest := range news.Digests {
+		fleet.node.hub.SendAll(addresses, digest)
+	}
+	for _, placement := range news.Placements {
+		fleet.node.hub.SendAll(addresses, placement)
+	}
+}
+
+// gather keeps news for the next batch. What targets hold is waited for by
+// requests and goes at once, with what has been gathered so far.
+func (fleet *fleet) gather(news gossip.Batch, reach gossip.Reach) {
+	fleet.lock.Lock()
+	fleet.near = fleet.near.With(news)
+	if reach == gossip.ReachAll {
+		fleet.far = fleet.far.With(news)
+	}
+	urgent := len(news.Placements) > 0
+	schedule := !urgent && !fleet.flushing
+	fleet.flushing = fleet.flushing || schedule
+	fleet.lock.Unlock()
+	if urgent {
+		fleet.flush()
+	}
+	if schedule {
+		time.AfterFunc(relayEvery, func() {
+			fleet.lock.Lock()
+			fleet.flushing = false
+			fleet.lock.Unlock()
+			fleet.flush()
+		})
+	}
+}
+
+// flush passes the gathered news on: to this zone, and to the relays of the others.
+func (fleet *fleet) flush() {
+	fleet.lock.Lock()
+	near, far := fleet.near, fleet.far
+	fleet.near, fleet.far = gossip.Batch{}, gossip.Batch{}
+	fleet.lock.Unlock()
+	now := time.Now()
+	hosts := fleet.hosts(now)
+	if !near.Empty() {
+		near.Reach = gossip.ReachSelf
+		fleet.node.hub.SendAll(fleet.zoneAddresses(hosts), near)
+	}
+	if far.Empty() {
+		return
+	}
+	far.Reach = gossip.ReachZone
+	var others []string
+	for _, zone := range zones(hosts) {
+		if zone == fleet.node.settings.Zone {
+			continue
+		}
+		if host, found := fleet.relays.Choose(zone, hosts, now); found {
+			others = append(others, host.Address)
+		}
+	}
+	fleet.node.hub.SendAll(others, far)
+}
+
+// zoneAddresses returns the peer addresses of the other hosts of this node's zone.
+func (fleet *fleet) zoneAddresses(hosts []relay.Host) []string {
+	var addresses []string
+	for _, host := range hosts {
+		if host.Zone == fleet.node.settings.Zone && host.Address != fleet.node.self {
+			addresses = append(addresses, host.Address)
+		}
+	}
+	return addresses
+}
+
+func zones(hosts []relay.Host) []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, host := range hosts {
+		if !seen[host.Zone] {
+			seen[host.Zone] = true
+			names = append(names, host.Zone)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// hearBatch takes the news that a relay has gathered, and passes it on if asked to.
+func (fleet *fleet) hearBatch(batch gossip.Batch, now time.Time) {
+	for _, digest := range batch.Digests {
+		fleet.lock.Lock()
+		known, found := fleet.members[digest.Node]
+		address := ""
+		if found {
+			address = known.address
+		}
+		fleet.lock.Unlock()
+		if found {
+			fleet.hear(address, digest, now)
+		}
+	}
+	for _, placement := range batch.Placements {
+		fleet.node.loader.hearPlacement(placement)
+	}
+	if batch.Reach != gossip.ReachSelf {
+		fleet.gather(gossip.Batch{Digests: batch.Digests, Placements: batch.Placements}, batch.Reach)
+	}
+}
+
+// leads says whether this node follows all tables for its zone.
+func (fleet *fleet) leads(now time.Time) bool {
+	if !fleet.relayed() {
+		return false
+	}
+	if _, self := fleet.zoneRelay(now); !self {
+		return false
+	}
+	for _, follower := range fleet.node.followers {
+		if state := follower.State(); !state.Healthy || !state.Known {
+			return false
+		}
+	}
+	return true
+}
+
+// Guided says whether the relay of this node's zone passes a table's changes on
+// to it. Where a node must stop when its own knowledge is old, it asks the store itself.
+func (fleet *fleet) Guided(string) bool {
+	if fleet.node.settings.Bounds.StopWhenStale || !fleet.relayed() {
+		return false
+	}
+	now := time.Now()
+	host, self := fleet.zoneRelay(now)
+	if self || !fleet.relays.HeardLately(host.Address, now) {
+		return false
+	}
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	known, found := fleet.members[host.Name]
+	return found && known.leads
+}
+
+// PassOn hands changes of a table to the zone, if this node is its relay.
+func (fleet *fleet) PassOn(table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool) {
+	if !fleet.relayed() {
+		return
+	}
+	now := time.Now()
+	if _, self := fleet.zoneRelay(now); !self {
+		return
+	}
+	message := gossip.EncodeChanges(table, after, batch, recovering)
+	fleet.node.hub.SendAll(fleet.zoneAddresses(fleet.hosts(now)), message)
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -3,7 +3,8 @@
 // A Follower reads the whole table once and then follows its changes with one
 // long poll at a time. A node that the store refuses takes snapshots from its
 // peers instead: versions come from a single counter, so the highest one wins,
-// from whichever side it came, and nothing reverts.
+// from whichever side it came, and nothing reverts. A follower that is guided
+// does not ask the store: another node passes the changes on to it.
 //
 // # Usage
 //
@@ -32,6 +33,8 @@
 	answerSlack     = 2 * time.Second
 	snapshotTimeout = 2 * time.Second
 	retryAfter      = 150 * time.Millisecond
+	// guidedEvery is how often a guided follower looks whether it still is.
+	guidedEvery = 250 * time.Millisecond
 	// DefaultGather is how long changes are gathered after one has come, to save calls.
 	DefaultGather = 200 * time.Millisecond
 	// recoveryTime is how long after an outage a deletion may still be an effect of
@@ -74,6 +77,16 @@
 	Wait time.Duration
 	// Gather is how long changes are gathered after one has come; zero stands for DefaultGather.
 	Gather time.Duration
+	// Guide is nil for a follower that works alone.
+	Guide Guide
+}
+
+// Guide is how a follower works together with those of other nodes.
+type Guide interface {
+	// Guided says whether another node passes on the changes of a table.
+	Guided(table string) bool
+	// PassOn hands on changes that came from the store; after is the newest change before them.
+	PassOn(table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool)
 }
 
 // Follower holds a copy of one table.
@@ -85,6 +98,7 @@
 	clock  Clock
 	wait   time.Duration
 	gather time.Duration
+	guide  Guide
 
 	lock      sync.Mutex
 	rows      map[string]mimosatide.Row
@@ -106,6 +120,7 @@
 		table:  settings.Table,
 		wait:   settings.Wait,
 		gather: settings.Gather,
+		guide:  settings.Guide,
 		clock:  clock,
 		store:  store,
 		log:    log,
@@ -136,6 +151,10 @@
 func (follower *Follower) Run(ctx context.Context) {
 	complete := false
 	for ctx.Err() == nil {
+		if follower.guided() {
+			sleep(ctx, guidedEvery)
+			continue
+		}
 		err := follower.poll(ctx, &complete)
 		if ctx.Err() != nil {
 			return
@@ -152,6 +171,10 @@
 	}
 }
 
+func (follower *Follower) guided() bool {
+	return follower.guide != nil && follower.State().Known && follower.guide.Guided(follower.table)
+}
+
 // poll asks once; complete says whether the copy has a version to go on from.
 func (follower *Follower) poll(ctx context.Context, complete *bool) error {
 	begun := follower.clock.Now()
@@ -178,9 +201,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	recovering := follower.recoveringNow()
 	follower.Offer(batch)
 	follower.confirm(begun)
 	if len(batch.Rows) > 0 {
+		if follower.guide != nil {
+			follower.guide.PassOn(follower.table, state.Changed, batch, recovering)
+		}
 		sleep(ctx, follower.gather)
 	}
 	return nil
@@ -221,7 +248,26 @@
 	if batch.Version < follower.state.Version || (!batch.Complete && !follower.state.Known) {
 		return
 	}
-	update := Update{Recovering: follower.recovering()}
+	follower.take(batch, follower.recovering())
+}
+
+// OfferChanges takes changes that another node passes on. It returns false when
+// the copy lacks changes before them, so that it has to be offered a whole one.
+func (follower *Follower) OfferChanges(after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool) bool {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if !follower.state.Known || follower.state.Version < after {
+		return false
+	}
+	if batch.Version > follower.state.Version {
+		follower.take(batch, recovering)
+	}
+	return true
+}
+
+// take puts rows that are newer than the copy in force.
+func (follower *Follower) take(batch mimosatide.RowBatch, recovering bool) {
+	update := Update{Recovering: recovering}
 	seen := map[string]bool{}
 	for _, change := range batch.Rows {
 		seen[change.Key] = true
@@ -259,6 +305,12 @@
 	}
 }
 
+func (follower *Follower) recoveringNow() bool {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	return follower.recovering()
+}
+
 func (follower *Follower) recovering() bool {
 	if follower.lostAt.IsZero() {
 		return false
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -164,3 +164,109 @@
 		synctest.Wait()
 	})
 }
+
+// guide plays the node that passes changes on.
+type guide struct {
+	lock   sync.Mutex
+	guided bool
+	after  []mimosatide.RowVersion
+}
+
+func (guide *guide) Guided(string) bool {
+	guide.lock.Lock()
+	defer guide.lock.Unlock()
+	return guide.guided
+}
+
+func (guide *guide) PassOn(_ string, after mimosatide.RowVersion, _ mimosatide.RowBatch, _ bool) {
+	guide.lock.Lock()
+	defer guide.lock.Unlock()
+	guide.after = append(guide.after, after)
+}
+
+func (guide *guide) set(guided bool) {
+	guide.lock.Lock()
+	defer guide.lock.Unlock()
+	guide.guided = guided
+}
+
+func newGuided(store mimosatide.RowFeed, guide feed.Guide) (*feed.Follower, collector) {
+	collected := collector{updates: make(chan feed.Update, 100)}
+	settings := feed.Settings{Table: "t", Gather: time.Millisecond, Guide: guide}
+	follower := feed.New(settings, store, mimosatide.NewMonotonicClock(), logr.Discard(),
+		func(update feed.Update) { collected.updates <- update })
+	return follower, collected
+}
+
+func TestGuidedFollowerAsksTheStoreOnlyWithoutItsGuide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &script{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}},
+		}}
+		passed := &guide{guided: true}
+		follower, collected := newGuided(store, passed)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go follower.Run(ctx)
+		<-collected.updates
+		time.Sleep(time.Minute)
+		if len(store.asked) != 1 {
+			t.Errorf("the store was asked %v", store.asked)
+		}
+		if !follower.OfferChanges(1, mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 6)}, Version: 6}, true) {
+			t.Error("changes right after the copy were not taken")
+		}
+		if update := <-collected.updates; len(update.Rows) != 1 || !update.Recovering {
+			t.Errorf("update %+v", update)
+		}
+		passed.set(false)
+		time.Sleep(time.Second)
+		if len(store.asked) != 2 || store.asked[1] != "changes" {
+			t.Errorf("without its guide the follower asked %v", store.asked)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestChangesBehindAGapAreNotTaken(t *testing.T) {
+	follower, _ := newFollower(&script{})
+	batch := mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 9)}, Version: 9}
+	if follower.OfferChanges(0, batch, false) {
+		t.Error("changes were taken into a copy that is not known yet")
+	}
+	follower.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 3)}, Version: 5, Complete: true})
+	if follower.OfferChanges(7, batch, false) {
+		t.Error("the copy lacks change 7 and took those after it")
+	}
+	if state := follower.State(); state.Version != 5 {
+		t.Errorf("version %d", state.Version)
+	}
+	if !follower.OfferChanges(5, batch, false) || follower.State().Version != 9 {
+		t.Error("changes without a gap were not taken")
+	}
+	older := mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 7)}, Version: 7}
+	if !follower.OfferChanges(5, older, false) || follower.State().Version != 9 {
+		t.Error("the copy has reverted")
+	}
+}
+
+func TestChangesFromTheStoreArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &script{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 3)}, Version: 5, Complete: true}},
+			{batch: mimosatide.RowBatch{Version: 8}},
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 9)}, Version: 9}},
+		}}
+		passed := &guide{}
+		follower, _ := newGuided(store, passed)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		if len(passed.after) != 1 || passed.after[0] != 3 {
+			t.Errorf("passed on after %v: nodes know change 3 and not the version of a poll without changes", passed.after)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -31,6 +31,8 @@
 	Owned []Ownership `cbor:"6,keyasint,omitempty"`
 	// GivenUp are leases under which the node will not order again.
 	GivenUp []Handover `cbor:"7,keyasint,omitempty"`
+	// Leads says that the node follows all tables and passes their changes on to its zone.
+	Leads bool `cbor:"9,keyasint,omitempty"`
 	// Crashes are requests at whose start a target crashed, by the digest of their content.
 	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
 }
@@ -103,6 +105,80 @@
 	Adapters []string `cbor:"2,keyasint,omitempty"`
 }
 
+// Reach says how far a relay passes a batch on.
+type Reach uint8
+
+// The reaches of a batch.
+const (
+	// ReachSelf is for the receiver alone.
+	ReachSelf Reach = iota
+	// ReachZone is for all nodes of the receiver's zone.
+	ReachZone
+	// ReachAll is for all nodes of all zones.
+	ReachAll
+)
+
+// Batch is news of several nodes that a relay has gathered.
+type Batch struct {
+	Reach      Reach       `cbor:"1,keyasint,omitempty"`
+	Digests    []Digest    `cbor:"2,keyasint,omitempty"`
+	Placements []Placement `cbor:"3,keyasint,omitempty"`
+}
+
+// Empty says that there is nothing in the batch.
+func (batch Batch) Empty() bool {
+	return len(batch.Digests) == 0 && len(batch.Placements) == 0
+}
+
+// With returns a batch that also has the content of another one.
+func (batch Batch) With(more Batch) Batch {
+	batch.Digests = append(batch.Digests, more.Digests...)
+	batch.Placements = append(batch.Placements, more.Placements...)
+	return batch
+}
+
+// Changes are the rows of a table that changed after another change.
+type Changes struct {
+	Table string `cbor:"1,keyasint"`
+	// After is the newest change before these; a copy that lacks it lacks more than these.
+	After   uint64   `cbor:"2,keyasint"`
+	Version uint64   `cbor:"3,keyasint"`
+	Rows    []Change `cbor:"4,keyasint"`
+	// Recovering says that a deletion may be an effect of an outage of the store.
+	Recovering bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Change is a row that was written or deleted.
+type Change struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// EncodeChanges makes a message of changed rows.
+func EncodeChanges(table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool) Changes {
+	message := Changes{Table: table, After: uint64(after), Version: uint64(batch.Version), Recovering: recovering}
+	for _, row := range batch.Rows {
+		message.Rows = append(message.Rows, Change{
+			Key: row.Key, Value: row.Value, Version: uint64(row.Version), Deleted: row.Deleted,
+		})
+	}
+	return message
+}
+
+// Batch returns the changed rows.
+func (message Changes) Batch() mimosatide.RowBatch {
+	batch := mimosatide.RowBatch{Version: mimosatide.RowVersion(message.Version)}
+	for _, row := range message.Rows {
+		batch.Rows = append(batch.Rows, mimosatide.RowChange{
+			Row:     mimosatide.Row{Key: row.Key, Value: row.Value, Version: mimosatide.RowVersion(row.Version)},
+			Deleted: row.Deleted,
+		})
+	}
+	return batch
+}
+
 // AskRows asks a peer for a table.
 type AskRows struct {
 	Table string
@@ -158,6 +234,8 @@
 	kindPlacement
 	kindAskRows
 	kindGiveRows
+	kindBatch
+	kindChanges
 )
 
 type envelope struct {
@@ -184,6 +262,10 @@
 		sort = kindAskRows
 	case GiveRows:
 		sort = kindGiveRows
+	case Batch:
+		sort = kindBatch
+	case Changes:
+		sort = kindChanges
 	default:
 		return nil, errors.NotSupportedf("message %T", message)
 	}
@@ -214,6 +296,10 @@
 		return decode[AskRows](wrapped.Body)
 	case kindGiveRows:
 		return decode[GiveRows](wrapped.Body)
+	case kindBatch:
+		return decode[Batch](wrapped.Body)
+	case kindChanges:
+		return decode[Changes](wrapped.Body)
 	default:
 		return nil, errors.NotSupportedf("message kind %d", wrapped.Kind)
 	}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -72,7 +72,7 @@
 // link sends to one peer.
 type link struct {
 	to    string
-	queue chan any
+	queue chan []byte
 }
 
 // New binds the peer port, exclusively, and returns a hub that has not started.
@@ -116,10 +116,29 @@
 
 // Send queues a message for a peer; a full queue drops it.
 func (hub *Hub) Send(to string, message any) {
+	hub.SendAll([]string{to}, message)
+}
+
+// SendAll queues a message for several peers and encodes it once.
+func (hub *Hub) SendAll(to []string, message any) {
+	if len(to) == 0 {
+		return
+	}
+	data, err := hub.settings.Codec.Encode(message)
+	if err != nil {
+		hub.log.Error(err, "peer message not sent")
+		return
+	}
+	for _, address := range to {
+		hub.queue(address, data)
+	}
+}
+
+func (hub *Hub) queue(to string, data []byte) {
 	hub.lock.Lock()
 	known, found := hub.links[to]
 	if !found && hub.ctx != nil && hub.ctx.Err() == nil {
-		known = &link{to: to, queue: make(chan any, queueLength)}
+		known = &link{to: to, queue: make(chan []byte, queueLength)}
 		hub.links[to] = known
 		go hub.serveLink(hub.ctx, known)
 	}
@@ -128,7 +147,7 @@
 		return
 	}
 	select {
-	case known.queue <- message:
+	case known.queue <- data:
 	default:
 		hub.dropped.Add(1)
 	}
@@ -151,7 +170,7 @@
 	}
 }
 
-func (hub *Hub) nextMessage(ctx context.Context, peer *link) (any, bool) {
+func (hub *Hub) nextMessage(ctx context.Context, peer *link) ([]byte, bool) {
 	select {
 	case message := <-peer.queue:
 		return message, false
@@ -174,7 +193,7 @@
 }
 
 // sendAll dials and sends until the connection fails or idles.
-func (hub *Hub) sendAll(ctx context.Context, peer *link, first any) error {
+func (hub *Hub) sendAll(ctx context.Context, peer *link, first []byte) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	connection, err := hub.dial(ctx, peer.to)
@@ -234,11 +253,7 @@
 	}
 }
 
-func (hub *Hub) write(ctx context.Context, connection *websocket.Conn, message any) error {
-	data, err := hub.settings.Codec.Encode(message)
-	if err != nil {
-		return errors.Trace(err)
-	}
+func (hub *Hub) write(ctx context.Context, connection *websocket.Conn, data []byte) error {
 	bounded, cancel := context.WithTimeout(ctx, hub.settings.PingEvery)
 	defer cancel()
 	hub.sent.Add(1)
