Place replicas by how busy engines are; let a relay prove that the store answers it

The planner's weight for a busy engine was never filled in.

Change 1: the planner computes it; a replica is also added when the engines of a model are busy with others, and from 0.2 of an engine's time on instead of 0.35.

Change 2: a relay polls for 0.3 s at most and leads only while its last answer is under 0.7 s old. The choice of a relay and the way of a table's changes are logged.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -67,6 +67,8 @@
 	lastSpent map[string]float64
 
 	relays *relay.Chooser
+	// relay is the peer address of the zone's relay as it was last chosen.
+	relay string
 	// near and far are what a relay has gathered for its zone and for the other
 	// zones; flushing says that it will be passed on soon.
 	near     gossip.Batch
@@ -258,7 +260,7 @@
 		Owned:       node.loader.owned(),
 		GivenUp:     node.loader.givenUp(),
 		Crashes:     node.suspects.Own(time.Now()),
-		Leads:       fleet.leads(time.Now()),
+		Leads:       fleet.leads(),
 	}
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{Running: load.Running, PrefillMillis: load.Prefill.Milliseconds()}
@@ -266,7 +268,7 @@
 	for _, table := range []string{platform.ConfigurationTable, platform.TargetTable, hostTable} {
 		digest.Tables[table] = uint64(node.followers[table].State().Changed)
 	}
-	news := len(digest.Loads) > 0
+	news := len(digest.Loads) > 0 || digest.Leads
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -118,6 +118,9 @@
 
 func (node *Node) follow(table string, apply func(feed.Update)) {
 	settings := feed.Settings{Table: table, Guide: node.fleet}
+	if table != hostTable {
+		settings.GuideWait = guideWait
+	}
 	if table == platform.TargetTable {
 		// Targets write often; what counts is that one that leaves is known well within the drain time.
 		settings.Gather = time.Duration(float64(node.settings.Bounds.Drain) * gatherPart)
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -7,6 +7,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/relay"
+	"mimosatide.example/mimosatide/platform"
 )
 
 const (
@@ -15,6 +16,12 @@
 	directHosts = 20
 	// relayEvery is for how long a relay gathers digests before it passes them on.
 	relayEvery = 100 * time.Millisecond
+	// guideWait is how long the store may hold a relay's poll open, and guideFresh
+	// how old the relay's knowledge of the configuration may be: a zone whose relay
+	// is cut from the store asks the store itself a second later, well within the
+	// time in which a configuration has to be in force.
+	guideWait  = 300 * time.Millisecond
+	guideFresh = 700 * time.Millisecond
 )
 
 // relayed says whether news goes through relays.
@@ -43,9 +50,25 @@
 // zoneRelay returns the relay of this node's zone, and whether it is this node itself.
 func (fleet *fleet) zoneRelay(now time.Time) (relay.Host, bool) {
 	host, _ := fleet.relays.Choose(fleet.node.settings.Zone, fleet.hosts(now), now)
+	fleet.lock.Lock()
+	before := fleet.relay
+	fleet.relay = host.Address
+	fleet.lock.Unlock()
+	if before != host.Address {
+		fleet.node.log.Info("relay chosen", "relay", host.Name, "peer", host.Address, "before", before,
+			"heardAge", age(now, host.Heard))
+	}
 	return host, host.Address == fleet.node.self
 }
 
+// age is how old something is that was last heard at a time, or never.
+func age(now, heard time.Time) string {
+	if heard.IsZero() {
+		return "never"
+	}
+	return now.Sub(heard).Round(time.Millisecond).String()
+}
+
 // tell hands this node's news to all others.
 func (fleet *fleet) tell(news gossip.Batch) {
 	if !fleet.relayed() {
@@ -170,12 +193,22 @@
 	}
 }
 
-// leads says whether this node follows all tables for its zone.
-func (fleet *fleet) leads(now time.Time) bool {
+// Guides says whether this node is the relay of its zone.
+func (fleet *fleet) Guides() bool {
 	if !fleet.relayed() {
 		return false
 	}
-	if _, self := fleet.zoneRelay(now); !self {
+	_, self := fleet.zoneRelay(time.Now())
+	return self
+}
+
+// leads says whether this node is its zone's relay and follows all tables as they change.
+func (fleet *fleet) leads() bool {
+	if !fleet.Guides() {
+		return false
+	}
+	configuration := fleet.node.followers[platform.ConfigurationTable].State()
+	if (bootClock{}).Now()-configuration.CurrentAt > guideFresh {
 		return false
 	}
 	for _, follower := range fleet.node.followers {
@@ -205,13 +238,9 @@
 
 // PassOn hands changes of a table to the zone, if this node is its relay.
 func (fleet *fleet) PassOn(table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool) {
-	if !fleet.relayed() {
-		return
-	}
-	now := time.Now()
-	if _, self := fleet.zoneRelay(now); !self {
+	if !fleet.Guides() {
 		return
 	}
 	message := gossip.EncodeChanges(table, after, batch, recovering)
-	fleet.node.hub.SendAll(fleet.zoneAddresses(fleet.hosts(now)), message)
+	fleet.node.hub.SendAll(fleet.zoneAddresses(fleet.hosts(time.Now())), message)
 }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -34,7 +34,7 @@
 	snapshotTimeout = 2 * time.Second
 	retryAfter      = 150 * time.Millisecond
 	// guidedEvery is how often a guided follower looks whether it still is.
-	guidedEvery = 250 * time.Millisecond
+	guidedEvery = 150 * time.Millisecond
 	// DefaultGather is how long changes are gathered after one has come, to save calls.
 	DefaultGather = 200 * time.Millisecond
 	// recoveryTime is how long after an outage a deletion may still be an effect of
@@ -79,12 +79,17 @@
 	Gather time.Duration
 	// Guide is nil for a follower that works alone.
 	Guide Guide
+	// GuideWait replaces Wait while other nodes rely on this one, so that a store
+	// that has gone silent is noticed soon; zero stands for Wait.
+	GuideWait time.Duration
 }
 
 // Guide is how a follower works together with those of other nodes.
 type Guide interface {
 	// Guided says whether another node passes on the changes of a table.
 	Guided(table string) bool
+	// Guides says whether other nodes rely on this one for the changes.
+	Guides() bool
 	// PassOn hands on changes that came from the store; after is the newest change before them.
 	PassOn(table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool)
 }
@@ -99,6 +104,8 @@
 	wait   time.Duration
 	gather time.Duration
 	guide  Guide
+	// guideWait is how long a poll may stay open while other nodes rely on this one.
+	guideWait time.Duration
 
 	lock      sync.Mutex
 	rows      map[string]mimosatide.Row
@@ -106,6 +113,8 @@
 	lostAt    time.Time
 	regained  time.Time
 	everAsked bool
+	// led says that another node passed the changes on when that was last looked at.
+	led bool
 }
 
 // New returns a follower of a table that hands changes to apply, one call at a time.
@@ -121,11 +130,13 @@
 		wait:   settings.Wait,
 		gather: settings.Gather,
 		guide:  settings.Guide,
-		clock:  clock,
-		store:  store,
-		log:    log,
-		apply:  apply,
-		rows:   map[string]mimosatide.Row{},
+
+		guideWait: settings.GuideWait,
+		clock:     clock,
+		store:     store,
+		log:       log,
+		apply:     apply,
+		rows:      map[string]mimosatide.Row{},
 	}
 }
 
@@ -171,8 +182,17 @@
 	}
 }
 
+// guided says whether another node passes the changes on, and logs when that begins or ends.
 func (follower *Follower) guided() bool {
-	return follower.guide != nil && follower.State().Known && follower.guide.Guided(follower.table)
+	if follower.guide == nil {
+		return false
+	}
+	led := follower.State().Known && follower.guide.Guided(follower.table)
+	if led != follower.led {
+		follower.led = led
+		follower.log.Info("changes of a table", "table", follower.table, "throughRelay", led, "version", follower.State().Version)
+	}
+	return led
 }
 
 // poll asks once; complete says whether the copy has a version to go on from.
@@ -192,6 +212,9 @@
 	}
 	wait := follower.wait
 	state := follower.State()
+	if follower.guideWait > 0 && follower.guide != nil && follower.guide.Guides() {
+		wait = min(wait, follower.guideWait)
+	}
 	if !state.Healthy {
 		wait = 0
 	}
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -178,6 +178,8 @@
 	return guide.guided
 }
 
+func (guide *guide) Guides() bool { return false }
+
 func (guide *guide) PassOn(_ string, after mimosatide.RowVersion, _ mimosatide.RowBatch, _ bool) {
 	guide.lock.Lock()
 	defer guide.lock.Unlock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -105,6 +105,7 @@
 			return passage.brokenStream(ctx, outcome, err)
 		}
 		passage.ticket.Answered()
+		passage.noteEvent(time.Now())
 		if err := passage.passEvent(outcome, event); err != nil {
 			outcome.reply.Abort()
 			passage.ticket.End(balance.Withdrawn, time.Now())
@@ -124,6 +125,16 @@
 	return outcome
 }
 
+// noteEvent keeps the times that decide whether a stream is on time.
+func (passage *passage) noteEvent(now time.Time) {
+	if passage.eventAt.IsZero() {
+		passage.first = now.Sub(passage.arrived)
+	} else {
+		passage.pause = max(passage.pause, now.Sub(passage.eventAt))
+	}
+	passage.eventAt = now
+}
+
 func (passage *passage) passEvent(outcome sent, event []byte) error {
 	if !passage.headSent {
 		platform.CopyAnswerHead(passage.writer.Header(), outcome.head.Header)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,6 +51,10 @@
 	// headSent says that the answer to the caller has begun; lastEvent is its last event.
 	headSent  bool
 	lastEvent string
+	// first is the time until the first event; eventAt is when the last one came and pause the longest time between two.
+	first   time.Duration
+	eventAt time.Time
+	pause   time.Duration
 }
 
 // sent is the outcome of one send.
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -11,7 +11,12 @@
 const (
 	// busyShare is the part of a target's time that prompts of one model take
 	// before the model gets another replica.
-	busyShare = 0.35
+	busyShare = 0.2
+	// sharedPart is the part from which a model counts as a cause of its engines being busy.
+	sharedPart = 0.08
+	// busyCost is what placing a model on an engine stands for that reads prompts all
+	// the time: they delay the events of all streams there.
+	busyCost = 2 * time.Second
 	// minIdle is how long the only replica of a model must have been idle to make way.
 	minIdle = 1500 * time.Millisecond
 	// settleTime is how long a target is left alone after a model was placed on it.
@@ -29,8 +34,6 @@
 	Occupied bool
 	// PlacedAt is when a model was last placed on the engine.
 	PlacedAt time.Time
-	// Busy is the part of its time that the engine spends on prompts.
-	Busy float64
 }
 
 // Tier returns the nearest place of a model's weights and the time of a load from there.
@@ -68,7 +71,7 @@
 
 // Plan returns the next steps: models that requests wait for come first, then replicas of busy models.
 func Plan(picture Picture) []Step {
-	planner := planner{Picture: picture, replicas: map[string]int{}}
+	planner := planner{Picture: picture, replicas: map[string]int{}, busyParts: map[string]float64{}}
 	for _, engine := range picture.Engines {
 		for _, holding := range engine.Instance.Holdings {
 			planner.replicas[holding.Model]++
@@ -77,6 +80,11 @@
 	for model, count := range picture.Loading {
 		planner.replicas[model] += count
 	}
+	for _, engine := range picture.Engines {
+		for _, holding := range engine.Instance.Holdings {
+			planner.busyParts[engine.Instance.ID] += planner.part(holding.Model)
+		}
+	}
 	for _, model := range planner.missing() {
 		planner.place(model, "Waiting")
 	}
@@ -89,7 +97,26 @@
 type planner struct {
 	Picture
 	replicas map[string]int
-	steps    []Step
+	// busyParts is the part of its time that each engine spends on prompts.
+	busyParts map[string]float64
+	steps     []Step
+}
+
+// part is the part of an engine's time that one replica of a model takes.
+func (planner *planner) part(model string) float64 {
+	return planner.Demand[model].Prefill / float64(max(planner.replicas[model], 1))
+}
+
+// pressure is how busy the engines that hold a model are on average, with all that they hold.
+func (planner *planner) pressure(model string) float64 {
+	sum, count := 0.0, 0
+	for _, engine := range planner.Engines {
+		if engine.Instance.Holds(model) {
+			sum += planner.busyParts[engine.Instance.ID]
+			count++
+		}
+	}
+	return sum / float64(max(count, 1))
 }
 
 // missing lists the models that requests wait for and no engine holds.
@@ -109,7 +136,12 @@
 	var models []string
 	for name, demand := range planner.Demand {
 		count := planner.replicas[name]
-		if count > 0 && count < len(planner.Engines) && demand.Prefill/float64(count) > busyShare {
+		if count == 0 || count >= len(planner.Engines) {
+			continue
+		}
+		own := demand.Prefill / float64(count)
+		pressed := own > sharedPart && planner.Loading[name] == 0 && planner.pressure(name) > busyShare
+		if own > busyShare || pressed {
 			models = append(models, name)
 		}
 	}
@@ -170,7 +202,7 @@
 	if !possible {
 		return Step{}, 0, false
 	}
-	cost := loadTime + lost + time.Duration(engine.Busy*float64(time.Second))
+	cost := loadTime + lost + time.Duration(planner.busyParts[engine.Instance.ID]*float64(busyCost))
 	step := Step{
 		Instance: engine.Instance.ID,
 		Model:    model.Name,
