--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -40,6 +40,12 @@
 
 // startNode starts an entry node on a loopback address of its own.
 func startNode(t *testing.T, name, ip string, store *store) *running {
+	t.Helper()
+	return startNodeIn(t, "a", name, ip, store)
+}
+
+// startNodeIn starts an entry node in an availability zone.
+func startNodeIn(t *testing.T, zone, name, ip string, store *store) *running {
 	t.Helper()
 	node := &running{
 		callers:   ip + ":" + freePort(t, ip),
@@ -47,7 +53,7 @@
 		ended:     make(chan error, 1),
 	}
 	settings, err := platform.ParseSettings(fmt.Sprintf(`nodeName=%s
-zone=a
+zone=%s
 ip=%s
 listen.front=%s
 listen.readyAddr=%s
@@ -65,7 +71,7 @@
 bounds.enforceRevocation=false
 bounds.revokeMs=5000
 platform.address=%s
-`, name, ip, node.callers, node.readiness, freePort(t, ip), store.address()))
+`, name, zone, ip, node.callers, node.readiness, freePort(t, ip), store.address(t, name)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -184,7 +190,7 @@
 		return one && two
 	})
 	time.Sleep(time.Second)
-	store.refuse("127.0.0.2")
+	store.refuse("n2")
 	store.put("op", "config", configuration(2, "k2"))
 	eventually(t, "the change at the first node", func() bool { return first.ask("k2") == http.StatusOK })
 	eventually(t, "the change at the refused node", func() bool { return second.ask("k2") == http.StatusOK })
--- a/internal/entrynode/store_test.go
+++ b/internal/entrynode/store_test.go
@@ -20,53 +20,88 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// store plays the platform's table service; it may refuse single callers.
+// store plays the platform's table service. Each node reaches it by an entrance
+// of its own, which may refuse the node or give it no answers.
 type store struct {
-	server *httptest.Server
+	handler http.Handler
 
 	lock    sync.Mutex
 	ver     uint64
 	rows    map[string]storeRow
 	changed chan struct{}
-	// refused are the callers' IP addresses that get 503.
-	refused map[string]bool
+	entrances map[string]*entrance
+}
+
+// entrance is the address of the store for one node.
+type entrance struct {
+	server *httptest.Server
+	// refuses says that the node gets 503, silent that it gets no answers.
+	refuses bool
+	silent  bool
+	calls   int
 }
 
 func newStore(t *testing.T) *store {
 	t.Helper()
-	created := &store{rows: map[string]storeRow{}, changed: make(chan struct{}), refused: map[string]bool{}}
+	created := &store{rows: map[string]storeRow{}, changed: make(chan struct{}), entrances: map[string]*entrance{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/rows-get", created.get)
 	mux.HandleFunc("/rows-feed", created.feed)
 	mux.HandleFunc("/rows-tx", created.commit)
-	created.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if created.refuses(request) {
+	created.handler = mux
+	return created
+}
+
+// address opens the entrance of a node.
+func (store *store) address(t *testing.T, name string) string {
+	t.Helper()
+	opened := &entrance{}
+	opened.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		store.lock.Lock()
+		opened.calls++
+		refuses, silent := opened.refuses, opened.silent
+		store.lock.Unlock()
+		switch {
+		case silent:
+			<-request.Context().Done()
+		case refuses:
 			writer.WriteHeader(http.StatusServiceUnavailable)
-			return
+		default:
+			store.handler.ServeHTTP(writer, request)
 		}
-		mux.ServeHTTP(writer, request)
 	}))
-	t.Cleanup(created.server.Close)
-	return created
+	t.Cleanup(opened.server.CloseClientConnections)
+	store.lock.Lock()
+	defer store.lock.Unlock()
+	store.entrances[name] = opened
+	return strings.TrimPrefix(opened.server.URL, "http://")
 }
 
-func (store *store) address() string {
-	return strings.TrimPrefix(store.server.URL, "http://")
+// refuse makes the store answer a node with 503 and ends its open polls.
+func (store *store) refuse(name string) {
+	store.lock.Lock()
+	opened := store.entrances[name]
+	opened.refuses = true
+	store.lock.Unlock()
+	opened.server.CloseClientConnections()
 }
 
-func (store *store) refuses(request *http.Request) bool {
+// silence lets the store answer a node no more.
+func (store *store) silence(name string) {
 	store.lock.Lock()
 	defer store.lock.Unlock()
-	ip, _, _ := strings.Cut(request.RemoteAddr, ":")
-	return store.refused[ip]
+	store.entrances[name].silent = true
 }
 
-// refuse makes the store answer a caller with 503 and ends its open polls.
-func (store *store) refuse(ip string) {
+// calls returns how often each node has called the store.
+func (store *store) calls() map[string]int {
 	store.lock.Lock()
-	store.refused[ip] = true
-	store.lock.Unlock()
-	store.server.CloseClientConnections()
+	defer store.lock.Unlock()
+	counts := map[string]int{}
+	for name, opened := range store.entrances {
+		counts[name] = opened.calls
+	}
+	return counts
 }
 
 func (store *store) put(table, key, value string) {
