--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -14,6 +14,7 @@
 
 	"mimosatide.example/mimosatide/internal/entrynode"
 	"mimosatide.example/mimosatide/platform"
+	"mimosatide.example/mimosatide/platform/emulator"
 )
 
 // patience bounds how long a test waits for something that has to happen.
@@ -32,6 +33,7 @@
 
 // running is a node under test.
 type running struct {
+	entrance  *emulator.Entrance
 	callers   string
 	readiness string
 	stop      context.CancelFunc
@@ -39,15 +41,18 @@
 }
 
 // startNode starts an entry node on a loopback address of its own.
-func startNode(t *testing.T, name, ip string, store *store) *running {
+func startNode(t *testing.T, name, ip string, store *emulator.Store) *running {
 	t.Helper()
 	return startNodeIn(t, "a", name, ip, store)
 }
 
 // startNodeIn starts an entry node in an availability zone.
-func startNodeIn(t *testing.T, zone, name, ip string, store *store) *running {
+func startNodeIn(t *testing.T, zone, name, ip string, store *emulator.Store) *running {
 	t.Helper()
+	entrance := store.Open(name)
+	t.Cleanup(entrance.Close)
 	node := &running{
+		entrance:  entrance,
 		callers:   ip + ":" + freePort(t, ip),
 		readiness: ip + ":" + freePort(t, ip),
 		ended:     make(chan error, 1),
@@ -71,7 +76,7 @@
 bounds.enforceRevocation=false
 bounds.revokeMs=5000
 platform.address=%s
-`, name, zone, ip, node.callers, node.readiness, freePort(t, ip), store.address(t, name)))
+`, name, zone, ip, node.callers, node.readiness, freePort(t, ip), entrance.Address()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,7 +136,7 @@
 }
 
 // startTarget starts a plain service and writes its row.
-func startTarget(t *testing.T, store *store) {
+func startTarget(t *testing.T, store *emulator.Store) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		writer.Header().Set("Attempt-Id", request.Header.Get("Attempt-Id"))
@@ -139,26 +144,26 @@
 		_, _ = fmt.Fprint(writer, "found")
 	}))
 	t.Cleanup(server.Close)
-	store.put("servers", "d-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":6,"state":"ready","born":1}`,
+	store.Put("servers", "d-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":6,"state":"ready","born":1}`,
 		strings.TrimPrefix(server.URL, "http://")))
 }
 
 func TestNodeServesDrainsAndEnds(t *testing.T) {
-	store := newStore(t)
+	store := emulator.NewStore()
 	node := startNode(t, "n1", "127.0.0.1", store)
 	eventually(t, "an answer before there is a configuration", func() bool { return node.ask("k1") == http.StatusServiceUnavailable })
 	if node.ready() {
 		t.Error("a node without a configuration says that it is ready")
 	}
-	store.put("op", "config", configuration(1, "k1"))
+	store.Put("op", "config", configuration(1, "k1"))
 	startTarget(t, store)
 	eventually(t, "readiness", node.ready)
 	eventually(t, "an answer", func() bool { return node.ask("k1") == http.StatusOK })
 	if status := node.ask("other"); status != http.StatusUnauthorized {
 		t.Errorf("status %d for an unknown key", status)
 	}
-	store.put("op", "config", `{"version":`)
-	store.put("op", "config", configuration(5, "k2"))
+	store.Put("op", "config", `{"version":`)
+	store.Put("op", "config", configuration(5, "k2"))
 	eventually(t, "the change of keys", func() bool { return node.ask("k2") == http.StatusOK })
 	if status := node.ask("k1"); status != http.StatusUnauthorized {
 		t.Errorf("status %d for a withdrawn key", status)
@@ -174,8 +179,8 @@
 }
 
 func TestNodeThatTheStoreRefusesLearnsFromItsPeers(t *testing.T) {
-	store := newStore(t)
-	store.put("op", "config", configuration(1, "k1"))
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
 	startTarget(t, store)
 	first, second := startNode(t, "n1", "127.0.0.1", store), startNode(t, "n2", "127.0.0.2", store)
 	for _, node := range []*running{first, second} {
@@ -183,15 +188,13 @@
 	}
 	// Both nodes are on the list of hosts before the store turns the second one away.
 	eventually(t, "the list of hosts", func() bool {
-		store.lock.Lock()
-		defer store.lock.Unlock()
-		_, one := store.rows["mimosatide-hosts/n1"]
-		_, two := store.rows["mimosatide-hosts/n2"]
+		_, one := store.Row("mimosatide-hosts", "n1")
+		_, two := store.Row("mimosatide-hosts", "n2")
 		return one && two
 	})
 	time.Sleep(time.Second)
-	store.refuse("n2")
-	store.put("op", "config", configuration(2, "k2"))
+	second.entrance.Refuse(true)
+	store.Put("op", "config", configuration(2, "k2"))
 	eventually(t, "the change at the first node", func() bool { return first.ask("k2") == http.StatusOK })
 	eventually(t, "the change at the refused node", func() bool { return second.ask("k2") == http.StatusOK })
 	if status := second.ask("k1"); status != http.StatusUnauthorized {
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -4,13 +4,15 @@
 	"fmt"
 	"net/http"
 	"testing"
+
+	"mimosatide.example/mimosatide/platform/emulator"
 )
 
 // fleetSize is large enough for news to go over relays.
 const fleetSize = 23
 
 // startFleet starts nodes in two zones; the relays are the first of each: a-00 and b-01.
-func startFleet(t *testing.T, store *store) map[string]*running {
+func startFleet(t *testing.T, store *emulator.Store) map[string]*running {
 	t.Helper()
 	nodes := map[string]*running{}
 	for index := range fleetSize {
@@ -22,22 +24,25 @@
 }
 
 // change writes a configuration with a new key and waits until every node takes it.
-func change(t *testing.T, store *store, nodes map[string]*running, version int) {
+func change(t *testing.T, store *emulator.Store, nodes map[string]*running, version int) {
 	t.Helper()
 	key := fmt.Sprintf("k%d", version)
-	store.put("op", "config", configuration(version, key))
+	store.Put("op", "config", configuration(version, key))
 	for name, node := range nodes {
 		eventually(t, fmt.Sprintf("version %d at %s", version, name), func() bool { return node.ask(key) == http.StatusOK })
 	}
 }
 
 // callers returns the nodes that called the store while something was done.
-func callers(store *store, do func()) map[string]bool {
-	before := store.calls()
+func callers(nodes map[string]*running, do func()) map[string]bool {
+	before := map[string]int{}
+	for name, node := range nodes {
+		before[name] = node.entrance.Calls()
+	}
 	do()
 	names := map[string]bool{}
-	for name, count := range store.calls() {
-		if count > before[name] {
+	for name, node := range nodes {
+		if node.entrance.Calls() > before[name] {
 			names[name] = true
 		}
 	}
@@ -45,21 +50,21 @@
 }
 
 func TestLargeFleetFollowsTheStoreThroughRelays(t *testing.T) {
-	store := newStore(t)
-	store.put("op", "config", configuration(1, "k1"))
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
 	startTarget(t, store)
 	nodes := startFleet(t, store)
 	change(t, store, nodes, 2)
 	version := 2
 	eventually(t, "changes without calls of any node but the two relays", func() bool {
 		version++
-		asked := callers(store, func() { change(t, store, nodes, version) })
+		asked := callers(nodes, func() { change(t, store, nodes, version) })
 		return len(asked) <= 2 && asked["a-00"] && asked["b-01"]
 	})
 
-	store.silence("a-00")
+	nodes["a-00"].entrance.Silence(true)
 	delete(nodes, "a-00")
-	asked := callers(store, func() { change(t, store, nodes, version+1) })
+	asked := callers(nodes, func() { change(t, store, nodes, version+1) })
 	if len(asked) < 3 {
 		t.Errorf("with a relay that the store does not answer only %v asked it", asked)
 	}
