--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -183,3 +183,31 @@
 		t.Errorf("%v tokens in the last window: the account does not get what it pays for", sum)
 	}
 }
+
+func TestAccountAskedForLateHasWhatAccruedSinceTheStart(t *testing.T) {
+	ledger := allowance.New(false)
+	ledger.SetPeers([]string{"b"}, 200*time.Millisecond)
+	now := start
+	spent := 0.0
+	for range 10 {
+		ledger.Hear("b", 1, map[string]float64{"a": spent}, now)
+		now = now.Add(30 * time.Millisecond)
+		spent += 10
+	}
+	ledger.Hear("b", 1, map[string]float64{"a": spent}, now)
+	verdict := ledger.Spend("a", limit, 0, now)
+	if verdict.Level < 190 || verdict.Level > 200 {
+		t.Errorf("level %v: 300 have accrued, and a peer has spent 100", verdict.Level)
+	}
+	if later := ledger.Spend("c", limit, 0, now.Add(time.Minute)); later.Level > limit.Burst {
+		t.Errorf("level %v above the burst", later.Level)
+	}
+}
+
+func TestNothingAccruesBeforeTheMembersAreKnown(t *testing.T) {
+	ledger := allowance.New(false)
+	ledger.Spend("a", limit, 0, start)
+	if verdict := ledger.Spend("b", limit, 0, start.Add(time.Minute)); verdict.Level != 0 {
+		t.Errorf("level %v although other members may have spent it", verdict.Level)
+	}
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -32,7 +32,10 @@
 	// answerSlack is how much later than asked the store may answer a poll.
 	answerSlack     = 2 * time.Second
 	snapshotTimeout = 2 * time.Second
-	retryAfter      = 150 * time.Millisecond
+	// retryAfter is the pause after a first failure; it doubles with each further
+	// one up to retryMost, as each call is priced also when it is refused.
+	retryAfter = 150 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
 	// guidedEvery is how often a guided follower looks whether it still is.
 	guidedEvery = 150 * time.Millisecond
 	// DefaultGather is how long changes are gathered after one has come, to save calls.
@@ -161,6 +164,7 @@
 // Run follows the table until the context ends.
 func (follower *Follower) Run(ctx context.Context) {
 	complete := false
+	pause := retryAfter
 	for ctx.Err() == nil {
 		if follower.guided() {
 			sleep(ctx, guidedEvery)
@@ -172,13 +176,15 @@
 		}
 		follower.note(err)
 		if err == nil {
+			pause = retryAfter
 			continue
 		}
 		if errors.Is(err, mimosatide.ErrHistoryGone) {
 			complete = false
 			continue
 		}
-		sleep(ctx, retryAfter+rand.N(retryAfter))
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMost)
 	}
 }
 
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -9,14 +9,12 @@
 
 // The figures of placement.
 const (
-	// busyShare is the part of a target's time that prompts of one model take
-	// before the model gets another replica.
-	busyShare = 0.2
-	// sharedPart is the part from which a model counts as a cause of its engines being busy.
-	sharedPart = 0.08
-	// busyCost is what placing a model on an engine stands for that reads prompts all
-	// the time: they delay the events of all streams there.
-	busyCost = 2 * time.Second
+	// A model gets another replica when its prompts take more than a part of its
+	// engines' time: busyBase, and busyRoom parted by the number of engines, as a
+	// replica takes the place of other models where engines are few; busyMost at most.
+	busyBase = 0.2
+	busyRoom = 1.8
+	busyMost = 0.35
 	// minIdle is how long the only replica of a model must have been idle to make way.
 	minIdle = 1500 * time.Millisecond
 	// settleTime is how long a target is left alone after a model was placed on it.
@@ -71,7 +69,7 @@
 
 // Plan returns the next steps: models that requests wait for come first, then replicas of busy models.
 func Plan(picture Picture) []Step {
-	planner := planner{Picture: picture, replicas: map[string]int{}, busyParts: map[string]float64{}}
+	planner := planner{Picture: picture, replicas: map[string]int{}}
 	for _, engine := range picture.Engines {
 		for _, holding := range engine.Instance.Holdings {
 			planner.replicas[holding.Model]++
@@ -80,11 +78,6 @@
 	for model, count := range picture.Loading {
 		planner.replicas[model] += count
 	}
-	for _, engine := range picture.Engines {
-		for _, holding := range engine.Instance.Holdings {
-			planner.busyParts[engine.Instance.ID] += planner.part(holding.Model)
-		}
-	}
 	for _, model := range planner.missing() {
 		planner.place(model, "Waiting")
 	}
@@ -97,26 +90,12 @@
 type planner struct {
 	Picture
 	replicas map[string]int
-	// busyParts is the part of its time that each engine spends on prompts.
-	busyParts map[string]float64
-	steps     []Step
-}
-
-// part is the part of an engine's time that one replica of a model takes.
-func (planner *planner) part(model string) float64 {
-	return planner.Demand[model].Prefill / float64(max(planner.replicas[model], 1))
+	steps    []Step
 }
 
-// pressure is how busy the engines that hold a model are on average, with all that they hold.
-func (planner *planner) pressure(model string) float64 {
-	sum, count := 0.0, 0
-	for _, engine := range planner.Engines {
-		if engine.Instance.Holds(model) {
-			sum += planner.busyParts[engine.Instance.ID]
-			count++
-		}
-	}
-	return sum / float64(max(count, 1))
+// busyShare is the part of an engine's time above which a model gets another replica.
+func (planner *planner) busyShare() float64 {
+	return min(busyBase+busyRoom/float64(max(len(planner.Engines), 1)), busyMost)
 }
 
 // missing lists the models that requests wait for and no engine holds.
@@ -136,12 +115,7 @@
 	var models []string
 	for name, demand := range planner.Demand {
 		count := planner.replicas[name]
-		if count == 0 || count >= len(planner.Engines) {
-			continue
-		}
-		own := demand.Prefill / float64(count)
-		pressed := own > sharedPart && planner.Loading[name] == 0 && planner.pressure(name) > busyShare
-		if own > busyShare || pressed {
+		if count > 0 && count < len(planner.Engines) && demand.Prefill/float64(count) > planner.busyShare() {
 			models = append(models, name)
 		}
 	}
@@ -202,7 +176,7 @@
 	if !possible {
 		return Step{}, 0, false
 	}
-	cost := loadTime + lost + time.Duration(planner.busyParts[engine.Instance.ID]*float64(busyCost))
+	cost := loadTime + lost
 	step := Step{
 		Instance: engine.Instance.ID,
 		Model:    model.Name,
@@ -264,12 +238,12 @@
 	count := planner.replicas[name]
 	if count > 1 {
 		after := demand.Prefill / float64(count-1)
-		if after > busyShare*0.8 {
+		if after > planner.busyShare()*0.8 {
 			return 0, false
 		}
 		return time.Duration(after * float64(evictionValue)), true
 	}
-	if demand.Idle < minIdle || reason != "Waiting" && demand.Prefill > busyShare/4 {
+	if demand.Idle < minIdle || reason != "Waiting" && demand.Prefill > planner.busyShare()/4 {
 		return 0, false
 	}
 	halvings := demand.Idle.Seconds() / evictionHalf.Seconds()
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -1,6 +1,7 @@
 package loading_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -100,3 +101,16 @@
 		t.Errorf("steps: %+v", steps)
 	}
 }
+
+func TestReplicaIsAddedEarlierWhereEnginesAreMany(t *testing.T) {
+	for count, want := range map[int]int{2: 0, 60: 1} {
+		engines := []loading.Engine{engine("e0", "m0")}
+		for len(engines) < count {
+			engines = append(engines, engine(fmt.Sprintf("e%d", len(engines))))
+		}
+		steps := loading.Plan(picture(engines, map[string]loading.ModelDemand{"m0": {Prefill: 0.28}}))
+		if len(steps) != want {
+			t.Errorf("%d engines: steps %+v", count, steps)
+		}
+	}
+}
