Wait a second for a copy of a model before fetching it; then let models in use make way

Change: a model of which an engine has a copy is not fetched, and a model in use does not make way, until requests have waited for a second; then both may happen, at the cost that the planner gives them.

--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -25,8 +25,9 @@
 
 // ModelDemand is how much a model is asked for.
 type ModelDemand struct {
-	// Waiting says that a request waits for the model to be loaded.
+	// Waiting says that a request waits for the model to be loaded, and Waited for how long requests have.
 	Waiting bool
+	Waited  time.Duration
 	// Prefill is the time that engines spend a second on the model's prompts.
 	Prefill float64
 	// Idle is how long the model has not been asked for.
@@ -49,10 +50,16 @@
 	return rate.prefill * math.Exp(-now.Sub(rate.at).Seconds()/rateTime.Seconds())
 }
 
+// needTime is when a need was first told, and when it was last told again.
+type needTime struct {
+	first time.Time
+	last  time.Time
+}
+
 // Demand gathers what is asked for on all nodes.
 type Demand struct {
 	lock     sync.Mutex
-	needs    map[Need]time.Time
+	needs    map[Need]needTime
 	rates    map[string]*modelRate
 	totals   map[string]map[string]float64
 	adapters map[AdapterAt]time.Time
@@ -68,7 +75,7 @@
 // NewDemand returns a demand of nothing.
 func NewDemand() *Demand {
 	return &Demand{
-		needs:    map[Need]time.Time{},
+		needs:    map[Need]needTime{},
 		rates:    map[string]*modelRate{},
 		totals:   map[string]map[string]float64{},
 		adapters: map[AdapterAt]time.Time{},
@@ -79,8 +86,12 @@
 func (demand *Demand) Need(need Need, now time.Time) bool {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
-	_, known := demand.needs[need]
-	demand.needs[need] = now
+	told, known := demand.needs[need]
+	if !known {
+		told.first = now
+	}
+	told.last = now
+	demand.needs[need] = told
 	return !known
 }
 
@@ -135,8 +146,8 @@
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
 	var needs []Need
-	for need, at := range demand.needs {
-		if now.Sub(at) > needAge {
+	for need, told := range demand.needs {
+		if now.Sub(told.last) > needAge {
 			delete(demand.needs, need)
 			continue
 		}
@@ -160,10 +171,11 @@
 	for name, rate := range demand.rates {
 		models[name] = ModelDemand{Prefill: rate.value(now), Idle: now.Sub(rate.last)}
 	}
-	for need := range demand.needs {
+	for need, told := range demand.needs {
 		if need.Adapter == "" {
 			known := models[need.Model]
 			known.Waiting = true
+			known.Waited = now.Sub(told.first)
 			known.Idle = 0
 			models[need.Model] = known
 		}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -17,6 +17,10 @@
 	busyMost = 0.35
 	// minIdle is how long the only replica of a model must have been idle to make way.
 	minIdle = 1500 * time.Millisecond
+	// patience is how long a model is waited for before one makes way for it that is
+	// in use, or before its weights are fetched although an engine has a copy: by
+	// then neither an idle model nor an engine with a copy has become free.
+	patience = time.Second
 	// settleTime is how long a target is left alone after a model was placed on it.
 	settleTime = 1500 * time.Millisecond
 	// evictionValue is the time that evicting a model that was just used stands for;
@@ -91,6 +95,8 @@
 	Picture
 	replicas map[string]int
 	steps    []Step
+	// pressing says that the model that is being placed has been waited for too long.
+	pressing bool
 }
 
 // busyShare is the part of an engine's time above which a model gets another replica.
@@ -135,6 +141,7 @@
 	if !known {
 		return
 	}
+	planner.pressing = planner.Demand[name].Waited > patience
 	best, found := Step{}, false
 	var least time.Duration
 	for index := range planner.Engines {
@@ -169,7 +176,7 @@
 // consider returns the step that places a model on an engine, and its cost as time.
 func (planner *planner) consider(engine Engine, model mimosatide.EngineModel, reason string) (Step, time.Duration, bool) {
 	tier, loadTime := Tier(engine.Instance, model)
-	if tier == mimosatide.TierRemote && planner.RemoteLoads <= 0 {
+	if tier == mimosatide.TierRemote && (planner.RemoteLoads <= 0 || planner.hasCopy(model) && !planner.pressing) {
 		return Step{}, 0, false
 	}
 	victims, lost, possible := planner.victims(engine, model.MemoryMB, reason)
@@ -187,6 +194,16 @@
 	return step, cost, true
 }
 
+// hasCopy says whether any engine that stays has a copy of a model's weights.
+func (planner *planner) hasCopy(model mimosatide.EngineModel) bool {
+	for _, engine := range planner.Engines {
+		if tier, _ := Tier(engine.Instance, model); tier != mimosatide.TierRemote && !engine.Instance.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // victims lists the models that make way for so much memory, the least valuable first.
 func (planner *planner) victims(engine Engine, memoryMB float64, reason string) ([]string, time.Duration, bool) {
 	free := planner.Class.MemoryMB - UsedMB(planner.Class, engine.Instance)
@@ -243,7 +260,7 @@
 		}
 		return time.Duration(after * float64(evictionValue)), true
 	}
-	if demand.Idle < minIdle || reason != "Waiting" && demand.Prefill > planner.busyShare()/4 {
+	if demand.Idle < minIdle && !planner.pressing || reason != "Waiting" && demand.Prefill > planner.busyShare()/4 {
 		return 0, false
 	}
 	halvings := demand.Idle.Seconds() / evictionHalf.Seconds()
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -114,3 +114,40 @@
 		}
 	}
 }
+
+func TestModelWithACopyIsNotFetchedUnlessItIsWaitedForTooLong(t *testing.T) {
+	engines := []loading.Engine{engine("e0", "m1", "m2"), engine("e1")}
+	engines[0].Instance.OnDisk = []string{"m0"}
+	demand := map[string]loading.ModelDemand{"m0": waiting, "m1": {Idle: time.Second}, "m2": {Idle: time.Second}}
+	if steps := loading.Plan(picture(engines, demand)); len(steps) != 0 {
+		t.Errorf("6 s from the weight store instead of the engine's copy: %+v", steps)
+	}
+	demand["m0"] = loading.ModelDemand{Waiting: true, Waited: 2 * time.Second}
+	if steps := loading.Plan(picture(engines, demand)); len(steps) != 1 {
+		t.Errorf("steps for a model that is waited for too long: %+v", steps)
+	}
+}
+
+func TestModelInUseMakesWayForOneWaitedForTooLong(t *testing.T) {
+	engines := []loading.Engine{engine("e0", "m1", "m2")}
+	engines[0].Instance.OnDisk = []string{"m0"}
+	demand := map[string]loading.ModelDemand{
+		"m0": {Waiting: true, Waited: 2 * time.Second}, "m1": {Idle: 100 * time.Millisecond}, "m2": {Idle: time.Second},
+	}
+	steps := loading.Plan(picture(engines, demand))
+	if len(steps) != 1 || steps[0].Victims[0] != "m2" {
+		t.Errorf("steps: %+v", steps)
+	}
+}
+
+func TestDemandTellsHowLongAModelIsWaitedFor(t *testing.T) {
+	demand := loading.NewDemand()
+	now := time.Unix(1_700_000_000, 0)
+	for range 4 {
+		demand.Need(loading.Need{Service: "s", Model: "m"}, now)
+		now = now.Add(300 * time.Millisecond)
+	}
+	if waited := demand.Models(now)["m"].Waited; waited != 1200*time.Millisecond {
+		t.Errorf("waited %s", waited)
+	}
+}
