End what a worker does for an engine that is gone; explain a request from a log

Change: a worker's orders and waits end when its engine is gone, leaves or has another incarnation, or when the lease has another term; a step of an earlier term no longer takes counts off the present one. TestLoadOnAnEngineThatIsGoneIsMadeElsewhere fails without it.

--- a/cmd/mimosatide/explain.go
+++ b/cmd/mimosatide/explain.go
@@ -2,17 +2,27 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide/internal/decisionlog"
 )
 
 type explainCommand struct {
 	nodeFlags
+	Log     string `help:"Read the logs of entry nodes from this file instead of asking a node; - for standard input." type:"existingfile"`
 	Subject string `arg:"" help:"Id of a request, a placement or a patch."`
 }
 
 // Run shows every decision about the subject.
 func (command *explainCommand) Run() error {
+	if command.Log != "" {
+		return command.explainLog()
+	}
 	operators, err := command.client()
 	if err != nil {
 		return err
@@ -32,3 +42,28 @@
 	}
 	return command.print(decisions, []string{"NODE", "NODE'S CLOCK", "DECISION", "REASON", "DETAILS"}, rows)
 }
+
+// explainLog shows the lines of a log that tell why a request ended as it did.
+func (command *explainCommand) explainLog() error {
+	file := os.Stdin
+	if command.Log != "-" {
+		opened, err := os.Open(command.Log)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer func() { _ = opened.Close() }()
+		file = opened
+	}
+	lines, err := decisionlog.Read(file)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	chain := decisionlog.Explain(lines, command.Subject)
+	if len(chain) == 0 {
+		return errors.NotFoundf("request %s in the log", command.Subject)
+	}
+	for _, line := range chain {
+		fmt.Println(line.Text)
+	}
+	return nil
+}
--- a/internal/loading/owner.go
+++ b/internal/loading/owner.go
@@ -121,7 +121,7 @@
 func (owner *Owner) plan(ctx context.Context, term mimosatide.FencingNumber, class mimosatide.EngineClass, now time.Time) {
 	owner.lock.Lock()
 	defer owner.lock.Unlock()
-	owner.follow(term)
+	owner.follow(ctx, term)
 	picture := Picture{
 		Class:       class,
 		Demand:      owner.demand.Models(now),
@@ -137,16 +137,21 @@
 		return picture.Engines[i].Instance.ID < picture.Engines[j].Instance.ID
 	})
 	for _, step := range Plan(picture) {
-		owner.start(ctx, class, step)
+		owner.start(class, step)
 	}
-	owner.startAdapters(ctx, class, now)
+	owner.startAdapters(class, now)
 }
 
-// follow keeps a worker for each engine that may be sent requests.
-func (owner *Owner) follow(term mimosatide.FencingNumber) {
+// follow keeps a worker for each engine that may be sent requests. What a worker
+// does for an engine that is gone or leaves ends at once, so that a model that it
+// was loading can be loaded elsewhere.
+func (owner *Owner) follow(ctx context.Context, term mimosatide.FencingNumber) {
 	if term != owner.term {
 		// Another node may have ordered in between.
 		owner.term = term
+		for _, known := range owner.workers {
+			known.stop()
+		}
 		owner.workers = map[string]*worker{}
 		owner.loading = map[string]int{}
 		owner.remote = 0
@@ -159,19 +164,26 @@
 		if found && known.instance.Born.Equal(instance.Born) && known.instance.Address == instance.Address {
 			continue
 		}
-		owner.workers[instance.ID] = owner.worker(instance)
+		if found {
+			known.stop()
+		}
+		owner.workers[instance.ID] = owner.worker(ctx, instance)
 	}
-	for id := range owner.workers {
+	for id, known := range owner.workers {
 		if !present[id] {
+			known.stop()
 			delete(owner.workers, id)
 		}
 	}
 }
 
-func (owner *Owner) worker(instance mimosatide.Instance) *worker {
+func (owner *Owner) worker(ctx context.Context, instance mimosatide.Instance) *worker {
 	known := instance
 	known.Orders = 0
+	working, stop := context.WithCancel(ctx)
 	return &worker{
+		working:  working,
+		stop:     stop,
 		instance: instance,
 		turn:     make(chan struct{}, 1),
 		known:    known,
@@ -194,11 +206,12 @@
 	return min(int(owner.tokens), remoteAtOnce-owner.remote)
 }
 
-func (owner *Owner) start(ctx context.Context, class mimosatide.EngineClass, step Step) {
+func (owner *Owner) start(class mimosatide.EngineClass, step Step) {
 	worker := owner.workers[step.Instance]
 	if worker == nil || !worker.claim() {
 		return
 	}
+	term := owner.term
 	owner.loading[step.Model]++
 	remote := step.Tier == mimosatide.TierRemote
 	if remote {
@@ -209,16 +222,20 @@
 		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason)
 	go func() {
 		begun := time.Now()
-		err := worker.place(ctx, class, step)
+		err := worker.place(worker.working, class, step)
 		owner.log.Info("placement ended", "target", step.Instance, "model", step.Model, "took", time.Since(begun), "reason", text(err))
 		worker.free()
-		owner.ended(step, remote)
+		owner.ended(step, remote, term)
 	}()
 }
 
-func (owner *Owner) ended(step Step, remote bool) {
+// ended takes a step off what is under way in the term in which it began.
+func (owner *Owner) ended(step Step, remote bool, term mimosatide.FencingNumber) {
 	owner.lock.Lock()
 	defer owner.lock.Unlock()
+	if owner.term != term {
+		return
+	}
 	if owner.loading[step.Model] > 0 {
 		owner.loading[step.Model]--
 	}
@@ -231,7 +248,7 @@
 }
 
 // startAdapters loads the adapters that requests wait for.
-func (owner *Owner) startAdapters(ctx context.Context, class mimosatide.EngineClass, now time.Time) {
+func (owner *Owner) startAdapters(class mimosatide.EngineClass, now time.Time) {
 	for _, need := range owner.demand.Needs(now) {
 		worker := owner.workers[need.Instance]
 		if need.Adapter == "" || worker == nil || now.Before(owner.retryAt[need]) {
@@ -244,7 +261,7 @@
 		go func() {
 			idle := func(adapter AdapterAt) time.Duration { return owner.demand.AdapterIdle(adapter, time.Now()) }
 			owner.demand.UseAdapter(AdapterAt{Instance: need.Instance, Model: need.Model, Adapter: need.Adapter}, time.Now())
-			if err := worker.loadAdapter(ctx, class, need.Model, need.Adapter, idle); err != nil {
+			if err := worker.loadAdapter(worker.working, class, need.Model, need.Adapter, idle); err != nil {
 				owner.log.Info("adapter not loaded", "target", need.Instance, "model", need.Model, "adapter", need.Adapter,
 					"reason", err.Error())
 				return
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -46,10 +46,13 @@
 // worker gives the orders to one incarnation of an engine, one at a time.
 type worker struct {
 	instance mimosatide.Instance
-	holder   string
-	engines  Engines
-	term     func() (mimosatide.FencingNumber, bool)
-	publish  func(mimosatide.Instance)
+	// working ends when the engine may no longer be ordered; stop ends it.
+	working context.Context
+	stop    context.CancelFunc
+	holder  string
+	engines Engines
+	term    func() (mimosatide.FencingNumber, bool)
+	publish func(mimosatide.Instance)
 	// ordered is told of each order before it leaves.
 	ordered func()
 	log     logr.Logger
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -147,10 +147,8 @@
 	}
 }
 
-// driveOwner runs an owner for a minute and returns how often a need was met.
-func driveOwner(t *testing.T, engines *fakeEngines, seed uint64) int {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
+// runOwner runs an owner of the engines until the context ends.
+func runOwner(ctx context.Context, engines *fakeEngines) (*loading.Owner, *registry.Registry) {
 	targets := registry.New(logr.Discard())
 	for id := range engines.engines {
 		targets.Put(mimosatide.Instance{ID: id, Service: "llm", Address: id, Slots: 64})
@@ -163,6 +161,47 @@
 	owner := loading.New(loading.Settings{Service: "llm", Holder: "a"}, lease, engines, targets,
 		func() (mimosatide.EngineClass, bool) { return engines.class, true }, publish, logr.Discard())
 	go owner.Run(ctx)
+	return owner, targets
+}
+
+// TestLoadOnAnEngineThatIsGoneIsMadeElsewhere takes the engine away while it loads.
+func TestLoadOnAnEngineThatIsGoneIsMadeElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := newEngines(1, "e0", "e1")
+		ctx, cancel := context.WithCancel(context.Background())
+		owner, targets := runOwner(ctx, engines)
+		first := ""
+		for range 100 {
+			owner.Need(loading.Need{Service: "llm", Model: "m0"}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+			engines.lock.Lock()
+			for id, engine := range engines.engines {
+				if engine.orders > 0 && first == "" {
+					first = id
+					engine.busyTo = time.Now().Add(time.Hour)
+					targets.Delete(id, false, time.Now())
+				}
+			}
+			engines.lock.Unlock()
+		}
+		held := false
+		for _, instance := range targets.View().Service("llm") {
+			held = held || instance.Holds("m0")
+		}
+		if first == "" || !held {
+			t.Errorf("%q was taken away while it loaded, and the other engine did not get the model", first)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+// driveOwner runs an owner for a minute and returns how often a need was met.
+func driveOwner(t *testing.T, engines *fakeEngines, seed uint64) int {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	owner, targets := runOwner(ctx, engines)
 	random := rand.New(rand.NewPCG(seed, 3))
 	met := 0
 	for range 600 {
