Fetch a busy model also where only its holder has a copy

Change: the rule holds only for models that no engine holds. TestBusyModelIsFetchedWhereOnlyItsHolderHasACopy fails without it.

--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -29,6 +29,12 @@
 	evictionHalf  = 4 * time.Second
 )
 
+// Why a model is placed.
+const (
+	reasonWaiting = "Waiting"
+	reasonBusy    = "Busy"
+)
+
 // Engine is what the planner knows of an engine.
 type Engine struct {
 	Instance mimosatide.Instance
@@ -83,10 +89,10 @@
 		planner.replicas[model] += count
 	}
 	for _, model := range planner.missing() {
-		planner.place(model, "Waiting")
+		planner.place(model, reasonWaiting)
 	}
 	for _, model := range planner.busy() {
-		planner.place(model, "Busy")
+		planner.place(model, reasonBusy)
 	}
 	return planner.steps
 }
@@ -176,7 +182,7 @@
 // consider returns the step that places a model on an engine, and its cost as time.
 func (planner *planner) consider(engine Engine, model mimosatide.EngineModel, reason string) (Step, time.Duration, bool) {
 	tier, loadTime := Tier(engine.Instance, model)
-	if tier == mimosatide.TierRemote && (planner.RemoteLoads <= 0 || planner.hasCopy(model) && !planner.pressing) {
+	if tier == mimosatide.TierRemote && (planner.RemoteLoads <= 0 || planner.copyIsNear(model, reason)) {
 		return Step{}, 0, false
 	}
 	victims, lost, possible := planner.victims(engine, model.MemoryMB, reason)
@@ -194,8 +200,12 @@
 	return step, cost, true
 }
 
-// hasCopy says whether any engine that stays has a copy of a model's weights.
-func (planner *planner) hasCopy(model mimosatide.EngineModel) bool {
+// copyIsNear says whether it is worth waiting for an engine that has a copy of the
+// weights of a model that none holds.
+func (planner *planner) copyIsNear(model mimosatide.EngineModel, reason string) bool {
+	if planner.pressing || reason != reasonWaiting {
+		return false
+	}
 	for _, engine := range planner.Engines {
 		if tier, _ := Tier(engine.Instance, model); tier != mimosatide.TierRemote && !engine.Instance.Leaving {
 			return true
@@ -260,7 +270,7 @@
 		}
 		return time.Duration(after * float64(evictionValue)), true
 	}
-	if demand.Idle < minIdle && !planner.pressing || reason != "Waiting" && demand.Prefill > planner.busyShare()/4 {
+	if demand.Idle < minIdle && !planner.pressing || reason != reasonWaiting && demand.Prefill > planner.busyShare()/4 {
 		return 0, false
 	}
 	halvings := demand.Idle.Seconds() / evictionHalf.Seconds()
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -151,3 +151,12 @@
 		t.Errorf("waited %s", waited)
 	}
 }
+
+func TestBusyModelIsFetchedWhereOnlyItsHolderHasACopy(t *testing.T) {
+	engines := []loading.Engine{engine("e0", "m0"), engine("e1")}
+	engines[0].Instance.OnDisk = []string{"m0"}
+	steps := loading.Plan(picture(engines, map[string]loading.ModelDemand{"m0": {Prefill: 0.9}}))
+	if len(steps) != 1 || steps[0].Instance != "e1" {
+		t.Errorf("steps: %+v", steps)
+	}
+}
