--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -305,14 +305,18 @@
 
 // askForNews asks a peer that knows more for its rows while the store does not answer this node.
 func (fleet *fleet) askForNews(from string, tables map[string]uint64, now time.Time) {
-	host, _ := fleet.zoneRelay(now)
+	leader := ""
+	if fleet.relayed() {
+		host, _ := fleet.zoneRelay(now)
+		leader = host.Address
+	}
 	for table, changed := range tables {
 		follower, found := fleet.node.followers[table]
 		if !found {
 			continue
 		}
 		state := follower.State()
-		guided := host.Address == from && fleet.Guided(table)
+		guided := leader == from && fleet.Guided(table)
 		if state.Healthy && !guided || uint64(state.Changed) >= changed {
 			continue
 		}
