--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -48,6 +48,12 @@
 
 // startNodeIn starts an entry node in an availability zone.
 func startNodeIn(t *testing.T, zone, name, ip string, store *emulator.Store) *running {
+	t.Helper()
+	return startNodeWith(t, zone, name, ip, store, "bounds.enforceRevocation=false\nbounds.revokeMs=5000")
+}
+
+// startNodeWith starts an entry node with settings on old knowledge.
+func startNodeWith(t *testing.T, zone, name, ip string, store *emulator.Store, stale string) *running {
 	t.Helper()
 	entrance := store.Open(name)
 	t.Cleanup(entrance.Close)
@@ -73,10 +79,9 @@
 bounds.retryBudgetRatio=0.2
 bounds.budgetWindowS=10
 bounds.budgetSlack=56
-bounds.enforceRevocation=false
-bounds.revokeMs=5000
+%s
 platform.address=%s
-`, name, zone, ip, node.callers, node.readiness, freePort(t, ip), entrance.Address()))
+`, name, zone, ip, node.callers, node.readiness, freePort(t, ip), stale, entrance.Address()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -201,3 +206,15 @@
 		t.Errorf("status %d for a key withdrawn while the store refused the node", status)
 	}
 }
+
+func TestNodeThatMustNotBeStaleStopsWithoutTheStore(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	node := startNodeWith(t, "a", "n1", "127.0.0.1", store, "bounds.enforceRevocation=true\nbounds.revokeMs=800")
+	eventually(t, "an answer", func() bool { return node.ask("k1") == http.StatusOK })
+	node.entrance.Silence(true)
+	eventually(t, "a refusal on old knowledge", func() bool { return node.ask("k1") == http.StatusServiceUnavailable })
+	node.entrance.Silence(false)
+	eventually(t, "an answer once the store answers again", func() bool { return node.ask("k1") == http.StatusOK })
+}
