Let a restarted machine order at once under its next term

Change: a machine that takes a lease that it held itself does not wait; orders of its former process are void by the new fencing number and by the engine's count of orders. The holder's name has the machine's address, so that a machine that comes in the place of another one under its name is another holder.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -74,7 +74,9 @@
 
 func (loader *loader) start(name string) *service {
 	node := loader.node
-	lease := loading.NewLease("orders/"+name, node.settings.Node, node.settings.Bounds.Lease,
+	// A machine that comes in the place of another one may have its name.
+	machine := node.settings.Node + "@" + node.settings.IP
+	lease := loading.NewLease("orders/"+name, machine, node.settings.Bounds.Lease,
 		node.store.Table(leaseTable), bootClock{}, node.log)
 	class := func() (mimosatide.EngineClass, bool) {
 		deployment := node.deployment.Load()
--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -64,8 +64,6 @@
 	// term and row are those of the lease while this node holds it.
 	term uint64
 	row  mimosatide.RowVersion
-	// lastTerm is the last term that this process is known to have held.
-	lastTerm uint64
 	// until is when the right ends; from is when the first order may leave.
 	until time.Duration
 	from  time.Duration
@@ -84,7 +82,8 @@
 }
 
 // NewLease returns a lease on a row that this node does not hold yet. Two
-// holders never order within quiet of each other.
+// holders never order within quiet of each other. The holder's name has to tell
+// its machine from every other one, also from one that comes in its place.
 func NewLease(key, holder string, quiet time.Duration, table LeaseTable, clock Clock, log logr.Logger) *Lease {
 	return &Lease{key: key, holder: holder, quiet: quiet, table: table, clock: clock, log: log}
 }
@@ -233,20 +232,20 @@
 	lease.lock.Unlock()
 	own := present.Holder == lease.holder
 	lease.lock.Lock()
-	continued := own && present.Term == lease.lastTerm
 	given := version != 0 && version == lease.givenUp
 	lease.lock.Unlock()
 	if version != 0 && !present.Released && !own && !given && waited < termTime+termMargin {
 		return min(termTime+termMargin-waited, renewEvery)
 	}
-	lease.take(ctx, version, present, continued)
+	lease.take(ctx, version, present)
 	return renewEvery
 }
 
-// take writes the row with the next term. Unless this process was the last
-// holder or there was none, the first order waits until an order of the last
-// holder is long past.
-func (lease *Lease) take(ctx context.Context, version mimosatide.RowVersion, before leaseRow, continued bool) {
+// take writes the row with the next term. Unless this machine was the last holder
+// or there was none, the first order waits until an order of the last holder is
+// long past: of a process that ran here before, orders are void by the new term
+// and by the engine's count of orders.
+func (lease *Lease) take(ctx context.Context, version mimosatide.RowVersion, before leaseRow) {
 	begun := lease.clock.Now()
 	next := leaseRow{Holder: lease.holder, Term: before.Term + 1}
 	outcome, row, err := lease.write(ctx, version, next)
@@ -260,8 +259,7 @@
 	lease.failing = 0
 	lease.row = row
 	lease.until = begun + termTime
-	lease.lastTerm = next.Term
-	if !continued {
+	if before.Holder != lease.holder || version == 0 {
 		lease.from = lease.clock.Now()
 		if version != 0 {
 			lease.from += lease.quiet + termMargin
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -200,3 +200,23 @@
 		t.Error("the peers are not told of a lease that is not used any more")
 	}
 }
+
+func TestRestartedHolderOrdersAtOnceUnderANewTerm(t *testing.T) {
+	table, clock := newTable(), &manualClock{}
+	before := newLease("a@10.0.0.1", table, clock)
+	before.Step(context.Background(), 0)
+	first, _ := before.Term()
+	clock.move(time.Second)
+
+	replaced := newLease("a@10.0.0.2", table, clock)
+	replaced.Step(context.Background(), 0)
+	if may(replaced) {
+		t.Error("another machine of the same name has taken a lease in its term")
+	}
+	again := newLease("a@10.0.0.1", table, clock)
+	again.Step(context.Background(), 0)
+	second, held := again.Term()
+	if !held || second <= first {
+		t.Errorf("the restarted machine may order: %t, term %d after %d", held, second, first)
+	}
+}
