Choose a relay anew only when there is something to send

For each digest that it heard, 455 a second, a node copied and sorted its list of hosts to know whether the digest came from its relay.

Change: the relay as it was last chosen is compared.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -305,11 +305,10 @@
 
 // askForNews asks a peer that knows more for its rows while the store does not answer this node.
 func (fleet *fleet) askForNews(from string, tables map[string]uint64, now time.Time) {
-	leader := ""
-	if fleet.relayed() {
-		host, _ := fleet.zoneRelay(now)
-		leader = host.Address
-	}
+	// The relay as it was last chosen: choosing anew for each of hundreds of digests costs too much.
+	fleet.lock.Lock()
+	leader := fleet.relay
+	fleet.lock.Unlock()
 	for table, changed := range tables {
 		follower, found := fleet.node.followers[table]
 		if !found {
