Make the buckets of all accounts with the configuration

Change: buckets are made when the configuration comes and live from then on. The test of an account that is asked for late now also looks after 30 s (the old one looked after 0.3 s and passed); the one of unknown members is replaced by one of an account that is not configured, as buckets no longer depend on the members.

--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -32,8 +32,6 @@
 	creditFactor = 1.25
 	// shareMemory is the time over which a node's usual part is averaged.
 	shareMemory = 3 * time.Second
-	// accrueEvery is how often the accrued time is counted at least while peers are heard.
-	accrueEvery = 50 * time.Millisecond
 	// defaultEvery stands for the time between digests until the fleet is known.
 	defaultEvery = 200 * time.Millisecond
 )
@@ -93,14 +91,6 @@
 	buckets map[string]*bucket
 	spent   map[string]float64
 	peers   map[string]*peer
-	// known says that the members of the fleet have been named.
-	known bool
-	// accrued is the time, in seconds of the whole rate, that this node's side has
-	// had its part since the members were known; accruedAt is when it was last added to.
-	accrued   float64
-	accruedAt time.Time
-	// unheld is what peers have spent of accounts that have no bucket here yet.
-	unheld map[string]float64
 }
 
 // New returns a ledger; its buckets begin full only if nothing can have been
@@ -112,7 +102,6 @@
 		buckets: map[string]*bucket{},
 		spent:   map[string]float64{},
 		peers:   map[string]*peer{},
-		unheld:  map[string]float64{},
 	}
 }
 
@@ -121,7 +110,6 @@
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	ledger.every = every
-	ledger.known = true
 	peers := make(map[string]*peer, len(names))
 	for _, name := range names {
 		known, found := ledger.peers[name]
@@ -141,9 +129,6 @@
 	if !found {
 		return
 	}
-	if now.Sub(ledger.accruedAt) > accrueEvery {
-		ledger.accrue(now)
-	}
 	if known.incarnation != incarnation {
 		known.incarnation = incarnation
 		known.spent = map[string]float64{}
@@ -155,16 +140,10 @@
 	for account, total := range spent {
 		more := total - known.spent[account]
 		known.spent[account] = total
-		if more <= 0 || covered {
-			continue
-		}
-		held, found := ledger.buckets[account]
-		if !found {
-			ledger.unheld[account] += more
-			continue
+		if held, found := ledger.buckets[account]; found && more > 0 && !covered {
+			held.level -= more
+			held.fleet += more
 		}
-		held.level -= more
-		held.fleet += more
 	}
 }
 
@@ -186,10 +165,10 @@
 	}
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	part := ledger.accrue(now)
+	part := ledger.part(now)
 	held, found := ledger.buckets[account]
 	if !found {
-		held = ledger.newBucket(account, limit, part, now)
+		held = ledger.newBucket(account, limit, now)
 	}
 	held.refill(limit, part, now)
 	if credit := ledger.credit(held, limit, part); held.unseen > 0 && held.unseen+tokens > credit {
@@ -207,31 +186,27 @@
 	return verdict
 }
 
-// newBucket makes the bucket of an account that is asked for here for the first
-// time. It holds what has accrued since the members were known, less what peers
-// have spent since, as if it had been there all the time.
-func (ledger *Ledger) newBucket(account string, limit Limit, part float64, now time.Time) *bucket {
-	created := &bucket{at: now, level: min(limit.Rate*ledger.accrued, limit.Burst*part)}
+// SetAccounts makes the buckets of the configured accounts, so that they accrue and
+// count what peers spend from then on, and not only from the first request here.
+func (ledger *Ledger) SetAccounts(limits map[string]Limit, now time.Time) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	for account, limit := range limits {
+		if _, found := ledger.buckets[account]; !found && limit.Rate > 0 {
+			ledger.newBucket(account, limit, now)
+		}
+	}
+}
+
+func (ledger *Ledger) newBucket(account string, limit Limit, now time.Time) *bucket {
+	created := &bucket{at: now}
 	if ledger.full {
 		created.level = limit.Burst
 	}
-	created.level -= ledger.unheld[account]
-	delete(ledger.unheld, account)
 	ledger.buckets[account] = created
 	return created
 }
 
-// accrue counts the time since it was last called, and returns the part of every
-// rate that this node and the peers it hears may spend.
-func (ledger *Ledger) accrue(now time.Time) float64 {
-	part := ledger.part(now)
-	if ledger.known && !ledger.accruedAt.IsZero() {
-		ledger.accrued += part * now.Sub(ledger.accruedAt).Seconds()
-	}
-	ledger.accruedAt = now
-	return part
-}
-
 // credit is what this node may spend between two digests: its usual part of what
 // there is, or an equal part. In a small fleet, whose digests come often, it has no bound.
 func (ledger *Ledger) credit(held *bucket, limit Limit, part float64) float64 {
--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -184,29 +184,28 @@
 	}
 }
 
-func TestAccountAskedForLateHasWhatAccruedSinceTheStart(t *testing.T) {
-	ledger := allowance.New(false)
-	ledger.SetPeers([]string{"b"}, 200*time.Millisecond)
-	now := start
-	spent := 0.0
-	for range 10 {
+func TestAccountAskedForLateHasWhatAccruedSinceItWasConfigured(t *testing.T) {
+	for _, seconds := range []int{1, 30} {
+		ledger := allowance.New(false)
+		ledger.SetPeers([]string{"b"}, 200*time.Millisecond)
+		ledger.SetAccounts(map[string]allowance.Limit{"a": limit}, start)
+		now, spent := start, 0.0
+		for range 10 * seconds {
+			ledger.Hear("b", 1, map[string]float64{"a": spent}, now)
+			now = now.Add(100 * time.Millisecond)
+			spent += 80
+		}
 		ledger.Hear("b", 1, map[string]float64{"a": spent}, now)
-		now = now.Add(30 * time.Millisecond)
-		spent += 10
-	}
-	ledger.Hear("b", 1, map[string]float64{"a": spent}, now)
-	verdict := ledger.Spend("a", limit, 0, now)
-	if verdict.Level < 190 || verdict.Level > 200 {
-		t.Errorf("level %v: 300 have accrued, and a peer has spent 100", verdict.Level)
-	}
-	if later := ledger.Spend("c", limit, 0, now.Add(time.Minute)); later.Level > limit.Burst {
-		t.Errorf("level %v above the burst", later.Level)
+		verdict := ledger.Spend("a", limit, 0, now)
+		if want := min(200*float64(seconds), limit.Burst); verdict.Level < want-1 || verdict.Level > want+1 {
+			t.Errorf("level %v after %d s at a rate of 1000, of which a peer has spent 800", verdict.Level, seconds)
+		}
 	}
 }
 
-func TestNothingAccruesBeforeTheMembersAreKnown(t *testing.T) {
+func TestAccountThatIsNotConfiguredStartsEmpty(t *testing.T) {
 	ledger := allowance.New(false)
-	ledger.Spend("a", limit, 0, start)
+	ledger.SetAccounts(map[string]allowance.Limit{"a": limit}, start)
 	if verdict := ledger.Spend("b", limit, 0, start.Add(time.Minute)); verdict.Level != 0 {
 		t.Errorf("level %v although other members may have spent it", verdict.Level)
 	}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -183,6 +183,11 @@
 		node.deployment.Store(&deployment)
 		node.log.Info("configuration in force", "version", deployment.Version, "row", change.Version,
 			"routes", deployment.Routes(), "accounts", len(deployment.Accounts))
+		limits := make(map[string]allowance.Limit, len(deployment.Accounts))
+		for name, account := range deployment.Accounts {
+			limits[name] = allowance.Limit{Rate: account.Rate, Burst: account.Burst}
+		}
+		node.ledger.SetAccounts(limits, time.Now())
 		node.loader.configure(&deployment)
 	}
 }
