Hold a node's free ports until all of them are found in tests

The harness found each of a node's four ports with a listener of its own and closed it at once, so that the next one could get the same port; such a node cannot listen, and the test read neither its error nor its log.

--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -7,10 +7,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"mimosatide.example/mimosatide/internal/entrynode"
 	"mimosatide.example/mimosatide/platform"
@@ -20,14 +21,9 @@
 // patience bounds how long a test waits for something that has to happen.
 const patience = 20 * time.Second
 
-func freePort(t *testing.T, ip string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	_, port, _ := net.SplitHostPort(listener.Addr().String())
+// portOf returns the port of an address.
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
 	return port
 }
 
@@ -38,6 +34,26 @@
 	readiness string
 	stop      context.CancelFunc
 	ended     chan error
+	// log is what the node has written.
+	log *journal
+}
+
+// journal keeps the lines that a node writes.
+type journal struct {
+	lock  sync.Mutex
+	lines []string
+}
+
+func (journal *journal) write(prefix, line string) {
+	journal.lock.Lock()
+	defer journal.lock.Unlock()
+	journal.lines = append(journal.lines, time.Now().Format(time.StampMilli)+" "+prefix+line)
+}
+
+func (journal *journal) text() string {
+	journal.lock.Lock()
+	defer journal.lock.Unlock()
+	return strings.Join(journal.lines, "\n")
 }
 
 // startNode starts an entry node on a loopback address of its own.
@@ -57,12 +73,12 @@
 	t.Helper()
 	entrance := store.Open(name)
 	t.Cleanup(entrance.Close)
-	node := &running{
-		entrance:  entrance,
-		callers:   ip + ":" + freePort(t, ip),
-		readiness: ip + ":" + freePort(t, ip),
-		ended:     make(chan error, 1),
+	free, err := emulator.FreeAddresses(ip, 4)
+	if err != nil {
+		t.Fatal(err)
 	}
+	peers, metrics := portOf(free[2]), portOf(free[3])
+	node := &running{entrance: entrance, callers: free[0], readiness: free[1], ended: make(chan error, 1), log: &journal{}}
 	settings, err := platform.ParseSettings(fmt.Sprintf(`nodeName=%s
 zone=%s
 ip=%s
@@ -81,18 +97,29 @@
 bounds.budgetSlack=56
 %s
 platform.address=%s
-`, name, zone, ip, node.callers, node.readiness, freePort(t, ip), stale, entrance.Address()))
+`, name, zone, ip, node.callers, node.readiness, peers, stale, entrance.Address()))
 	if err != nil {
 		t.Fatal(err)
 	}
-	started, err := entrynode.New(settings, freePort(t, ip), logr.Discard())
+	started, err := entrynode.New(settings, metrics, funcr.New(node.log.write, funcr.Options{}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	node.stop = cancel
-	go func() { node.ended <- started.Run(ctx) }()
-	t.Cleanup(cancel)
+	go func() {
+		err := started.Run(ctx)
+		if ctx.Err() == nil {
+			t.Errorf("node %s ended by itself: %v", name, err)
+		}
+		node.ended <- err
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, node.log.text())
+		}
+	})
 	return node
 }
 
@@ -155,7 +182,7 @@
 
 func TestNodeServesDrainsAndEnds(t *testing.T) {
 	store := emulator.NewStore()
-	node := startNode(t, "n1", "127.0.0.1", store)
+	node := startNode(t, "n1", "127.0.1.1", store)
 	eventually(t, "an answer before there is a configuration", func() bool { return node.ask("k1") == http.StatusServiceUnavailable })
 	if node.ready() {
 		t.Error("a node without a configuration says that it is ready")
@@ -187,7 +214,7 @@
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration(1, "k1"))
 	startTarget(t, store)
-	first, second := startNode(t, "n1", "127.0.0.1", store), startNode(t, "n2", "127.0.0.2", store)
+	first, second := startNode(t, "n1", "127.0.1.1", store), startNode(t, "n2", "127.0.1.2", store)
 	for _, node := range []*running{first, second} {
 		eventually(t, "an answer", func() bool { return node.ask("k1") == http.StatusOK })
 	}
@@ -211,7 +238,7 @@
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration(1, "k1"))
 	startTarget(t, store)
-	node := startNodeWith(t, "a", "n1", "127.0.0.1", store, "bounds.enforceRevocation=true\nbounds.revokeMs=800")
+	node := startNodeWith(t, "a", "n1", "127.0.1.1", store, "bounds.enforceRevocation=true\nbounds.revokeMs=800")
 	eventually(t, "an answer", func() bool { return node.ask("k1") == http.StatusOK })
 	node.entrance.Silence(true)
 	eventually(t, "a refusal on old knowledge", func() bool { return node.ask("k1") == http.StatusServiceUnavailable })
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -128,22 +127,13 @@
 	}
 }
 
-func freePort(t *testing.T, ip string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (world *world) newNode(index int) *node {
 	ip := world.address(nodeHosts + index)
-	created := &node{
-		world: world, name: fmt.Sprintf("n%d", index), ip: ip,
-		callers: freePort(world.t, ip), readiness: freePort(world.t, ip),
+	free, err := emulator.FreeAddresses(ip, 2)
+	if err != nil {
+		world.t.Fatal(err)
 	}
+	created := &node{world: world, name: fmt.Sprintf("n%d", index), ip: ip, callers: free[0], readiness: free[1]}
 	created.entrance = world.store.Open(created.name)
 	world.t.Cleanup(created.entrance.Close)
 	side := world.address(sideHosts+index) + ":0"
