Build the picture of the targets when it is looked at; rank relays when hosts change

A fleet of 91 nodes and 141 targets in one process, rows of targets changing 50 times a second: 39 % of its profile was in registry.rebuild (every row made the picture of all targets anew, sorted with reflection), 7 % in gathering and sorting the list of hosts for each question about the zone's relay, 15 % in the collector behind both. Ruled out: decoding of digests (7 %). Change: a change of a target only gives the picture up, the next reader makes it; the chooser of relays ranks the hosts when their list changes.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -116,6 +116,7 @@
 		names = append(names, name)
 	}
 	fleet.node.ledger.SetPeers(names, every(len(names)))
+	fleet.relays.SetHosts(fleet.hosts())
 }
 
 // addresses returns the peer addresses of all other hosts.
@@ -289,6 +290,7 @@
 	if known, found := fleet.members[digest.Node]; found {
 		known.heard = now
 		known.leads = digest.Leads
+		fleet.relays.HearOf(known.address, now)
 	}
 	fleet.lock.Unlock()
 	node.ledger.Hear(digest.Node, digest.Incarnation, digest.Spent, now)
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -1,7 +1,6 @@
 package entrynode
 
 import (
-	"sort"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -31,17 +30,13 @@
 	return len(fleet.members) > directHosts
 }
 
-// hosts lists all hosts with this one.
-func (fleet *fleet) hosts(now time.Time) []relay.Host {
-	fleet.lock.Lock()
-	defer fleet.lock.Unlock()
+// hosts lists all hosts with this one; the fleet's lock is held.
+func (fleet *fleet) hosts() []relay.Host {
 	own := fleet.node.settings
-	hosts := []relay.Host{{
-		Name: own.Node, Address: fleet.node.self, Zone: own.Zone, CPUShare: own.Limits.CPUShare, Heard: now,
-	}}
+	hosts := []relay.Host{{Name: own.Node, Address: fleet.node.self, Zone: own.Zone, CPUShare: own.Limits.CPUShare}}
 	for _, member := range fleet.members {
 		hosts = append(hosts, relay.Host{
-			Name: member.name, Address: member.address, Zone: member.zone, CPUShare: member.cpu, Heard: member.heard,
+			Name: member.name, Address: member.address, Zone: member.zone, CPUShare: member.cpu,
 		})
 	}
 	return hosts
@@ -49,14 +44,14 @@
 
 // zoneRelay returns the relay of this node's zone, and whether it is this node itself.
 func (fleet *fleet) zoneRelay(now time.Time) (relay.Host, bool) {
-	host, _ := fleet.relays.Choose(fleet.node.settings.Zone, fleet.hosts(now), now)
+	host, _ := fleet.relays.Choose(fleet.node.settings.Zone, now)
 	fleet.lock.Lock()
 	before := fleet.relay
 	fleet.relay = host.Address
 	fleet.lock.Unlock()
 	if before != host.Address {
 		fleet.node.log.Info("relay chosen", "relay", host.Name, "peer", host.Address, "before", before,
-			"heardAge", age(now, host.Heard))
+			"heardAge", age(now, fleet.relays.LastHeardOf(host.Address)))
 	}
 	return host, host.Address == fleet.node.self
 }
@@ -125,22 +120,21 @@
 	near, far := fleet.near, fleet.far
 	fleet.near, fleet.far = gossip.Batch{}, gossip.Batch{}
 	fleet.lock.Unlock()
-	now := time.Now()
-	hosts := fleet.hosts(now)
 	if !near.Empty() {
 		near.Reach = gossip.ReachSelf
-		fleet.node.hub.SendAll(fleet.zoneAddresses(hosts), near)
+		fleet.node.hub.SendAll(fleet.zoneAddresses(), near)
 	}
 	if far.Empty() {
 		return
 	}
 	far.Reach = gossip.ReachZone
+	now := time.Now()
 	var others []string
-	for _, zone := range zones(hosts) {
+	for _, zone := range fleet.relays.Zones() {
 		if zone == fleet.node.settings.Zone {
 			continue
 		}
-		if host, found := fleet.relays.Choose(zone, hosts, now); found {
+		if host, found := fleet.relays.Choose(zone, now); found {
 			others = append(others, host.Address)
 		}
 	}
@@ -148,29 +142,16 @@
 }
 
 // zoneAddresses returns the peer addresses of the other hosts of this node's zone.
-func (fleet *fleet) zoneAddresses(hosts []relay.Host) []string {
+func (fleet *fleet) zoneAddresses() []string {
 	var addresses []string
-	for _, host := range hosts {
-		if host.Zone == fleet.node.settings.Zone && host.Address != fleet.node.self {
+	for _, host := range fleet.relays.Zone(fleet.node.settings.Zone) {
+		if host.Address != fleet.node.self {
 			addresses = append(addresses, host.Address)
 		}
 	}
 	return addresses
 }
 
-func zones(hosts []relay.Host) []string {
-	seen := map[string]bool{}
-	var names []string
-	for _, host := range hosts {
-		if !seen[host.Zone] {
-			seen[host.Zone] = true
-			names = append(names, host.Zone)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
-
 // hearBatch takes the news that a relay has gathered, and passes it on if asked to.
 func (fleet *fleet) hearBatch(batch gossip.Batch, now time.Time) {
 	for _, digest := range batch.Digests {
@@ -242,5 +223,5 @@
 		return
 	}
 	message := gossip.EncodeChanges(table, after, batch, recovering)
-	fleet.node.hub.SendAll(fleet.zoneAddresses(fleet.hosts(time.Now())), message)
+	fleet.node.hub.SendAll(fleet.zoneAddresses(), message)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -13,7 +13,8 @@
 package registry
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,7 @@
 // View is an immutable picture of all targets.
 type View struct {
 	services map[string][]mimosatide.Instance
-	byID     map[string]mimosatide.Instance
+	byID     map[string]*mimosatide.Instance
 }
 
 // Service returns the targets of a service that may be sent requests, by id.
@@ -60,12 +61,17 @@
 // Instance returns a target by its id.
 func (view *View) Instance(id string) (mimosatide.Instance, bool) {
 	instance, found := view.byID[id]
-	return instance, found
+	if !found {
+		return mimosatide.Instance{}, false
+	}
+	return *instance, true
 }
 
 // Registry follows the targets' rows.
 type Registry struct {
-	log  logr.Logger
+	log logr.Logger
+	// view is nil after a change, until the picture is asked for: in a large fleet
+	// targets change far more often than a node looks at them.
 	view atomic.Pointer[View]
 
 	lock       sync.Mutex
@@ -84,13 +90,19 @@
 		lapsed:     map[string]time.Time{},
 		changed:    make(chan struct{}),
 	}
-	registry.view.Store(&View{})
 	return registry
 }
 
 // View returns the present picture.
 func (registry *Registry) View() *View {
-	return registry.view.Load()
+	if view := registry.view.Load(); view != nil {
+		return view
+	}
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	view := registry.build()
+	registry.view.Store(view)
+	return view
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -114,7 +126,7 @@
 		registry.log.Info("target known", "target", instance.ID, "service", instance.Service,
 			"address", instance.Address, "zone", instance.Zone, "leaving", instance.Leaving)
 	}
-	registry.rebuild()
+	registry.touch()
 }
 
 // Delete takes out a target whose row is gone. While the store recovers from an
@@ -132,7 +144,7 @@
 		return
 	}
 	registry.remove(id)
-	registry.rebuild()
+	registry.touch()
 }
 
 // Expire takes out the targets whose rows did not come back after an outage.
@@ -147,7 +159,7 @@
 		}
 	}
 	if expired {
-		registry.rebuild()
+		registry.touch()
 	}
 }
 
@@ -160,7 +172,7 @@
 		return
 	}
 	registry.placements[placement.Instance] = placed{Placement: placement, at: time.Now()}
-	registry.rebuild()
+	registry.touch()
 }
 
 func (registry *Registry) remove(id string) {
@@ -170,22 +182,27 @@
 	delete(registry.lapsed, id)
 }
 
-// rebuild makes a new picture and wakes whoever waits for one.
-func (registry *Registry) rebuild() {
-	view := &View{services: map[string][]mimosatide.Instance{}, byID: map[string]mimosatide.Instance{}}
-	for id, instance := range registry.instances {
-		instance = withPlacement(instance, registry.placements[id])
-		view.byID[id] = instance
+// touch gives the present picture up and wakes whoever waits for a change.
+func (registry *Registry) touch() {
+	registry.view.Store(nil)
+	close(registry.changed)
+	registry.changed = make(chan struct{})
+}
+
+// build makes a picture of all targets.
+func (registry *Registry) build() *View {
+	view := &View{
+		services: map[string][]mimosatide.Instance{},
+		byID:     make(map[string]*mimosatide.Instance, len(registry.instances)),
+	}
+	for _, id := range slices.Sorted(maps.Keys(registry.instances)) {
+		instance := withPlacement(registry.instances[id], registry.placements[id])
+		view.byID[id] = &instance
 		if !instance.Leaving {
 			view.services[instance.Service] = append(view.services[instance.Service], instance)
 		}
 	}
-	for _, list := range view.services {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
-	registry.view.Store(view)
-	close(registry.changed)
-	registry.changed = make(chan struct{})
+	return view
 }
 
 // withPlacement prefers the orderer's word on what the same incarnation holds.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,12 +9,15 @@
 // # Usage
 //
 //	chooser := relay.New("10.1.0.2:7600")
+//	chooser.SetHosts(hosts)
 //	chooser.Hear(address, now)
-//	host, found := chooser.Choose("zone-a", hosts, now)
+//	host, found := chooser.Choose("zone-a", now)
 package relay
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,8 +39,6 @@
 	Zone    string
 	// CPUShare is the part of a core that the host gives the node.
 	CPUShare float64
-	// Heard is when anything of the node was last heard, directly or passed on.
-	Heard time.Time
 }
 
 type choice struct {
@@ -47,23 +48,71 @@
 
 // Chooser remembers which relays this node has chosen and which were silent.
 type Chooser struct {
-	self   string
-	lock   sync.Mutex
+	self string
+	lock sync.Mutex
+	// ranked are the hosts of each zone, those with more processor time first.
+	ranked map[string][]Host
+	zones  []string
 	chosen map[string]choice
-	direct map[string]time.Time
-	silent map[string]time.Time
+	// direct is when a message last came from a node itself, heardOf when anything
+	// of it was last heard, directly or passed on.
+	direct  map[string]time.Time
+	heardOf map[string]time.Time
+	silent  map[string]time.Time
 }
 
 // New returns a chooser of the node at an address, which is never silent to itself.
 func New(self string) *Chooser {
 	return &Chooser{
-		self:   self,
-		chosen: map[string]choice{},
-		direct: map[string]time.Time{},
-		silent: map[string]time.Time{},
+		self:    self,
+		ranked:  map[string][]Host{},
+		chosen:  map[string]choice{},
+		direct:  map[string]time.Time{},
+		heardOf: map[string]time.Time{},
+		silent:  map[string]time.Time{},
 	}
 }
 
+// SetHosts names all hosts, with this node's own.
+func (chooser *Chooser) SetHosts(hosts []Host) {
+	ranked := map[string][]Host{}
+	known := map[string]bool{}
+	for _, host := range hosts {
+		ranked[host.Zone] = append(ranked[host.Zone], host)
+		known[host.Address] = true
+	}
+	for _, zone := range ranked {
+		slices.SortFunc(zone, before)
+	}
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	chooser.ranked = ranked
+	chooser.zones = slices.Sorted(maps.Keys(ranked))
+	forget := func(address string, _ time.Time) bool { return !known[address] }
+	maps.DeleteFunc(chooser.direct, forget)
+	maps.DeleteFunc(chooser.heardOf, forget)
+	maps.DeleteFunc(chooser.silent, forget)
+}
+
+// before orders the hosts of a zone.
+func before(one, other Host) int {
+	return cmp.Or(cmp.Compare(other.CPUShare, one.CPUShare), cmp.Compare(one.Name, other.Name))
+}
+
+// Zones lists the zones that have hosts.
+func (chooser *Chooser) Zones() []string {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	return chooser.zones
+}
+
+// Zone lists the hosts of a zone; the caller must not change the list.
+func (chooser *Chooser) Zone(zone string) []Host {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	return chooser.ranked[zone]
+}
+
 // Hear notes that a message came directly from a node.
 func (chooser *Chooser) Hear(address string, now time.Time) {
 	chooser.lock.Lock()
@@ -71,6 +120,20 @@
 	chooser.direct[address] = now
 }
 
+// HearOf notes that something of a node was heard, directly or passed on.
+func (chooser *Chooser) HearOf(address string, now time.Time) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	chooser.heardOf[address] = now
+}
+
+// LastHeardOf returns when something of a node was last heard, the zero time for never.
+func (chooser *Chooser) LastHeardOf(address string) time.Time {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	return chooser.heardOf[address]
+}
+
 // HeardLately says whether a node was heard directly within the time that a relay may be silent.
 func (chooser *Chooser) HeardLately(address string, now time.Time) bool {
 	chooser.lock.Lock()
@@ -80,13 +143,13 @@
 
 // Choose returns the relay of a zone: the host with the most processor time that
 // is not silent. If all are silent, it begins again with the first.
-func (chooser *Chooser) Choose(zone string, hosts []Host, now time.Time) (Host, bool) {
-	ranked := rank(zone, hosts)
+func (chooser *Chooser) Choose(zone string, now time.Time) (Host, bool) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	ranked := chooser.ranked[zone]
 	if len(ranked) == 0 {
 		return Host{}, false
 	}
-	chooser.lock.Lock()
-	defer chooser.lock.Unlock()
 	for _, host := range ranked {
 		if !chooser.isSilent(host, now) && chooser.keep(zone, host, now) {
 			return host, true
@@ -123,26 +186,9 @@
 	if !silent {
 		return false
 	}
-	if now.Sub(since) < passedOver || !host.Heard.After(since.Add(silentAfter)) {
+	if now.Sub(since) < passedOver || !chooser.heardOf[host.Address].After(since.Add(silentAfter)) {
 		return true
 	}
 	delete(chooser.silent, host.Address)
 	return false
 }
-
-// rank lists the hosts of a zone, those with more processor time first.
-func rank(zone string, hosts []Host) []Host {
-	var ranked []Host
-	for _, host := range hosts {
-		if host.Zone == zone {
-			ranked = append(ranked, host)
-		}
-	}
-	sort.Slice(ranked, func(i, j int) bool {
-		if ranked[i].CPUShare != ranked[j].CPUShare {
-			return ranked[i].CPUShare > ranked[j].CPUShare
-		}
-		return ranked[i].Name < ranked[j].Name
-	})
-	return ranked
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,18 +9,22 @@
 
 var start = time.Unix(1000, 0)
 
-func hosts(heard time.Time) []relay.Host {
+func hosts() []relay.Host {
 	return []relay.Host{
-		{Name: "small-1", Address: "s1", Zone: "a", CPUShare: 0.2, Heard: heard},
-		{Name: "large-2", Address: "l2", Zone: "a", CPUShare: 0.8, Heard: heard},
-		{Name: "large-1", Address: "l1", Zone: "a", CPUShare: 0.8, Heard: heard},
-		{Name: "other", Address: "o", Zone: "b", CPUShare: 0.8, Heard: heard},
+		{Name: "small-1", Address: "s1", Zone: "a", CPUShare: 0.2},
+		{Name: "large-2", Address: "l2", Zone: "a", CPUShare: 0.8},
+		{Name: "large-1", Address: "l1", Zone: "a", CPUShare: 0.8},
+		{Name: "other", Address: "o", Zone: "b", CPUShare: 0.8},
 	}
 }
 
 func choose(t *testing.T, chooser *relay.Chooser, zone string, heard, now time.Time) string {
 	t.Helper()
-	host, found := chooser.Choose(zone, hosts(heard), now)
+	chooser.SetHosts(hosts())
+	for _, host := range hosts() {
+		chooser.HearOf(host.Address, heard)
+	}
+	host, found := chooser.Choose(zone, now)
 	if !found {
 		t.Fatalf("no relay of zone %s", zone)
 	}
@@ -35,7 +39,7 @@
 	if got := choose(t, chooser, "b", start, start); got != "o" {
 		t.Errorf("chosen %s of the other zone", got)
 	}
-	if _, found := chooser.Choose("c", hosts(start), start); found {
+	if _, found := chooser.Choose("c", start); found {
 		t.Error("a relay of a zone without hosts")
 	}
 }
