Believe a target that denies a model; pass over an engine that is still busy

A new owner tried 1,296 times to place models on engines that were still busy with an order of the owner before; the plan chose the same engine again in milliseconds, spent a load of the weight store's rate on it each time, and the models' requests waited. Change: a holding that its engine denies counts as absent for a second or until its orderer says more, so that the request waits or goes elsewhere; an engine that was found busy is left out of plans for a second and the load that was not ordered is given back.

--- a/instance.go
+++ b/instance.go
@@ -1,6 +1,9 @@
 package mimosatide
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Holding is a model that a target holds, with its adapters.
 type Holding struct {
@@ -41,6 +44,16 @@
 	return false
 }
 
+// HoldsAdapter says whether the target holds a model's adapter.
+func (instance Instance) HoldsAdapter(model, adapter string) bool {
+	for _, holding := range instance.Holdings {
+		if holding.Model == model && slices.Contains(holding.Adapters, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 // InstanceReport is what an engine answers when it is asked for its state; it lags.
 type InstanceReport struct {
 	Holdings []Holding
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -115,26 +115,12 @@
 		}
 		cost -= zoneCost
 	}
-	if query.Entry.Adapter != "" && !holdsAdapter(candidate, query.Entry) {
+	if query.Entry.Adapter != "" && !candidate.HoldsAdapter(query.Entry.Model, query.Entry.Adapter) {
 		cost += adapterCost
 	}
 	return cost
 }
 
-func holdsAdapter(instance mimosatide.Instance, entry mimosatide.Entry) bool {
-	for _, holding := range instance.Holdings {
-		if holding.Model != entry.Model {
-			continue
-		}
-		for _, adapter := range holding.Adapters {
-			if adapter == entry.Adapter {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // preferred is the rendezvous choice among the candidates.
 func preferred(place string, candidates []mimosatide.Instance) string {
 	if place == "" {
@@ -157,7 +143,7 @@
 			continue
 		}
 		model = append(model, candidate)
-		if entry.Adapter == "" || holdsAdapter(candidate, entry) {
+		if entry.Adapter == "" || candidate.HoldsAdapter(entry.Model, entry.Adapter) {
 			adapter = append(adapter, candidate)
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/loading"
+	"mimosatide.example/mimosatide/internal/registry"
 )
 
 func TestAnswerIsPassedOnUnchanged(t *testing.T) {
@@ -227,6 +229,26 @@
 	}
 }
 
+func TestRequestWaitsWhenItsTargetLacksTheModelAfterAll(t *testing.T) {
+	world := newWorld(t)
+	var loaded atomic.Bool
+	world.target("e-1", "llm", func(writer http.ResponseWriter, request *http.Request) {
+		if !loaded.Load() {
+			failing(http.StatusMisdirectedRequest, true)(writer, request)
+			return
+		}
+		events(1, 1, true)(writer, request)
+	}, "m")
+	world.loader.meet = func(need loading.Need) {
+		loaded.Store(true)
+		world.targets.Place(registry.Placement{Instance: "e-1", Holdings: []mimosatide.Holding{{Model: need.Model}}})
+	}
+	response, _, _ := world.send(chat(world, "/chat/", "m"))
+	if response == nil || response.StatusCode != http.StatusOK || len(world.seen()) != 2 {
+		t.Errorf("response %v after %d arrivals", response, len(world.seen()))
+	}
+}
+
 func TestRequestWhoseModelCannotBeLoadedInTimeIsRefusedAtOnce(t *testing.T) {
 	world := newWorld(t)
 	world.target("e-1", "llm", events(1, 1, true))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -202,6 +202,7 @@
 		outcome := sent{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
 		if head.Status == http.StatusMisdirectedRequest {
 			outcome.reason = metric.RetryNotLoaded
+			passage.refute()
 		}
 		passage.ticket.End(balance.Busy, time.Now())
 		return outcome
@@ -225,6 +226,15 @@
 	return sent{reply: reply, head: head}
 }
 
+// refute notes that the target lacks what the request needs, so that the request
+// waits for it or goes elsewhere instead of asking the same target again.
+func (passage *passage) refute() {
+	if passage.service.Engine == nil {
+		return
+	}
+	passage.gate.Targets.Refute(passage.instance.ID, passage.entry.Model, passage.entry.Adapter, time.Now())
+}
+
 // mayRepeat says whether the request may be sent once more.
 func (passage *passage) mayRepeat(ctx context.Context, outcome sent) bool {
 	if ctx.Err() != nil || passage.sends >= maxSends || passage.gate.Suspects.Suspect(passage.digest) {
--- a/internal/loading/owner.go
+++ b/internal/loading/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/registry"
@@ -225,12 +226,13 @@
 		err := worker.place(worker.working, class, step)
 		owner.log.Info("placement ended", "target", step.Instance, "model", step.Model, "took", time.Since(begun), "reason", text(err))
 		worker.free()
-		owner.ended(step, remote, term)
+		owner.ended(step, remote, term, errors.Is(err, errBusy))
 	}()
 }
 
-// ended takes a step off what is under way in the term in which it began.
-func (owner *Owner) ended(step Step, remote bool, term mimosatide.FencingNumber) {
+// ended takes a step off what is under way in the term in which it began; one that
+// was not ordered took nothing from the weight store's rate.
+func (owner *Owner) ended(step Step, remote bool, term mimosatide.FencingNumber, unordered bool) {
 	owner.lock.Lock()
 	defer owner.lock.Unlock()
 	if owner.term != term {
@@ -245,6 +247,9 @@
 	if remote && owner.remote > 0 {
 		owner.remote--
 	}
+	if remote && unordered {
+		owner.tokens++
+	}
 }
 
 // startAdapters loads the adapters that requests wait for.
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -26,6 +26,9 @@
 	loadSlack = 20 * time.Second
 	// loadMargin is added to the time of a load from copies at the target.
 	loadMargin = 15 * time.Millisecond
+	// passOverTime is for how long an engine is not planned with that gave no answer
+	// or is busy with an order of before, which waits for runs that last about as long.
+	passOverTime = time.Second
 	// usedNow is how recently an adapter must have been used to count as in use;
 	// nodes tell of those in use several times within it.
 	usedNow = 500 * time.Millisecond
@@ -40,6 +43,9 @@
 // errNoTerm says that this node may not order at this moment.
 var errNoTerm = errors.New("this node does not hold the lease")
 
+// errBusy says that an order of before is still under way, so that none was given.
+var errBusy = errors.New("the engine is busy with an order of before")
+
 // errConflict says that the engine has another order under way or has accepted one unknown to this node.
 var errConflict = errors.New("the engine is busy with another order")
 
@@ -65,15 +71,15 @@
 	synced   bool
 	occupied bool
 	placedAt time.Time
-	// failedAt is when the engine last gave no answer.
-	failedAt time.Time
+	// passedOverAt is when the engine last gave no answer or was found busy.
+	passedOverAt time.Time
 }
 
 func (worker *worker) view() (known mimosatide.Instance, occupied bool, placedAt time.Time) {
 	worker.state.Lock()
 	defer worker.state.Unlock()
-	unreached := time.Since(worker.failedAt) < time.Second
-	return worker.known, worker.occupied || unreached, worker.placedAt
+	passedOver := time.Since(worker.passedOverAt) < passOverTime
+	return worker.known, worker.occupied || passedOver, worker.placedAt
 }
 
 // claim marks the engine as occupied; it fails if it was.
@@ -297,7 +303,7 @@
 		return nil
 	case mimosatide.OrderUnknown:
 		worker.unsure()
-		worker.unreached()
+		worker.passOver()
 		return errors.Trace(err)
 	case mimosatide.OrderConflict:
 		worker.unsure()
@@ -321,7 +327,8 @@
 		return errors.Trace(err)
 	}
 	if report.Busy || report.Orders < worker.now().Orders {
-		return errors.Errorf("%s is busy with an order", worker.instance.ID)
+		worker.passOver()
+		return errors.Annotate(errBusy, worker.instance.ID)
 	}
 	worker.adopt(report)
 	return nil
@@ -332,7 +339,7 @@
 	defer cancel()
 	report, err := worker.engines.Report(bounded, worker.instance)
 	if err != nil {
-		worker.unreached()
+		worker.passOver()
 		worker.log.Info("report failed", "target", worker.instance.ID, "reason", err.Error())
 	}
 	return report, errors.Trace(err)
@@ -364,8 +371,9 @@
 	worker.synced = false
 }
 
-func (worker *worker) unreached() {
+// passOver keeps the engine out of plans for a while.
+func (worker *worker) passOver() {
 	worker.state.Lock()
 	defer worker.state.Unlock()
-	worker.failedAt = time.Now()
+	worker.passedOverAt = time.Now()
 }
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -29,6 +29,8 @@
 	late    float64
 	engines map[string]*fakeEngine
 	faults  []string
+	// reports counts the questions about an engine's state.
+	reports map[string]int
 }
 
 type fakeEngine struct {
@@ -46,6 +48,7 @@
 		class:   class(),
 		random:  rand.New(rand.NewPCG(seed, 7)),
 		engines: map[string]*fakeEngine{},
+		reports: map[string]int{},
 	}
 	for _, id := range ids {
 		engines.engines[id] = &fakeEngine{holdings: map[string][]string{}}
@@ -120,6 +123,7 @@
 func (engines *fakeEngines) Report(_ context.Context, instance mimosatide.Instance) (mimosatide.InstanceReport, error) {
 	engines.lock.Lock()
 	defer engines.lock.Unlock()
+	engines.reports[instance.ID]++
 	engine := engines.engines[instance.ID]
 	report := mimosatide.InstanceReport{Busy: time.Now().Before(engine.busyTo), Orders: engine.orders}
 	for model, adapters := range engine.holdings {
@@ -197,6 +201,29 @@
 	})
 }
 
+// TestEngineThatIsBusyFromBeforeIsPassedOver has an engine carry out an order of an owner before.
+func TestEngineThatIsBusyFromBeforeIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := newEngines(1, "e0", "e1")
+		engines.engines["e0"].busyTo = time.Now().Add(time.Hour)
+		ctx, cancel := context.WithCancel(context.Background())
+		owner, targets := runOwner(ctx, engines)
+		for range 100 {
+			owner.Need(loading.Need{Service: "llm", Model: "m0"}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		if held, _ := targets.View().Instance("e1"); !held.Holds("m0") {
+			t.Error("the model was not loaded on the other engine")
+		}
+		if engines.reports["e0"] > 10 {
+			t.Errorf("the busy engine was asked %d times in ten seconds", engines.reports["e0"])
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 // driveOwner runs an owner for a minute and returns how often a need was met.
 func driveOwner(t *testing.T, engines *fakeEngines, seed uint64) int {
 	t.Helper()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -31,6 +31,10 @@
 // lapseTime is how long a target is kept whose row lapsed during an outage of the store.
 const lapseTime = 2500 * time.Millisecond
 
+// refuteTime is how long a target's own word that it lacks a model counts before
+// what its row or its orderer say: the orderer has looked at the target by then.
+const refuteTime = time.Second
+
 // Placement is what the owner of a target's orders knows of it.
 type Placement struct {
 	Instance string
@@ -78,7 +82,15 @@
 	instances  map[string]mimosatide.Instance
 	placements map[string]placed
 	lapsed     map[string]time.Time
-	changed    chan struct{}
+	// refuted are the models and adapters that targets have denied, and until when that counts.
+	refuted map[string]map[denial]time.Time
+	changed chan struct{}
+}
+
+// denial is a model, or an adapter of it, that a target does not hold.
+type denial struct {
+	model   string
+	adapter string
 }
 
 // New returns an empty registry.
@@ -88,6 +100,7 @@
 		instances:  map[string]mimosatide.Instance{},
 		placements: map[string]placed{},
 		lapsed:     map[string]time.Time{},
+		refuted:    map[string]map[denial]time.Time{},
 		changed:    make(chan struct{}),
 	}
 	return registry
@@ -151,7 +164,7 @@
 func (registry *Registry) Expire(now time.Time) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
-	expired := false
+	expired := registry.forgetDenials(now)
 	for id, until := range registry.lapsed {
 		if now.After(until) {
 			registry.remove(id)
@@ -163,6 +176,23 @@
 	}
 }
 
+// forgetDenials takes out what targets have denied long ago, and says whether there was any.
+func (registry *Registry) forgetDenials(now time.Time) bool {
+	forgotten := false
+	for id, denied := range registry.refuted {
+		for each, until := range denied {
+			if now.After(until) {
+				delete(denied, each)
+				forgotten = true
+			}
+		}
+		if len(denied) == 0 {
+			delete(registry.refuted, id)
+		}
+	}
+	return forgotten
+}
+
 // Place takes the word of the node that orders a target.
 func (registry *Registry) Place(placement Placement) {
 	registry.lock.Lock()
@@ -172,14 +202,44 @@
 		return
 	}
 	registry.placements[placement.Instance] = placed{Placement: placement, at: time.Now()}
+	delete(registry.refuted, placement.Instance)
+	registry.touch()
+}
+
+// Refute takes a target's own word that it can't run a request for a model, or for
+// an adapter of it: what others say of the target is older. It counts until its
+// orderer says more. Of a request with an adapter the adapter is denied first.
+func (registry *Registry) Refute(id, model, adapter string, now time.Time) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	instance, found := registry.instances[id]
+	if !found {
+		return
+	}
+	known := registry.present(instance, now)
+	denied := denial{model: model}
+	if adapter != "" && known.HoldsAdapter(model, adapter) {
+		denied.adapter = adapter
+	}
+	if registry.refuted[id] == nil {
+		registry.refuted[id] = map[denial]time.Time{}
+	}
+	registry.refuted[id][denied] = now.Add(refuteTime)
+	registry.log.Info("holding refuted", "target", id, "model", model, "adapter", denied.adapter, "orders", known.Orders)
 	registry.touch()
 }
 
+// present is a target as it is to be seen now.
+func (registry *Registry) present(instance mimosatide.Instance, now time.Time) mimosatide.Instance {
+	return withoutDenied(withPlacement(instance, registry.placements[instance.ID]), registry.refuted[instance.ID], now)
+}
+
 func (registry *Registry) remove(id string) {
 	registry.log.Info("target gone", "target", id, "service", registry.instances[id].Service)
 	delete(registry.instances, id)
 	delete(registry.placements, id)
 	delete(registry.lapsed, id)
+	delete(registry.refuted, id)
 }
 
 // touch gives the present picture up and wakes whoever waits for a change.
@@ -191,12 +251,13 @@
 
 // build makes a picture of all targets.
 func (registry *Registry) build() *View {
+	now := time.Now()
 	view := &View{
 		services: map[string][]mimosatide.Instance{},
 		byID:     make(map[string]*mimosatide.Instance, len(registry.instances)),
 	}
 	for _, id := range slices.Sorted(maps.Keys(registry.instances)) {
-		instance := withPlacement(registry.instances[id], registry.placements[id])
+		instance := registry.present(registry.instances[id], now)
 		view.byID[id] = &instance
 		if !instance.Leaving {
 			view.services[instance.Service] = append(view.services[instance.Service], instance)
@@ -216,3 +277,22 @@
 	instance.OnDisk = placement.OnDisk
 	return instance
 }
+
+// withoutDenied leaves out what the target itself has denied.
+func withoutDenied(instance mimosatide.Instance, denied map[denial]time.Time, now time.Time) mimosatide.Instance {
+	if len(denied) == 0 {
+		return instance
+	}
+	var holdings []mimosatide.Holding
+	for _, holding := range instance.Holdings {
+		if now.Before(denied[denial{model: holding.Model}]) {
+			continue
+		}
+		holding.Adapters = slices.DeleteFunc(slices.Clone(holding.Adapters), func(adapter string) bool {
+			return now.Before(denied[denial{model: holding.Model, adapter: adapter}])
+		})
+		holdings = append(holdings, holding)
+	}
+	instance.Holdings = holdings
+	return instance
+}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -83,3 +83,48 @@
 		t.Error("a target that left is kept")
 	}
 }
+
+func TestDeniedModelIsNotHeldUntilItsOrdererSaysMore(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	targets.Put(instance("m1", "m2"))
+	now := time.Now()
+	targets.Refute("i-1", "m1", "", now)
+	if holds(targets, "m1") || !holds(targets, "m2") {
+		t.Error("the target's own word on what it lacks does not count")
+	}
+	targets.Put(instance("m1", "m2"))
+	if holds(targets, "m1") {
+		t.Error("a row that says nothing new counts more than the target's word")
+	}
+	targets.Place(placement(7, 1, "m1"))
+	if !holds(targets, "m1") {
+		t.Error("the orderer's newer word does not count")
+	}
+}
+
+func TestDenialLapses(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	targets.Put(instance("m1"))
+	now := time.Now()
+	targets.Refute("i-1", "m1", "", now.Add(-time.Minute))
+	targets.Expire(now)
+	if !holds(targets, "m1") {
+		t.Error("an old denial still counts")
+	}
+}
+
+func TestAdapterIsDeniedBeforeItsModel(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	with := instance("m1")
+	with.Holdings[0].Adapters = []string{"a1", "a2"}
+	targets.Put(with)
+	targets.Refute("i-1", "m1", "a1", time.Now())
+	known, _ := targets.View().Instance("i-1")
+	if known.HoldsAdapter("m1", "a1") || !known.HoldsAdapter("m1", "a2") {
+		t.Errorf("holdings %v", known.Holdings)
+	}
+	targets.Refute("i-1", "m1", "a1", time.Now())
+	if holds(targets, "m1") {
+		t.Error("a target that denies the request without the adapter is taken to hold the model")
+	}
+}
