Choose another relay when the store refuses one; ask a lost store once

Change: a relay that the store does not answer for a second says so and is not chosen for ten while there are others; becoming the relay ends polls that are open for long; while the store is lost only the follower of the configuration asks for it, the others wait for that.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -262,6 +262,7 @@
 		GivenUp:     node.loader.givenUp(),
 		Crashes:     node.suspects.Own(time.Now()),
 		Leads:       fleet.leads(),
+		Unfit:       fleet.unfit(time.Now()),
 	}
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{Running: load.Running, PrefillMillis: load.Prefill.Milliseconds()}
@@ -269,7 +270,7 @@
 	for _, table := range []string{platform.ConfigurationTable, platform.TargetTable, hostTable} {
 		digest.Tables[table] = uint64(node.followers[table].State().Changed)
 	}
-	news := len(digest.Loads) > 0 || digest.Leads
+	news := len(digest.Loads) > 0 || digest.Leads || digest.Unfit
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
@@ -291,6 +292,9 @@
 		known.heard = now
 		known.leads = digest.Leads
 		fleet.relays.HearOf(known.address, now)
+		if digest.Unfit {
+			fleet.relays.Unfit(known.address, now)
+		}
 	}
 	fleet.lock.Unlock()
 	node.ledger.Hear(digest.Node, digest.Incarnation, digest.Spent, now)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -117,7 +117,8 @@
 const engineIdle = 2 * time.Second
 
 func (node *Node) follow(table string, apply func(feed.Update)) {
-	settings := feed.Settings{Table: table, Guide: node.fleet}
+	// The configuration is asked for first, so it is what shows that a lost store answers again.
+	settings := feed.Settings{Table: table, Guide: node.fleet, Probe: node.followers[platform.ConfigurationTable]}
 	if table != hostTable {
 		settings.GuideWait = guideWait
 	}
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -21,6 +21,9 @@
 	// time in which a configuration has to be in force.
 	guideWait  = 300 * time.Millisecond
 	guideFresh = 700 * time.Millisecond
+	// unfitAfter is how long the store may not answer a relay before another host is
+	// chosen: a single lost answer is repeated within it.
+	unfitAfter = time.Second
 )
 
 // relayed says whether news goes through relays.
@@ -52,6 +55,12 @@
 	if before != host.Address {
 		fleet.node.log.Info("relay chosen", "relay", host.Name, "peer", host.Address, "before", before,
 			"heardAge", age(now, fleet.relays.LastHeardOf(host.Address)))
+		if host.Address == fleet.node.self {
+			// Polls that may stay open for long are made anew, as the zone relies on them.
+			for _, follower := range fleet.node.followers {
+				follower.Interrupt()
+			}
+		}
 	}
 	return host, host.Address == fleet.node.self
 }
@@ -200,6 +209,21 @@
 	return true
 }
 
+// unfit says whether this node is its zone's relay and the store has not answered it for a while.
+func (fleet *fleet) unfit(now time.Time) bool {
+	if !fleet.Guides() {
+		return false
+	}
+	for _, follower := range fleet.node.followers {
+		state := follower.State()
+		if !state.Healthy && (bootClock{}).Now()-state.CurrentAt > unfitAfter {
+			fleet.relays.Unfit(fleet.node.self, now)
+			return true
+		}
+	}
+	return false
+}
+
 // Guided says whether the relay of this node's zone passes a table's changes on
 // to it. Where a node must stop when its own knowledge is old, it asks the store itself.
 func (fleet *fleet) Guided(string) bool {
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -68,4 +68,9 @@
 	if len(asked) < 3 {
 		t.Errorf("with a relay that the store does not answer only %v asked it", asked)
 	}
+	version++
+	eventually(t, "changes through another relay", func() bool {
+		version++
+		return len(callers(nodes, func() { change(t, store, nodes, version) })) <= 2
+	})
 }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -85,6 +85,9 @@
 	// GuideWait replaces Wait while other nodes rely on this one, so that a store
 	// that has gone silent is noticed soon; zero stands for Wait.
 	GuideWait time.Duration
+	// Probe is the follower that finds out when a lost store answers again; until
+	// then this one does not ask. A nil one stands for this follower itself.
+	Probe *Follower
 }
 
 // Guide is how a follower works together with those of other nodes.
@@ -109,8 +112,11 @@
 	guide  Guide
 	// guideWait is how long a poll may stay open while other nodes rely on this one.
 	guideWait time.Duration
+	probe     *Follower
 
-	lock      sync.Mutex
+	lock sync.Mutex
+	// endPoll ends the poll that is under way.
+	endPoll   context.CancelFunc
 	rows      map[string]mimosatide.Row
 	state     State
 	lostAt    time.Time
@@ -135,6 +141,8 @@
 		guide:  settings.Guide,
 
 		guideWait: settings.GuideWait,
+		probe:     settings.Probe,
+		endPoll:   func() {},
 		clock:     clock,
 		store:     store,
 		log:       log,
@@ -166,14 +174,17 @@
 	complete := false
 	pause := retryAfter
 	for ctx.Err() == nil {
-		if follower.guided() {
+		if follower.guided() || follower.waitsForProbe() {
 			sleep(ctx, guidedEvery)
 			continue
 		}
-		err := follower.poll(ctx, &complete)
+		interrupted, err := follower.interruptible(ctx, &complete)
 		if ctx.Err() != nil {
 			return
 		}
+		if interrupted {
+			continue
+		}
 		follower.note(err)
 		if err == nil {
 			pause = retryAfter
@@ -188,6 +199,36 @@
 	}
 }
 
+// interruptible asks once, and says whether Interrupt has ended that without an answer.
+func (follower *Follower) interruptible(ctx context.Context, complete *bool) (bool, error) {
+	polling, end := context.WithCancel(ctx)
+	defer end()
+	follower.lock.Lock()
+	follower.endPoll = end
+	follower.lock.Unlock()
+	err := follower.poll(polling, complete)
+	return err != nil && polling.Err() != nil, err
+}
+
+// Interrupt ends a poll that is under way, so that the next one is made for how
+// other nodes rely on this one now.
+func (follower *Follower) Interrupt() {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	follower.endPoll()
+}
+
+// waitsForProbe says whether the store is lost and another follower asks it.
+func (follower *Follower) waitsForProbe() bool {
+	if follower.probe == nil {
+		return false
+	}
+	follower.lock.Lock()
+	lost := follower.everAsked && !follower.state.Healthy
+	follower.lock.Unlock()
+	return lost && !follower.probe.State().Healthy
+}
+
 // guided says whether another node passes the changes on, and logs when that begins or ends.
 func (follower *Follower) guided() bool {
 	if follower.guide == nil {
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -231,6 +231,51 @@
 	})
 }
 
+func TestInterruptedPollIsMadeAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &script{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}},
+		}}
+		follower, _ := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		follower.Interrupt()
+		synctest.Wait()
+		if len(store.asked) != 3 || !follower.State().Healthy {
+			t.Errorf("asked %v, healthy %v", store.asked, follower.State().Healthy)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestLostStoreIsAskedByTheProbeAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := answer{err: errors.New("down")}
+		whole := answer{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}}
+		probed := &script{answers: []answer{whole, down, down, {batch: mimosatide.RowBatch{Version: 4}}}}
+		probe, _ := newFollower(probed)
+		store := &script{answers: []answer{whole, down}}
+		settings := feed.Settings{Table: "u", Gather: time.Millisecond, Probe: probe}
+		follower := feed.New(settings, store, mimosatide.NewMonotonicClock(), logr.Discard(), func(feed.Update) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		go probe.Run(ctx)
+		time.Sleep(time.Millisecond)
+		go follower.Run(ctx)
+		time.Sleep(300 * time.Millisecond)
+		if len(store.asked) != 2 {
+			t.Errorf("without the store it was asked %v", store.asked)
+		}
+		time.Sleep(5 * time.Second)
+		if !probe.State().Healthy || len(store.asked) < 3 {
+			t.Errorf("probe healthy %v, asked %v", probe.State().Healthy, store.asked)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestChangesBehindAGapAreNotTaken(t *testing.T) {
 	follower, _ := newFollower(&script{})
 	batch := mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 9)}, Version: 9}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -33,6 +33,8 @@
 	GivenUp []Handover `cbor:"7,keyasint,omitempty"`
 	// Leads says that the node follows all tables and passes their changes on to its zone.
 	Leads bool `cbor:"9,keyasint,omitempty"`
+	// Unfit says that the node is a relay which the store does not answer.
+	Unfit bool `cbor:"10,keyasint,omitempty"`
 	// Crashes are requests at whose start a target crashed, by the digest of their content.
 	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,9 @@
 	// passedOver is the least time for which a silent relay is not chosen again;
 	// it also has to be heard of in the meantime.
 	passedOver = 3 * time.Second
+	// unfitTime is how long a host that the store does not answer is not chosen while
+	// there are others: outages that meet some hosts last about as long.
+	unfitTime = 10 * time.Second
 )
 
 // Host is a node that may be chosen.
@@ -59,6 +62,8 @@
 	direct  map[string]time.Time
 	heardOf map[string]time.Time
 	silent  map[string]time.Time
+	// unfit are the hosts that can't follow the store, with the time until which that counts.
+	unfit map[string]time.Time
 }
 
 // New returns a chooser of the node at an address, which is never silent to itself.
@@ -70,6 +75,7 @@
 		direct:  map[string]time.Time{},
 		heardOf: map[string]time.Time{},
 		silent:  map[string]time.Time{},
+		unfit:   map[string]time.Time{},
 	}
 }
 
@@ -92,6 +98,7 @@
 	maps.DeleteFunc(chooser.direct, forget)
 	maps.DeleteFunc(chooser.heardOf, forget)
 	maps.DeleteFunc(chooser.silent, forget)
+	maps.DeleteFunc(chooser.unfit, forget)
 }
 
 // before orders the hosts of a zone.
@@ -134,6 +141,13 @@
 	return chooser.heardOf[address]
 }
 
+// Unfit notes that a host can't follow the store.
+func (chooser *Chooser) Unfit(address string, now time.Time) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	chooser.unfit[address] = now.Add(unfitTime)
+}
+
 // HeardLately says whether a node was heard directly within the time that a relay may be silent.
 func (chooser *Chooser) HeardLately(address string, now time.Time) bool {
 	chooser.lock.Lock()
@@ -142,7 +156,8 @@
 }
 
 // Choose returns the relay of a zone: the host with the most processor time that
-// is not silent. If all are silent, it begins again with the first.
+// is neither unfit nor silent. If there is none, an unfit one will do; if all are
+// silent, it begins again with the first.
 func (chooser *Chooser) Choose(zone string, now time.Time) (Host, bool) {
 	chooser.lock.Lock()
 	defer chooser.lock.Unlock()
@@ -150,9 +165,14 @@
 	if len(ranked) == 0 {
 		return Host{}, false
 	}
-	for _, host := range ranked {
-		if !chooser.isSilent(host, now) && chooser.keep(zone, host, now) {
-			return host, true
+	for _, fit := range []bool{true, false} {
+		for _, host := range ranked {
+			if fit && now.Before(chooser.unfit[host.Address]) {
+				continue
+			}
+			if !chooser.isSilent(host, now) && chooser.keep(zone, host, now) {
+				return host, true
+			}
 		}
 	}
 	for _, host := range ranked {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,3 +84,19 @@
 		t.Errorf("only %v were tried", seen)
 	}
 }
+
+func TestUnfitHostIsChosenOnlyWhereAllAre(t *testing.T) {
+	chooser := relay.New("s1")
+	chooser.SetHosts(hosts())
+	for _, step := range []struct{ unfit, want string }{{"l1", "l2"}, {"l2", "s1"}, {"s1", "l1"}} {
+		chooser.Unfit(step.unfit, start)
+		if host, _ := chooser.Choose("a", start); host.Address != step.want {
+			t.Errorf("chosen %s after %s became unfit", host.Address, step.unfit)
+		}
+	}
+	later := start.Add(time.Minute)
+	chooser.Hear("l1", later)
+	if host, _ := chooser.Choose("a", later); host.Address != "l1" {
+		t.Errorf("chosen %s a minute later", host.Address)
+	}
+}
