Hold long prompts back while an engine already reads as many as its streams bear

Ruled out: slow relaying (streams beside no prompt pause for 0.05 s). Change: nodes count the long prompts that are being read at each engine and tell them in their digests; a request with a long prompt waits, for half of its objective at most, while its engine reads as many as the shortest allowed pause leaves room for; those that wait on several nodes draw.

--- a/deployment.go
+++ b/deployment.go
@@ -119,14 +119,17 @@
 	AccountOfKey map[string]string
 
 	routesByHost map[string][]PathRoute
+	eventGaps    map[string]time.Duration
 }
 
 // WithRoutes returns a copy that has the given routes.
 func (deployment Deployment) WithRoutes(routes []PathRoute) Deployment {
 	deployment.routesByHost = map[string][]PathRoute{}
+	deployment.eventGaps = map[string]time.Duration{}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		deployment.routesByHost[host] = append(deployment.routesByHost[host], route)
+		deployment.noteEventGap(route)
 	}
 	for _, list := range deployment.routesByHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -134,6 +137,24 @@
 	return deployment
 }
 
+func (deployment Deployment) noteEventGap(route PathRoute) {
+	gap := route.EventGapObjective
+	if gap <= 0 {
+		return
+	}
+	for _, share := range route.Services {
+		if known, found := deployment.eventGaps[share.Service]; !found || gap < known {
+			deployment.eventGaps[share.Service] = gap
+		}
+	}
+}
+
+// ShortestEventGap returns the shortest pause between events that a route demands
+// of the streams of a service, zero if none does.
+func (deployment Deployment) ShortestEventGap(service string) time.Duration {
+	return deployment.eventGaps[service]
+}
+
 // Match returns the route with the longest prefix that begins the path.
 func (deployment Deployment) Match(host, path string) (PathRoute, bool) {
 	for _, route := range deployment.routesByHost[strings.ToLower(host)] {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -53,6 +53,19 @@
 	Running int
 	// Prefill is the time that the prompts not yet read will take.
 	Prefill time.Duration
+	// Reading counts the requests whose long prompts are not yet read, and Waiting
+	// those with long prompts that are held back.
+	Reading int
+	Waiting int
+}
+
+func (load Load) plus(more Load) Load {
+	return Load{
+		Running: load.Running + more.Running,
+		Prefill: load.Prefill + more.Prefill,
+		Reading: load.Reading + more.Reading,
+		Waiting: load.Waiting + more.Waiting,
+	}
 }
 
 type state struct {
@@ -96,7 +109,7 @@
 	defer tracker.lock.Unlock()
 	loads := map[string]Load{}
 	for id, known := range tracker.own {
-		if known.load.Running > 0 {
+		if known.load.Running > 0 || known.load.Waiting > 0 {
 			loads[id] = known.load
 		}
 	}
@@ -108,7 +121,7 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	for id, state := range tracker.own {
-		if !known(id) && state.load.Running == 0 {
+		if !known(id) && state.load.Running == 0 && state.load.Waiting == 0 {
 			delete(tracker.own, id)
 		}
 	}
@@ -130,8 +143,7 @@
 		if now.After(heard.until) {
 			continue
 		}
-		sum.Running += heard.loads[id].Running
-		sum.Prefill += heard.loads[id].Prefill
+		sum = sum.plus(heard.loads[id])
 	}
 	return sum
 }
@@ -182,12 +194,21 @@
 	ticket := &Ticket{tracker: tracker, id: id, prefill: query.prefill(known)}
 	known.load.Running++
 	known.load.Prefill += ticket.prefill
+	known.load.Reading += ticket.reading()
 	if part := query.part(); part != "" {
 		known.remember(part, now)
 	}
 	return ticket
 }
 
+// reading is what the ticket's prompt adds to those that are being read.
+func (ticket *Ticket) reading() int {
+	if ticket.prefill < longPrompt {
+		return 0
+	}
+	return 1
+}
+
 // Answered says that the target has read the prompt.
 func (ticket *Ticket) Answered() {
 	ticket.tracker.lock.Lock()
@@ -200,7 +221,9 @@
 		return
 	}
 	ticket.answered = true
-	ticket.tracker.state(ticket.id).load.Prefill -= ticket.prefill
+	known := ticket.tracker.state(ticket.id)
+	known.load.Prefill -= ticket.prefill
+	known.load.Reading -= ticket.reading()
 }
 
 // End says how the request ended.
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -265,7 +265,9 @@
 		Unfit:       fleet.unfit(time.Now()),
 	}
 	for id, load := range node.tracker.Loads() {
-		digest.Loads[id] = gossip.Load{Running: load.Running, PrefillMillis: load.Prefill.Milliseconds()}
+		digest.Loads[id] = gossip.Load{
+			Running: load.Running, PrefillMillis: load.Prefill.Milliseconds(), Reading: load.Reading, Waiting: load.Waiting,
+		}
 	}
 	for _, table := range []string{platform.ConfigurationTable, platform.TargetTable, hostTable} {
 		digest.Tables[table] = uint64(node.followers[table].State().Changed)
@@ -300,7 +302,10 @@
 	node.ledger.Hear(digest.Node, digest.Incarnation, digest.Spent, now)
 	loads := make(map[string]balance.Load, len(digest.Loads))
 	for id, load := range digest.Loads {
-		loads[id] = balance.Load{Running: load.Running, Prefill: time.Duration(load.PrefillMillis) * time.Millisecond}
+		loads[id] = balance.Load{
+			Running: load.Running, Prefill: time.Duration(load.PrefillMillis) * time.Millisecond,
+			Reading: load.Reading, Waiting: load.Waiting,
+		}
 	}
 	node.tracker.Hear(digest.Node, loads, now.Add(hintDigests*fleet.every()))
 	node.loader.hearOwners(from, digest.Owned, now)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -40,6 +40,7 @@
 	}
 	name := pickService(route, entry.ID)
 	passage.service = deployment.Services[name]
+	passage.eventGap = deployment.ShortestEventGap(name)
 	if passage.service.Name == "" {
 		return mimosatide.Refuse(mimosatide.ReasonNoCapacity, "the route's service is not configured")
 	}
--- /dev/null
+++ b/internal/gateway/hold.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/balance"
+)
+
+// holdPart is the part of a request's latency objective for which it is held back
+// at most: the rest is left for reading its prompt.
+const holdPart = 0.5
+
+// findRoom returns a target for the request. A long prompt is held back while the
+// target already reads as many as the streams beside them can bear: it would only
+// slow those, and be read no sooner itself.
+func (passage *passage) findRoom(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
+	until := passage.arrived.Add(time.Duration(float64(passage.route.LatencyObjective) * holdPart))
+	held, release := "", func() {}
+	defer func() { release() }()
+	for {
+		instance, refusal := passage.find(ctx)
+		if refusal.Refused() || !time.Now().Before(until) || passage.hasRoom(instance) {
+			return instance, refusal
+		}
+		if held != instance.ID {
+			release()
+			held, release = instance.ID, passage.gate.Tracker.Hold(instance.ID)
+		}
+		if !passage.pauseFor(ctx, balance.HoldPoll) {
+			return mimosatide.Instance{}, passage.waitedOut(ctx)
+		}
+	}
+}
+
+// hasRoom says whether a target may read the request's prompt now.
+func (passage *passage) hasRoom(instance mimosatide.Instance) bool {
+	if passage.eventGap <= 0 || !passage.gate.Tracker.Long(passage.query(), instance.ID) {
+		return true
+	}
+	room := passage.gate.Tracker.Room(instance.ID, passage.eventGap, time.Now())
+	return rand.Float64() < room.Chance()
+}
+
+// pauseFor returns false if the request can't wait so long.
+func (passage *passage) pauseFor(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-passage.gate.Draining:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,6 +26,8 @@
 	entry    mimosatide.Entry
 	route    mimosatide.PathRoute
 	service  mimosatide.Service
+	// eventGap is the shortest pause that a stream of the service's targets may make, zero if any is allowed.
+	eventGap time.Duration
 	account  mimosatide.AccountLimit
 	rank     int
 	version  int64
@@ -89,7 +91,7 @@
 		gate.Loader.Use(passage.service.Name, passage.entry.Model, passage.query().PrefillTime())
 	}
 	for {
-		instance, refusal := passage.find(ctx)
+		instance, refusal := passage.findRoom(ctx)
 		if refusal.Refused() {
 			passage.refuse(refusal.WithRun(passage.runState()))
 			return
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -43,6 +43,9 @@
 type Load struct {
 	Running       int   `cbor:"1,keyasint"`
 	PrefillMillis int64 `cbor:"2,keyasint,omitempty"`
+	// Reading and Waiting count the requests whose long prompts are being read or held back.
+	Reading int `cbor:"3,keyasint,omitempty"`
+	Waiting int `cbor:"4,keyasint,omitempty"`
 }
 
 // Ownership is a lease on the orders to a service's targets.
