Keep a zone's news on its strong hosts; a forgotten history is no lost store

Changes: an answer that the history is gone shows that the store answers; an unfit host is chosen before a weak one (less than half of the strongest host's processor time), since news does not need the store; a peer's queue is 32 messages at entry nodes and drops its oldest one, so that a slow link carries fresh news instead of old. Tests, each failing without its change: a store that has forgotten its history is not lost; an unfit host is chosen before a weak one; the newest message is never the one that a full queue drops.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -40,6 +40,9 @@
 	staleParts = 4
 	// gatherPart is the part of the drain time for which targets' changes are gathered.
 	gatherPart = 0.35
+	// peerQueue is how many messages may wait for a peer: about three seconds of a
+	// relay's batches, as older digests are worth less than the next one.
+	peerQueue = 32
 	// housekeepEvery is how often old connections and lapsed targets are looked for.
 	housekeepEvery = 500 * time.Millisecond
 )
@@ -100,6 +103,7 @@
 		Self:      node.self,
 		Listen:    node.self,
 		PingEvery: peer.DefaultPingEvery,
+		Queue:     peerQueue,
 	}, log, node.receive)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -185,15 +185,18 @@
 		if interrupted {
 			continue
 		}
+		if errors.Is(err, mimosatide.ErrHistoryGone) {
+			// The store answers; only the way from the last version is lost.
+			follower.log.Info("history gone", "table", follower.table, "version", follower.State().Version)
+			follower.note(nil)
+			complete = false
+			continue
+		}
 		follower.note(err)
 		if err == nil {
 			pause = retryAfter
 			continue
 		}
-		if errors.Is(err, mimosatide.ErrHistoryGone) {
-			complete = false
-			continue
-		}
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, retryMost)
 	}
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -92,6 +92,24 @@
 	}
 }
 
+func TestStoreThatHasForgottenItsHistoryIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &script{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 2, Complete: true}},
+			{err: errors.Trace(mimosatide.ErrHistoryGone)},
+		}}
+		follower, _ := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		if len(store.asked) != 3 || store.asked[2] != "snapshot" || !follower.State().Healthy {
+			t.Errorf("asked %v, healthy %v", store.asked, follower.State().Healthy)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestOlderRowsOfAPeerRevertNothing(t *testing.T) {
 	follower, collected := newFollower(&script{})
 	follower.Offer(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 5)}, Version: 6, Complete: true})
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -18,9 +18,10 @@
 	DefaultPingEvery = time.Second
 	dialTimeout      = time.Second
 	redialAfter      = 200 * time.Millisecond
-	queueLength      = 4096
-	maxMessage       = 4 << 20
-	peerPath         = "/peer"
+	// DefaultQueue is how many messages wait for a link where the settings do not say.
+	DefaultQueue = 4096
+	maxMessage   = 4 << 20
+	peerPath     = "/peer"
 	// idleLink is after how long an unused link is closed.
 	idleLink = time.Minute
 )
@@ -50,6 +51,9 @@
 	Secret []byte
 	// PingEvery is how often a link is checked, and how long the answer may take.
 	PingEvery time.Duration
+	// Queue is how many messages may wait for a link; beyond it the oldest ones are
+	// dropped. Zero stands for DefaultQueue.
+	Queue int
 }
 
 // Hub holds the links of one node.
@@ -80,6 +84,9 @@
 	if settings.Codec == nil {
 		settings.Codec = FleetCodec{}
 	}
+	if settings.Queue <= 0 {
+		settings.Queue = DefaultQueue
+	}
 	listener, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
 		return nil, errors.Annotate(err, "peer port")
@@ -114,7 +121,7 @@
 	return hub.sent.Load(), hub.received.Load(), hub.dropped.Load()
 }
 
-// Send queues a message for a peer; a full queue drops it.
+// Send queues a message for a peer; a full queue drops its oldest one.
 func (hub *Hub) Send(to string, message any) {
 	hub.SendAll([]string{to}, message)
 }
@@ -138,7 +145,7 @@
 	hub.lock.Lock()
 	known, found := hub.links[to]
 	if !found && hub.ctx != nil && hub.ctx.Err() == nil {
-		known = &link{to: to, queue: make(chan []byte, queueLength)}
+		known = &link{to: to, queue: make(chan []byte, hub.settings.Queue)}
 		hub.links[to] = known
 		go hub.serveLink(hub.ctx, known)
 	}
@@ -146,10 +153,23 @@
 	if known == nil {
 		return
 	}
+	for !known.put(data) {
+		// The newest news counts: what has waited longest makes way.
+		select {
+		case <-known.queue:
+			hub.dropped.Add(1)
+		default:
+		}
+	}
+}
+
+// put queues a message; it returns false if the queue is full.
+func (link *link) put(data []byte) bool {
 	select {
-	case known.queue <- data:
+	case link.queue <- data:
+		return true
 	default:
-		hub.dropped.Add(1)
+		return false
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -137,6 +137,42 @@
 	sendUntil(t, sender, second, again)
 }
 
+func TestFullQueueDropsItsOldestMessage(t *testing.T) {
+	const last = uint64(50)
+	address := freeAddress(t)
+	settings := peer.Settings{Self: address, Listen: address, Secret: []byte("secret"), PingEvery: time.Second, Queue: 2}
+	sender, err := peer.New(settings, logr.Discard(), func(string, any) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		sender.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	to := freeAddress(t)
+	inbox, _, _ := startHub(t, to, "secret")
+	sendUntil(t, sender, to, inbox)
+	for round := range last + 1 {
+		sender.Send(to, fleet.Ping{Round: round + 1000})
+	}
+	for {
+		select {
+		case got := <-inbox:
+			if ping, _ := got.message.(fleet.Ping); ping.Round == last+1000 {
+				return
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("the newest message was dropped")
+		}
+	}
+}
+
 func TestHubRefusesAnotherSecret(t *testing.T) {
 	first, second := freeAddress(t), freeAddress(t)
 	_, sender, _ := startHub(t, first, "a wrong secret")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,9 @@
 	// unfitTime is how long a host that the store does not answer is not chosen while
 	// there are others: outages that meet some hosts last about as long.
 	unfitTime = 10 * time.Second
+	// strongPart is the part of the processor time of a zone's strongest host from
+	// which a host is strong enough to carry the news of the whole zone.
+	strongPart = 0.5
 )
 
 // Host is a node that may be chosen.
@@ -156,8 +159,9 @@
 }
 
 // Choose returns the relay of a zone: the host with the most processor time that
-// is neither unfit nor silent. If there is none, an unfit one will do; if all are
-// silent, it begins again with the first.
+// is neither unfit nor silent. If no strong host is, an unfit one will do before a
+// weak one, whose link the news would fill; if all are silent, it begins again
+// with the first.
 func (chooser *Chooser) Choose(zone string, now time.Time) (Host, bool) {
 	chooser.lock.Lock()
 	defer chooser.lock.Unlock()
@@ -165,14 +169,13 @@
 	if len(ranked) == 0 {
 		return Host{}, false
 	}
-	for _, fit := range []bool{true, false} {
-		for _, host := range ranked {
-			if fit && now.Before(chooser.unfit[host.Address]) {
-				continue
-			}
-			if !chooser.isSilent(host, now) && chooser.keep(zone, host, now) {
-				return host, true
-			}
+	strong := 0
+	for strong < len(ranked) && ranked[strong].CPUShare >= strongPart*ranked[0].CPUShare {
+		strong++
+	}
+	for _, group := range [][]Host{ranked[:strong], ranked[strong:]} {
+		if host, found := chooser.chooseAmong(group, zone, now); found {
+			return host, true
 		}
 	}
 	for _, host := range ranked {
@@ -182,6 +185,21 @@
 	return ranked[0], true
 }
 
+// chooseAmong returns the first host that is not silent, one that is not unfit if there is one.
+func (chooser *Chooser) chooseAmong(hosts []Host, zone string, now time.Time) (Host, bool) {
+	for _, unfit := range []bool{false, true} {
+		for _, host := range hosts {
+			if now.Before(chooser.unfit[host.Address]) != unfit {
+				continue
+			}
+			if !chooser.isSilent(host, now) && chooser.keep(zone, host, now) {
+				return host, true
+			}
+		}
+	}
+	return Host{}, false
+}
+
 // keep chooses a host, unless it has been silent since it was chosen.
 func (chooser *Chooser) keep(zone string, host Host, now time.Time) bool {
 	chosen := chooser.chosen[zone]
