--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,11 +21,11 @@
 
 // passage is one request on its way through the gateway.
 type passage struct {
-	gate     *Gateway
-	writer   http.ResponseWriter
-	entry    mimosatide.Entry
-	route    mimosatide.PathRoute
-	service  mimosatide.Service
+	gate    *Gateway
+	writer  http.ResponseWriter
+	entry   mimosatide.Entry
+	route   mimosatide.PathRoute
+	service mimosatide.Service
 	// eventGap is the shortest pause that a stream of the service's targets may make, zero if any is allowed.
 	eventGap time.Duration
 	account  mimosatide.AccountLimit
