Learn how many loads the weight store serves at once

Cause: an owner had at most four loads from the weight store under way. Change: an owner begins with three and learns from how long loads take: one less when a load takes a quarter longer than configured, one more after two that took the last place and were sound; a number that was too many is not tried for a minute. Test: stores that serve one and six loads at once.

--- a/internal/loading/owner.go
+++ b/internal/loading/owner.go
@@ -21,8 +21,6 @@
 	remoteShare = 0.9
 	// remoteBurst is the most loads that begin at once after a pause.
 	remoteBurst = 2
-	// remoteAtOnce bounds the loads under way: beyond it each load slows the others.
-	remoteAtOnce = 4
 	// quietTime is how long a step or need that failed is not tried again.
 	quietTime = 200 * time.Millisecond
 )
@@ -50,8 +48,9 @@
 	term    mimosatide.FencingNumber
 	workers map[string]*worker
 	loading map[string]int
-	// remote counts the loads from the weight store under way.
+	// remote counts the loads from the weight store under way, lanes bounds them.
 	remote  int
+	lanes   lanes
 	tokens  float64
 	tokenAt time.Time
 	// retryAt is when an adapter that could not be loaded is tried again.
@@ -156,6 +155,7 @@
 		owner.workers = map[string]*worker{}
 		owner.loading = map[string]int{}
 		owner.remote = 0
+		owner.lanes = newLanes()
 		owner.tokens = 0
 	}
 	present := map[string]bool{}
@@ -204,7 +204,7 @@
 		owner.tokens = min(owner.tokens, remoteBurst)
 	}
 	owner.tokenAt = now
-	return min(int(owner.tokens), remoteAtOnce-owner.remote)
+	return min(int(owner.tokens), owner.lanes.limit-owner.remote)
 }
 
 func (owner *Owner) start(class mimosatide.EngineClass, step Step) {
@@ -215,24 +215,40 @@
 	term := owner.term
 	owner.loading[step.Model]++
 	remote := step.Tier == mimosatide.TierRemote
+	full := false
 	if remote {
 		owner.remote++
 		owner.tokens--
+		full = owner.remote >= owner.lanes.limit
 	}
 	owner.log.Info("placement decided", "service", owner.settings.Service, "target", step.Instance, "model", step.Model,
 		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason)
 	go func() {
 		begun := time.Now()
-		err := worker.place(worker.working, class, step)
-		owner.log.Info("placement ended", "target", step.Instance, "model", step.Model, "took", time.Since(begun), "reason", text(err))
+		loaded, err := worker.place(worker.working, class, step)
+		owner.log.Info("placement ended", "target", step.Instance, "model", step.Model, "took", time.Since(begun),
+			"load", loaded, "reason", text(err))
 		worker.free()
-		owner.ended(step, remote, term, errors.Is(err, errBusy))
+		ended := endedStep{Step: step, remote: remote, full: full, begun: begun, loaded: loaded, unordered: errors.Is(err, errBusy)}
+		owner.ended(ended, term)
 	}()
 }
 
-// ended takes a step off what is under way in the term in which it began; one that
-// was not ordered took nothing from the weight store's rate.
-func (owner *Owner) ended(step Step, remote bool, term mimosatide.FencingNumber, unordered bool) {
+// endedStep is a step that is no longer under way.
+type endedStep struct {
+	Step
+	// remote says that it was a load from the weight store, full that it took the last lane.
+	remote bool
+	full   bool
+	begun  time.Time
+	// loaded is how long the load took, zero if it was not seen to end.
+	loaded time.Duration
+	// unordered says that no order was given, so that nothing was taken of the store's rate.
+	unordered bool
+}
+
+// ended takes a step off what is under way in the term in which it began.
+func (owner *Owner) ended(step endedStep, term mimosatide.FencingNumber) {
 	owner.lock.Lock()
 	defer owner.lock.Unlock()
 	if owner.term != term {
@@ -244,12 +260,17 @@
 	if owner.loading[step.Model] == 0 {
 		delete(owner.loading, step.Model)
 	}
-	if remote && owner.remote > 0 {
-		owner.remote--
+	if !step.remote {
+		return
 	}
-	if remote && unordered {
+	owner.remote = max(owner.remote-1, 0)
+	if step.unordered {
 		owner.tokens++
 	}
+	if before := owner.lanes.limit; step.loaded > 0 && owner.lanes.learn(step, time.Now()) {
+		owner.log.Info("loads at once", "service", owner.settings.Service, "before", before, "limit", owner.lanes.limit,
+			"model", step.Model, "took", step.loaded, "expected", step.LoadTime)
+	}
 }
 
 // startAdapters loads the adapters that requests wait for.
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -113,39 +113,44 @@
 	<-worker.turn
 }
 
-// place makes room for a model and loads it.
-func (worker *worker) place(ctx context.Context, class mimosatide.EngineClass, step Step) error {
+// place makes room for a model and loads it. It returns how long the load took.
+func (worker *worker) place(ctx context.Context, class mimosatide.EngineClass, step Step) (time.Duration, error) {
 	if err := worker.takeTurn(ctx); err != nil {
-		return errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 	defer worker.endTurn()
 	if err := worker.sync(ctx); err != nil {
-		return errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 	for _, victim := range step.Victims {
 		if err := worker.unload(ctx, victim); err != nil {
-			return errors.Annotatef(err, "unloading %s", victim)
+			return 0, errors.Annotatef(err, "unloading %s", victim)
 		}
 	}
 	known, _, _ := worker.view()
 	if known.Holds(step.Model) {
-		return nil
+		return 0, nil
 	}
 	if UsedMB(class, known)+class.Models[step.Model].MemoryMB > class.MemoryMB {
-		return errors.Errorf("no room for %s", step.Model)
+		return 0, errors.Errorf("no room for %s", step.Model)
 	}
 	if err := worker.loadAfterUnload(ctx, step.Model); err != nil {
-		return errors.Annotatef(err, "loading %s", step.Model)
+		return 0, errors.Annotatef(err, "loading %s", step.Model)
 	}
+	begun := time.Now()
 	sleep(ctx, step.LoadTime)
 	if step.Tier != mimosatide.TierRemote {
 		// The time of a load from the target's own copies is known, and its report lags.
 		sleep(ctx, loadMargin)
 		worker.publish(withModel(worker.now(), step.Model))
 	}
-	return errors.Trace(worker.await(ctx, step.LoadTime+loadSlack, func(report mimosatide.InstanceReport) bool {
+	err := worker.await(ctx, step.LoadTime+loadSlack, func(report mimosatide.InstanceReport) bool {
 		return holds(report.Holdings, step.Model)
-	}))
+	})
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	return time.Since(begun), nil
 }
 
 // unload takes a model off the engine; no node sends requests for it from the order on.
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -31,6 +31,12 @@
 	faults  []string
 	// reports counts the questions about an engine's state.
 	reports map[string]int
+	// storeLanes is the number of loads that the weight store serves at full speed; zero
+	// for loads that take no longer than an order. most is the most loads at once
+	// that began after settled.
+	storeLanes int
+	settled    time.Time
+	most       int
 }
 
 type fakeEngine struct {
@@ -102,12 +108,30 @@
 		engine.busyTo = time.Now().Add(time.Duration(engines.random.IntN(300)) * time.Millisecond)
 	case !held:
 		engine.holdings[order.Model] = nil
-		engine.busyTo = time.Now().Add(400 * time.Millisecond)
+		engine.busyTo = time.Now().Add(engines.loadTime(order.Model))
 	}
 	engines.check(id, engine)
 	return mimosatide.OrderAccepted
 }
 
+// loadTime is how long a load takes beside those that are under way.
+func (engines *fakeEngines) loadTime(model string) time.Duration {
+	if engines.storeLanes == 0 {
+		return 400 * time.Millisecond
+	}
+	loads := 1
+	for _, engine := range engines.engines {
+		if time.Now().Before(engine.busyTo) {
+			loads++
+		}
+	}
+	if time.Now().After(engines.settled) {
+		engines.most = max(engines.most, loads)
+	}
+	full := engines.class.Models[model].LoadTime
+	return max(full, full*time.Duration(loads)/time.Duration(engines.storeLanes))
+}
+
 // check demands that an engine never holds more than it has room for.
 func (engines *fakeEngines) check(id string, engine *fakeEngine) {
 	memory, adapters := 0.0, 0
@@ -224,6 +248,39 @@
 	})
 }
 
+// TestLoadsAtOnceFollowTheWeightStore has stores that serve fewer and more loads at
+// full speed than an owner begins with.
+func TestLoadsAtOnceFollowTheWeightStore(t *testing.T) {
+	for _, store := range []struct{ lanes, least, most int }{{lanes: 1, least: 1, most: 2}, {lanes: 6, least: 5, most: 7}} {
+		synctest.Test(t, func(t *testing.T) {
+			var ids []string
+			models := map[string]mimosatide.EngineModel{}
+			for index := range 60 {
+				name := fmt.Sprintf("m%d", index)
+				ids = append(ids, fmt.Sprintf("e%d", index))
+				models[name] = mimosatide.EngineModel{Name: name, MemoryMB: 100, LoadTime: 6 * time.Second}
+			}
+			engines := newEngines(1, ids...)
+			engines.class = mimosatide.EngineClass{MemoryMB: 160, LoadsPerSecond: 10, Models: models}
+			engines.storeLanes, engines.settled = store.lanes, time.Now().Add(time.Minute)
+			ctx, cancel := context.WithCancel(context.Background())
+			owner, _ := runOwner(ctx, engines)
+			for range 500 {
+				for model := range models {
+					owner.Need(loading.Need{Service: "llm", Model: model}, time.Now())
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			if engines.most < store.least || engines.most > store.most {
+				t.Errorf("%d loads at once of a store that serves %d", engines.most, store.lanes)
+			}
+			cancel()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		})
+	}
+}
+
 // driveOwner runs an owner for a minute and returns how often a need was met.
 func driveOwner(t *testing.T, engines *fakeEngines, seed uint64) int {
 	t.Helper()
