Ask a lost store by one follower of a node; ignore the word of an earlier holder

Changes: a word on a row older than the newest one seen is ignored; whichever follower loses the store first probes it; relays' polls stay open for 0.5 s; changes of the list of hosts are gathered for 0.5 s.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -40,6 +40,9 @@
 	staleParts = 4
 	// gatherPart is the part of the drain time for which targets' changes are gathered.
 	gatherPart = 0.35
+	// hostGather is how long changes of the list of hosts are gathered: when many
+	// start at once, each of them changes it.
+	hostGather = 500 * time.Millisecond
 	// peerQueue is how many messages may wait for a peer: about three seconds of a
 	// relay's batches, as older digests are worth less than the next one.
 	peerQueue = 32
@@ -66,6 +69,7 @@
 	meter      *metric.Meter
 	hub        *peer.Hub
 	followers  map[string]*feed.Follower
+	gate       *feed.Gate
 	fleet      *fleet
 	loader     *loader
 
@@ -95,6 +99,7 @@
 		suspects:      gateway.NewSuspects(),
 		meter:         metric.New(),
 		followers:     map[string]*feed.Follower{},
+		gate:          &feed.Gate{},
 		refuseWaiting: make(chan struct{}),
 		metrics:       net.JoinHostPort(settings.IP, metricsPort),
 	}
@@ -121,10 +126,11 @@
 const engineIdle = 2 * time.Second
 
 func (node *Node) follow(table string, apply func(feed.Update)) {
-	// The configuration is asked for first, so it is what shows that a lost store answers again.
-	settings := feed.Settings{Table: table, Guide: node.fleet, Probe: node.followers[platform.ConfigurationTable]}
+	settings := feed.Settings{Table: table, Guide: node.fleet, Gate: node.gate}
 	if table != hostTable {
 		settings.GuideWait = guideWait
+	} else {
+		settings.Gather = hostGather
 	}
 	if table == platform.TargetTable {
 		// Targets write often; what counts is that one that leaves is known well within the drain time.
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -16,14 +16,14 @@
 	// relayEvery is for how long a relay gathers digests before it passes them on.
 	relayEvery = 100 * time.Millisecond
 	// guideWait is how long the store may hold a relay's poll open, and guideFresh
-	// how old the relay's knowledge of the configuration may be: a zone whose relay
-	// is cut from the store asks the store itself a second later, well within the
-	// time in which a configuration has to be in force.
-	guideWait  = 300 * time.Millisecond
-	guideFresh = 700 * time.Millisecond
+	// how old the relay's knowledge of the configuration may be, two polls and some
+	// slack: a zone whose relay is cut from the store asks the store itself within
+	// two seconds, of the three in which a configuration has to be in force.
+	guideWait  = 500 * time.Millisecond
+	guideFresh = 2*guideWait + 300*time.Millisecond
 	// unfitAfter is how long the store may not answer a relay before another host is
 	// chosen: a single lost answer is repeated within it.
-	unfitAfter = time.Second
+	unfitAfter = 1500 * time.Millisecond
 )
 
 // relayed says whether news goes through relays.
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -85,9 +85,9 @@
 	// GuideWait replaces Wait while other nodes rely on this one, so that a store
 	// that has gone silent is noticed soon; zero stands for Wait.
 	GuideWait time.Duration
-	// Probe is the follower that finds out when a lost store answers again; until
-	// then this one does not ask. A nil one stands for this follower itself.
-	Probe *Follower
+	// Gate is shared by the followers of one store, so that only one of them finds out
+	// when a lost store answers again; nil for a follower that works alone.
+	Gate *Gate
 }
 
 // Guide is how a follower works together with those of other nodes.
@@ -112,7 +112,7 @@
 	guide  Guide
 	// guideWait is how long a poll may stay open while other nodes rely on this one.
 	guideWait time.Duration
-	probe     *Follower
+	gate      *Gate
 
 	lock sync.Mutex
 	// endPoll ends the poll that is under way.
@@ -134,6 +134,9 @@
 	if settings.Gather <= 0 {
 		settings.Gather = DefaultGather
 	}
+	if settings.Gate == nil {
+		settings.Gate = &Gate{}
+	}
 	return &Follower{
 		table:  settings.Table,
 		wait:   settings.Wait,
@@ -141,7 +144,7 @@
 		guide:  settings.Guide,
 
 		guideWait: settings.GuideWait,
-		probe:     settings.Probe,
+		gate:      settings.Gate,
 		endPoll:   func() {},
 		clock:     clock,
 		store:     store,
@@ -174,7 +177,7 @@
 	complete := false
 	pause := retryAfter
 	for ctx.Err() == nil {
-		if follower.guided() || follower.waitsForProbe() {
+		if follower.guided() || follower.gate.holds(follower) {
 			sleep(ctx, guidedEvery)
 			continue
 		}
@@ -221,17 +224,6 @@
 	follower.endPoll()
 }
 
-// waitsForProbe says whether the store is lost and another follower asks it.
-func (follower *Follower) waitsForProbe() bool {
-	if follower.probe == nil {
-		return false
-	}
-	follower.lock.Lock()
-	lost := follower.everAsked && !follower.state.Healthy
-	follower.lock.Unlock()
-	return lost && !follower.probe.State().Healthy
-}
-
 // guided says whether another node passes the changes on, and logs when that begins or ends.
 func (follower *Follower) guided() bool {
 	if follower.guide == nil {
@@ -295,6 +287,7 @@
 
 // note logs when the store is lost or regained.
 func (follower *Follower) note(err error) {
+	follower.gate.note(follower, err == nil)
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
 	healthy := err == nil
--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -127,6 +127,10 @@
 func (lease *Lease) HearGivenUp(row mimosatide.RowVersion, idle time.Duration) {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
+	if row < lease.seenRow {
+		// Another node has taken the lease since; the one before goes on saying so.
+		return
+	}
 	lease.heard = false
 	lease.givenUp = row
 	lease.idleFor = idle
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -38,6 +38,7 @@
 	version mimosatide.RowVersion
 	refuse  bool
 	lose    bool
+	reads   int
 }
 
 func newTable() *memoryTable {
@@ -47,6 +48,7 @@
 func (table *memoryTable) Read(_ context.Context, keys ...string) ([]mimosatide.Row, error) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
+	table.reads++
 	if table.refuse {
 		return nil, errors.New("refused")
 	}
@@ -175,6 +177,25 @@
 	}
 }
 
+// TestWordOfAnEarlierHolderDoesNotMakeItsSuccessorAway has the node that gave its
+// lease up go on saying so after another one has taken it.
+func TestWordOfAnEarlierHolderDoesNotMakeItsSuccessorAway(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	third := newLease("c", table, clock)
+	third.HearGivenUp(4, time.Second)
+	third.Hear(5)
+	third.HearGivenUp(4, time.Second)
+	third.Step(context.Background(), 0)
+	if table.reads > 0 {
+		t.Error("a candidate has asked the store although the holder was just heard")
+	}
+	third.HearGivenUp(5, time.Second)
+	third.Step(context.Background(), 0)
+	if table.reads == 0 {
+		t.Error("a candidate has not asked the store although the lease was given up")
+	}
+}
+
 func TestLostAnswerOfATakeIsSettledByTheRow(t *testing.T) {
 	clock, table := &manualClock{now: time.Hour}, newTable()
 	lease := newLease("a", table, clock)
