Test what holds long prompts back; say in the log how long

One place for a long prompt is left at every engine, also where a deployment allows pauses of less than 0.2 s: there every long prompt would have waited for half of its objective, found by reading. The line of a request's end has `held`.

--- a/internal/balance/hold.go
+++ b/internal/balance/hold.go
@@ -30,7 +30,8 @@
 
 // Room is what is known of the places for long prompts at a target.
 type Room struct {
-	// Free is how many more the target may read while the pauses of its streams stay short enough.
+	// Free is how many more the target may read: one at least, and as many as fill half
+	// of the longest pause, since what is known of other nodes is late.
 	Free int
 	// Waiting are the requests held back for it on all nodes, Own those on this node.
 	Waiting int
@@ -43,7 +44,7 @@
 	defer tracker.lock.Unlock()
 	load := tracker.total(id, now)
 	return Room{
-		Free:    int(gap/pauseOfPrompt)/2 - load.Reading,
+		Free:    max(int(gap/pauseOfPrompt)/2, 1) - load.Reading,
 		Waiting: load.Waiting,
 		Own:     tracker.state(id).load.Waiting,
 	}
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -44,7 +44,7 @@
 			return mimosatide.Instance{}, refusal
 		}
 		passage.need(loading.Need{Service: passage.service.Name, Model: passage.entry.Model})
-		if !passage.wait(ctx, changed) {
+		if !passage.wait(ctx, changed, needEvery) {
 			return mimosatide.Instance{}, passage.waitedOut(ctx)
 		}
 	}
@@ -88,7 +88,7 @@
 		passage.need(loading.Need{
 			Service: passage.service.Name, Model: passage.entry.Model, Adapter: passage.entry.Adapter, Instance: chosen.ID,
 		})
-		if !passage.wait(ctx, changed) {
+		if !passage.wait(ctx, changed, needEvery) {
 			return mimosatide.Instance{}, passage.waitedOut(ctx)
 		}
 		if _, present := passage.gate.Targets.View().Instance(chosen.ID); !present || time.Now().After(until) {
@@ -145,10 +145,10 @@
 	return mimosatide.Refuse(mimosatide.ReasonWaitExpired, "no target became ready in time").WithRetryAfter(capacityRetry)
 }
 
-// wait returns when something changed or a need is to be told again; it returns
-// false when the request can't wait any longer.
-func (passage *passage) wait(ctx context.Context, changed <-chan struct{}) bool {
-	timer := time.NewTimer(needEvery)
+// wait returns when something changed or after a time; it returns false when the
+// request can't wait any longer.
+func (passage *passage) wait(ctx context.Context, changed <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -29,7 +29,10 @@
 			release()
 			held, release = instance.ID, passage.gate.Tracker.Hold(instance.ID)
 		}
-		if !passage.pauseFor(ctx, balance.HoldPoll) {
+		began := time.Now()
+		proceed := passage.wait(ctx, nil, balance.HoldPoll)
+		passage.held += time.Since(began)
+		if !proceed {
 			return mimosatide.Instance{}, passage.waitedOut(ctx)
 		}
 	}
@@ -43,17 +46,3 @@
 	room := passage.gate.Tracker.Room(instance.ID, passage.eventGap, time.Now())
 	return rand.Float64() < room.Chance()
 }
-
-// pauseFor returns false if the request can't wait so long.
-func (passage *passage) pauseFor(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-passage.gate.Draining:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -69,7 +69,7 @@
 		"service", passage.service.Name, "model", passage.entry.Model, "adapter", passage.entry.Adapter,
 		"target", passage.instance.ID, "status", status, "result", result, "detail", detail,
 		"sends", passage.sends, "mayHaveRun", passage.runs, "configuration", passage.version,
-		"waited", passage.waited.Round(time.Millisecond/10),
+		"waited", passage.waited.Round(time.Millisecond/10), "held", passage.held.Round(time.Millisecond/10),
 		"first", passage.first.Round(time.Millisecond/10), "pause", passage.pause.Round(time.Millisecond/10),
 		"took", time.Since(passage.arrived).Round(time.Millisecond/10))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,8 +43,10 @@
 	tried map[string]bool
 	sends int
 	runs  int
-	// waited is the time until the first send.
+	// waited is the time until the first send, held the part of it for which a long
+	// prompt was held back.
 	waited time.Duration
+	held   time.Duration
 	// instance and ticket belong to the present send.
 	instance mimosatide.Instance
 	ticket   *balance.Ticket
