--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -32,9 +32,6 @@
 	creditFactor = 1.25
 	// shareMemory is the time over which a node's usual part is averaged.
 	shareMemory = 3 * time.Second
-	// settleDigests is the number of digests in whose time a node that has just started
-	// has heard its peers, and may spend the part of the rate that was left to them.
-	settleDigests = 3
 	// defaultEvery stands for the time between digests until the fleet is known.
 	defaultEvery = 200 * time.Millisecond
 )
@@ -94,8 +91,6 @@
 	buckets map[string]*bucket
 	spent   map[string]float64
 	peers   map[string]*peer
-	// configuredAt is when the accounts were first known, the zero time before.
-	configuredAt time.Time
 }
 
 // New returns a ledger; its buckets begin full only if nothing can have been
@@ -180,7 +175,9 @@
 		return Verdict{Wait: ledger.every, Level: held.level, Part: part}
 	}
 	if held.level < tokens && held.level < limit.Burst*part {
-		return Verdict{Wait: ledger.wait(tokens, held.level, limit, part, now), Level: held.level, Part: part}
+		missing := min(tokens, limit.Burst*part) - held.level
+		wait := time.Duration(missing / (limit.Rate * part) * float64(time.Second))
+		return Verdict{Wait: wait, Level: held.level, Part: part}
 	}
 	verdict := Verdict{Granted: true, Level: held.level, Part: part}
 	held.level -= tokens
@@ -189,28 +186,11 @@
 	return verdict
 }
 
-// wait is how long it takes until tokens have accrued on top of a level.
-func (ledger *Ledger) wait(tokens, level float64, limit Limit, part float64, now time.Time) time.Duration {
-	settledIn := ledger.configuredAt.Add(settleDigests * ledger.every).Sub(now)
-	if part < 1 && settledIn > 0 {
-		// The peers will have been heard by then, so the whole rate counts.
-		return settledIn + accrual(min(tokens, limit.Burst)-level, limit.Rate)
-	}
-	return accrual(min(tokens, limit.Burst*part)-level, limit.Rate*part)
-}
-
-func accrual(tokens, rate float64) time.Duration {
-	return time.Duration(tokens / rate * float64(time.Second))
-}
-
 // SetAccounts makes the buckets of the configured accounts, so that they accrue and
 // count what peers spend from then on, and not only from the first request here.
 func (ledger *Ledger) SetAccounts(limits map[string]Limit, now time.Time) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	if ledger.configuredAt.IsZero() {
-		ledger.configuredAt = now
-	}
 	for account, limit := range limits {
 		if _, found := ledger.buckets[account]; !found && limit.Rate > 0 {
 			ledger.newBucket(account, limit, now)
--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -34,21 +34,6 @@
 	}
 }
 
-func TestWaitOfAStartedNodeCountsOnItsPeers(t *testing.T) {
-	ledger := allowance.New(false)
-	ledger.SetAccounts(map[string]allowance.Limit{"a": limit}, start)
-	ledger.SetPeers([]string{"b", "c", "d"}, 200*time.Millisecond)
-	// A quarter of the rate is this node's until the others are heard.
-	if verdict := ledger.Spend("a", limit, 200, start); verdict.Granted || verdict.Wait != 800*time.Millisecond {
-		t.Errorf("verdict at the start: %+v", verdict)
-	}
-	later := start.Add(time.Minute)
-	ledger.Spend("a", limit, 125, later)
-	if verdict := ledger.Spend("a", limit, 100, later); verdict.Granted || verdict.Wait != 400*time.Millisecond {
-		t.Errorf("verdict of a node that is cut off: %+v", verdict)
-	}
-}
-
 func TestPeersSpendsAreTakenOutOnce(t *testing.T) {
 	ledger := allowance.New(true)
 	ledger.SetPeers([]string{"b"}, 200*time.Millisecond)
