--- a/internal/decisionlog/explain.go
+++ b/internal/decisionlog/explain.go
@@ -123,5 +123,5 @@
 	"configuration in force": true, "configuration unreadable": true,
 	"store lost": true, "store answers": true, "log lines dropped": true,
 	"lease taken": true, "lease lost": true, "lease given up": true, "lease released": true,
-	"host left": true, "host removed": true, "relay chosen": true,
+	"process held up": true, "host left": true, "host removed": true, "relay chosen": true,
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -48,6 +48,8 @@
 	peerQueue = 32
 	// housekeepEvery is how often old connections and lapsed targets are looked for.
 	housekeepEvery = 500 * time.Millisecond
+	// heldUpFrom is the delay of that from which the process has been suspended or starved.
+	heldUpFrom = time.Second
 )
 
 // Node is one entry node.
@@ -228,11 +230,17 @@
 func (node *Node) housekeep(ctx context.Context) {
 	ticker := time.NewTicker(housekeepEvery)
 	defer ticker.Stop()
+	looked := bootClock{}.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			before := looked
+			looked = bootClock{}.Now()
+			if delay := looked - before - housekeepEvery; delay > heldUpFrom {
+				node.log.Info("process held up", "node", node.settings.Node, "delay", delay)
+			}
 			node.exchange.Sweep()
 			node.targets.Expire(now)
 			view := node.targets.View()
