Hold a prompt back for a quarter of its caller's time at most

Found by reading: a request whose caller waits for less than half of its route's objective would have been held until its end and refused late. Tests, each failing without its mechanism: a long prompt waits until its engine has room, while a short one passes; one with little time is not held until its end.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -36,6 +36,7 @@
 	t       *testing.T
 	server  *httptest.Server
 	targets *registry.Registry
+	tracker *balance.Tracker
 	ledger  *allowance.Ledger
 	loader  *fakeLoader
 	// drain tells the gateway that its process ends.
@@ -71,6 +72,7 @@
 	created := &world{
 		t:       t,
 		targets: registry.New(logr.Discard()),
+		tracker: balance.New("a"),
 		ledger:  allowance.New(true),
 		loader:  &fakeLoader{},
 		drain:   make(chan struct{}),
@@ -79,7 +81,7 @@
 	gate := gateway.New(gateway.Parts{
 		Deployment: func() *mimosatide.Deployment { return deployment },
 		Targets:    created.targets,
-		Tracker:    balance.New("a"),
+		Tracker:    created.tracker,
 		Ledger:     created.ledger,
 		Exchange:   exchange.New(&net.Dialer{}),
 		Loader:     created.loader,
@@ -102,6 +104,9 @@
 	}
 	resumable := route("resumable", mimosatide.StreamRoute, "llm", 2, 2*time.Second)
 	resumable.Resumable = true
+	patient := route("patient", mimosatide.StreamRoute, "llm", 1, time.Hour)
+	patient.LatencyObjective = time.Hour
+	patient.EventGapObjective = 500 * time.Millisecond
 	deployment := mimosatide.Deployment{
 		Version: 3,
 		Services: map[string]mimosatide.Service{
@@ -126,6 +131,7 @@
 		route("short", mimosatide.NonIdempotentRoute, "desk", 1, 100*time.Millisecond),
 		route("chat", mimosatide.StreamRoute, "llm", 1, 2*time.Second),
 		resumable,
+		patient,
 	})
 	return &deployment
 }
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -10,14 +10,18 @@
 )
 
 // holdPart is the part of a request's latency objective for which it is held back
-// at most: the rest is left for reading its prompt.
-const holdPart = 0.5
+// at most, and holdWaitPart the same of the time that its caller waits: the rest is
+// left for reading its prompt and for its events.
+const (
+	holdPart     = 0.5
+	holdWaitPart = 0.25
+)
 
 // findRoom returns a target for the request. A long prompt is held back while the
 // target already reads as many as the streams beside them can bear: it would only
 // slow those, and be read no sooner itself.
 func (passage *passage) findRoom(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
-	until := passage.arrived.Add(time.Duration(float64(passage.route.LatencyObjective) * holdPart))
+	until := passage.holdEnd()
 	held, release := "", func() {}
 	defer func() { release() }()
 	for {
@@ -38,6 +42,13 @@
 	}
 }
 
+// holdEnd is until when the request may be held back.
+func (passage *passage) holdEnd() time.Time {
+	objective := time.Duration(float64(passage.route.LatencyObjective) * holdPart)
+	waits := time.Duration(float64(passage.deadline.Sub(passage.arrived)) * holdWaitPart)
+	return passage.arrived.Add(min(objective, waits))
+}
+
 // hasRoom says whether a target may read the request's prompt now.
 func (passage *passage) hasRoom(instance mimosatide.Instance) bool {
 	if passage.eventGap <= 0 || !passage.gate.Tracker.Long(passage.query(), instance.ID) {
