Prove that owners in a row neither overcommit engines nor order within the quiet time

Until now one owner alone was driven under lost and late orders. It fails without the quiet time of a lease and without the engines' condition on the count of orders.

--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -43,9 +43,9 @@
 	orders   int64
 	busyTo   time.Time
 	holdings map[string][]string
-	// lastOrder is when the last order arrived, holder who gave it.
+	// lastOrder is when the last order was sent, orderer who sent it.
 	lastOrder time.Time
-	holder    string
+	orderer   string
 	term      mimosatide.FencingNumber
 }
 
@@ -80,6 +80,7 @@
 		})
 		return mimosatide.OrderUnknown, errors.New("no answer")
 	}
+	engines.checkTurn(instance.ID, order)
 	outcome := engines.carryOut(instance.ID, order)
 	if engines.random.Float64() < engines.lost {
 		return mimosatide.OrderUnknown, errors.New("no answer")
@@ -95,7 +96,7 @@
 	if time.Now().Before(engine.busyTo) || order.After != engine.orders {
 		return mimosatide.OrderConflict
 	}
-	engine.term, engine.holder = order.Term, order.Holder
+	engine.term = order.Term
 	engine.orders++
 	adapters, held := engine.holdings[order.Model]
 	switch {
@@ -114,6 +115,16 @@
 	return mimosatide.OrderAccepted
 }
 
+// checkTurn demands that two holders never order an engine within the quiet time of
+// each other; orders that arrive late are left out, as nobody can call them back.
+func (engines *fakeEngines) checkTurn(id string, order mimosatide.ModelOrder) {
+	engine := engines.engines[id]
+	if engine.orderer != "" && engine.orderer != order.Holder && time.Since(engine.lastOrder) < quiet {
+		engines.fault("%s was ordered by %s %s after %s", id, order.Holder, time.Since(engine.lastOrder), engine.orderer)
+	}
+	engine.orderer, engine.lastOrder = order.Holder, time.Now()
+}
+
 // loadTime is how long a load takes beside those that are under way.
 func (engines *fakeEngines) loadTime(model string) time.Duration {
 	if engines.storeLanes == 0 {
@@ -177,21 +188,65 @@
 
 // runOwner runs an owner of the engines until the context ends.
 func runOwner(ctx context.Context, engines *fakeEngines) (*loading.Owner, *registry.Registry) {
+	return runCandidate(ctx, engines, "a", newTable())
+}
+
+// runCandidate runs an owner that shares its lease with the others of a table.
+func runCandidate(
+	ctx context.Context, engines *fakeEngines, holder string, table *memoryTable,
+) (*loading.Owner, *registry.Registry) {
 	targets := registry.New(logr.Discard())
 	for id := range engines.engines {
 		targets.Put(mimosatide.Instance{ID: id, Service: "llm", Address: id, Slots: 64})
 	}
-	lease := newLease("a", newTable(), mimosatide.NewMonotonicClock())
+	lease := newLease(holder, table, mimosatide.NewMonotonicClock())
 	go lease.Run(ctx, func() int { return 0 })
 	publish := func(instance mimosatide.Instance) {
 		targets.Place(registry.Placement{Instance: instance.ID, Orders: instance.Orders, Holdings: instance.Holdings})
 	}
-	owner := loading.New(loading.Settings{Service: "llm", Holder: "a"}, lease, engines, targets,
+	owner := loading.New(loading.Settings{Service: "llm", Holder: holder}, lease, engines, targets,
 		func() (mimosatide.EngineClass, bool) { return engines.class, true }, publish, logr.Discard())
 	go owner.Run(ctx)
 	return owner, targets
 }
 
+// TestOwnersInARowNeverOvercommit ends an owner every few seconds, while orders
+// lose their answers or are carried out late, and has another one take over.
+func TestOwnersInARowNeverOvercommit(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			engines := newEngines(seed, "e0", "e1")
+			engines.lost, engines.late = 0.2, 0.2
+			table := newTable()
+			random := rand.New(rand.NewPCG(seed, 5))
+			orders := int64(0)
+			for turn := range 8 {
+				ctx, cancel := context.WithCancel(context.Background())
+				owner, _ := runCandidate(ctx, engines, fmt.Sprintf("n%d", turn), table)
+				for range 80 + random.IntN(100) {
+					owner.Need(loading.Need{Service: "llm", Model: fmt.Sprintf("m%d", random.IntN(5))}, time.Now())
+					time.Sleep(100 * time.Millisecond)
+				}
+				if random.IntN(2) == 0 {
+					owner.Lease().Release(ctx)
+				}
+				cancel()
+			}
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			for _, engine := range engines.engines {
+				orders += engine.orders
+			}
+			if len(engines.faults) > 0 {
+				t.Errorf("seed %d: %s", seed, engines.faults[0])
+			}
+			if orders < 8 {
+				t.Errorf("seed %d: only %d orders by 8 owners", seed, orders)
+			}
+		})
+	}
+}
+
 // TestLoadOnAnEngineThatIsGoneIsMadeElsewhere takes the engine away while it loads.
 func TestLoadOnAnEngineThatIsGoneIsMadeElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
