Take a lapsed row for a real end when a node knows it that has kept the store

From their logs: three nodes were cut off from the store from 7.6 to 12.2 s and found it again at 13.6; a target's row had been deleted at 13.47. The first read after an outage takes deletions for lapses and keeps such targets for 2.5 s, here 0.7 s too long: the store had been there for all others. Ruled out: that the probing by one follower caused it (each follower's own pauses have the same length as before). Change: nodes whose store has answered for 3 s say so in their digests; a lapse up to a version that such a node knows is a real end. In an outage of the store for all there is no such node. Tests: a lapsed target goes once a steady node knows of it (fails without, there was no such call); a follower is not steady right after an outage.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -263,6 +263,7 @@
 		Crashes:     node.suspects.Own(time.Now()),
 		Leads:       fleet.leads(),
 		Unfit:       fleet.unfit(time.Now()),
+		Steady:      fleet.steady(),
 	}
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{
@@ -311,9 +312,23 @@
 	node.loader.hearOwners(from, digest.Owned, now)
 	node.loader.hearGivenUp(digest.GivenUp)
 	node.suspects.Hear(digest.Node, digest.Crashes)
+	if digest.Steady {
+		// The store was not away when that node read the change.
+		node.targets.Confirm(mimosatide.RowVersion(digest.Tables[platform.TargetTable]))
+	}
 	fleet.askForNews(from, digest.Tables, now)
 }
 
+// steady says whether this node reads the store itself, which has not been away lately.
+func (fleet *fleet) steady() bool {
+	for table, follower := range fleet.node.followers {
+		if !follower.Steady() || fleet.Guided(table) {
+			return false
+		}
+	}
+	return true
+}
+
 // askForNews asks a peer that knows more for its rows while the store does not answer this node.
 func (fleet *fleet) askForNews(from string, tables map[string]uint64, now time.Time) {
 	// The relay as it was last chosen: choosing anew for each of hundreds of digests costs too much.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -208,13 +208,13 @@
 func (node *Node) applyTargets(update feed.Update) {
 	for _, change := range update.Rows {
 		if change.Deleted {
-			node.targets.Delete(change.Key, update.Recovering, time.Now())
+			node.targets.Delete(change.Key, change.Version, update.Recovering, time.Now())
 			continue
 		}
 		instance, err := platform.DecodeInstance(change.Row)
 		if err != nil {
 			node.log.Info("target row unreadable", "row", change.Key, "version", change.Version, "reason", err.Error())
-			node.targets.Delete(change.Key, false, time.Now())
+			node.targets.Delete(change.Key, change.Version, false, time.Now())
 			continue
 		}
 		node.targets.Put(instance)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -43,6 +43,8 @@
 	// recoveryTime is how long after an outage a deletion may still be an effect of
 	// it: what lapsed meanwhile comes with the first changes that are read.
 	recoveryTime = 300 * time.Millisecond
+	// steadyTime is how long after an outage a node may still learn of its effects.
+	steadyTime = 3 * time.Second
 )
 
 // Update is what a follower hands on: the changed rows, and whether a deletion
@@ -116,11 +118,15 @@
 
 	lock sync.Mutex
 	// endPoll ends the poll that is under way.
-	endPoll   context.CancelFunc
-	rows      map[string]mimosatide.Row
-	state     State
-	lostAt    time.Time
-	regained  time.Time
+	endPoll  context.CancelFunc
+	rows     map[string]mimosatide.Row
+	state    State
+	lostAt   time.Time
+	regained time.Time
+	// heard is the newest version that steady nodes know; lives says that they have
+	// read changes since this node lost the store, so that there is no outage.
+	heard     mimosatide.RowVersion
+	lives     bool
 	everAsked bool
 	// led says that another node passed the changes on when that was last looked at.
 	led bool
@@ -224,6 +230,13 @@
 	follower.endPoll()
 }
 
+// Steady says that the store answers this node, and has not been away lately.
+func (follower *Follower) Steady() bool {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	return follower.state.Healthy && time.Since(follower.regained) > steadyTime
+}
+
 // guided says whether another node passes the changes on, and logs when that begins or ends.
 func (follower *Follower) guided() bool {
 	if follower.guide == nil {
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -183,6 +183,31 @@
 	})
 }
 
+func TestFollowerIsNotSteadyRightAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		empty := answer{batch: mimosatide.RowBatch{Version: 2}, after: time.Second}
+		store := &script{answers: []answer{
+			{batch: mimosatide.RowBatch{Version: 2, Complete: true}},
+			{err: errors.New("down")},
+			empty, empty, empty, empty, empty, empty,
+		}}
+		follower, _ := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		time.Sleep(2 * time.Second)
+		if !follower.State().Healthy || follower.Steady() {
+			t.Error("a follower whose store was away a moment ago counts as steady")
+		}
+		time.Sleep(4 * time.Second)
+		if !follower.Steady() {
+			t.Error("a follower whose store has answered for seconds is not steady")
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 // guide plays the node that passes changes on.
 type guide struct {
 	lock   sync.Mutex
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -35,6 +35,8 @@
 	Leads bool `cbor:"9,keyasint,omitempty"`
 	// Unfit says that the node is a relay which the store does not answer.
 	Unfit bool `cbor:"10,keyasint,omitempty"`
+	// Steady says that the store answers the node itself and has not been away lately.
+	Steady bool `cbor:"11,keyasint,omitempty"`
 	// Crashes are requests at whose start a target crashed, by the digest of their content.
 	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -262,7 +262,7 @@
 				if engine.orders > 0 && first == "" {
 					first = id
 					engine.busyTo = time.Now().Add(time.Hour)
-					targets.Delete(id, false, time.Now())
+					targets.Delete(id, 9, false, time.Now())
 				}
 			}
 			engines.lock.Unlock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -81,12 +81,19 @@
 	lock       sync.Mutex
 	instances  map[string]mimosatide.Instance
 	placements map[string]placed
-	lapsed     map[string]time.Time
+	lapsed     map[string]lapse
 	// refuted are the models and adapters that targets have denied, and until when that counts.
 	refuted map[string]map[denial]time.Time
 	changed chan struct{}
 }
 
+// lapse is the end of a row that may only be an effect of an outage of the store.
+type lapse struct {
+	// row is the version of the end; until is how long the target is kept.
+	row   mimosatide.RowVersion
+	until time.Time
+}
+
 // denial is a model, or an adapter of it, that a target does not hold.
 type denial struct {
 	model   string
@@ -99,7 +106,7 @@
 		log:        log,
 		instances:  map[string]mimosatide.Instance{},
 		placements: map[string]placed{},
-		lapsed:     map[string]time.Time{},
+		lapsed:     map[string]lapse{},
 		refuted:    map[string]map[denial]time.Time{},
 		changed:    make(chan struct{}),
 	}
@@ -144,7 +151,7 @@
 
 // Delete takes out a target whose row is gone. While the store recovers from an
 // outage the row may only have lapsed: the target is then kept for a moment.
-func (registry *Registry) Delete(id string, recovering bool, now time.Time) {
+func (registry *Registry) Delete(id string, row mimosatide.RowVersion, recovering bool, now time.Time) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	instance, found := registry.instances[id]
@@ -152,8 +159,8 @@
 		return
 	}
 	if recovering && !instance.Leaving {
-		registry.lapsed[id] = now.Add(lapseTime)
-		registry.log.Info("target row lapsed", "target", id, "service", instance.Service)
+		registry.lapsed[id] = lapse{row: row, until: now.Add(lapseTime)}
+		registry.log.Info("target row lapsed", "target", id, "service", instance.Service, "row", row)
 		return
 	}
 	registry.remove(id)
@@ -165,8 +172,8 @@
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	expired := registry.forgetDenials(now)
-	for id, until := range registry.lapsed {
-		if now.After(until) {
+	for id, lapsed := range registry.lapsed {
+		if now.After(lapsed.until) {
 			registry.remove(id)
 			expired = true
 		}
@@ -176,6 +183,23 @@
 	}
 }
 
+// Confirm takes out the targets whose rows ended up to a version that was read while
+// the store had not been away: these rows have not only lapsed.
+func (registry *Registry) Confirm(row mimosatide.RowVersion) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	confirmed := false
+	for id, lapsed := range registry.lapsed {
+		if lapsed.row <= row {
+			registry.remove(id)
+			confirmed = true
+		}
+	}
+	if confirmed {
+		registry.touch()
+	}
+}
+
 // forgetDenials takes out what targets have denied long ago, and says whether there was any.
 func (registry *Registry) forgetDenials(now time.Time) bool {
 	forgotten := false
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -68,7 +68,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	targets := registry.New(logr.Discard())
 	targets.Put(instance("m1"))
-	targets.Delete("i-1", true, now)
+	targets.Delete("i-1", 9, true, now)
 	targets.Expire(now.Add(time.Second))
 	if !holds(targets, "m1") {
 		t.Error("a target is gone whose row only lapsed")
@@ -78,7 +78,7 @@
 		t.Error("a target whose row did not come back is kept")
 	}
 	targets.Put(instance("m1"))
-	targets.Delete("i-1", false, now)
+	targets.Delete("i-1", 9, false, now)
 	if holds(targets, "m1") {
 		t.Error("a target that left is kept")
 	}
@@ -128,3 +128,17 @@
 		t.Error("a target that denies the request without the adapter is taken to hold the model")
 	}
 }
+
+func TestLapsedTargetIsGoneOnceASteadyNodeKnowsOfIt(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	targets.Put(instance("m1"))
+	targets.Delete("i-1", 12, true, time.Now())
+	targets.Confirm(11)
+	if !holds(targets, "m1") {
+		t.Error("a target is gone whose row may only have lapsed")
+	}
+	targets.Confirm(12)
+	if holds(targets, "m1") {
+		t.Error("a target is kept that left while the store was there")
+	}
+}
