Log how old a copy is and what the peers know

When callers got 404 by an old version, the logs did not say since when the node's poll had been open, which versions its peers had, or how old the copy was. A lost call logs how long it was open, 'copy behind peers' says that a peer has known a newer change for a second, 'request ended' has the age of the configuration, and the gauge copy_age_seconds has it for each table. No decision reads any of it.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -353,6 +353,7 @@
 		if !found {
 			continue
 		}
+		follower.ObserveVersion(from, mimosatide.RowVersion(changed))
 		state := follower.State()
 		relayed := relayAddress == from && fleet.ReceivesFromRelay(table)
 		if state.Healthy && !relayed || uint64(state.LastChange) >= changed {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -185,8 +185,7 @@
 func (node *Node) activeDeployment() *mimosatide.Deployment {
 	bounds := node.settings.Bounds
 	if bounds.StopWhenStale {
-		age := bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().CurrentAt
-		if age > bounds.StaleAfter {
+		if node.configurationAge() > bounds.StaleAfter {
 			return nil
 		}
 	}
@@ -256,6 +255,7 @@
 				node.log.Info("process held up", "node", node.settings.Node, "delay", delay)
 			}
 			node.targetClient.CloseExpired()
+			node.recordCopyAges()
 			node.targets.Expire(now)
 			view := node.targets.View()
 			node.tracker.Prune(func(id string) bool {
@@ -266,6 +266,19 @@
 	}
 }
 
+// configurationAge returns the time since the configuration was last known to be current.
+func (node *Node) configurationAge() time.Duration {
+	return bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().CurrentAt
+}
+
+// recordCopyAges sets the gauges of the ages of the tables' copies.
+func (node *Node) recordCopyAges() {
+	now := bootClock{}.Now()
+	for table, follower := range node.followers {
+		node.meter.SetCopyAge(table, now-follower.State().CurrentAt)
+	}
+}
+
 // handleMessage dispatches a message to its handler; from is the sender's peer address.
 func (node *Node) handleMessage(from string, message any) {
 	now := time.Now()
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -24,16 +24,17 @@
 // the server for callers, or an error if an address can't be bound.
 func (node *Node) listen(ctx context.Context) (*http.Server, error) {
 	handler := gateway.New(gateway.Dependencies{
-		Deployment:   node.activeDeployment,
-		Targets:      node.targets,
-		Tracker:      node.tracker,
-		Ledger:       node.ledger,
-		Client:       node.targetClient,
-		Loader:       node.loader,
-		RetryBudget:  node.retryBudget,
-		CrashTracker: node.crashTracker,
-		Meter:        node.meter,
-		Draining:     node.refuseWaiting,
+		Deployment:    node.activeDeployment,
+		DeploymentAge: node.configurationAge,
+		Targets:       node.targets,
+		Tracker:       node.tracker,
+		Ledger:        node.ledger,
+		Client:        node.targetClient,
+		Loader:        node.loader,
+		RetryBudget:   node.retryBudget,
+		CrashTracker:  node.crashTracker,
+		Meter:         node.meter,
+		Draining:      node.refuseWaiting,
 	}, node.log)
 	callers := &http.Server{
 		Handler:           handler,
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -42,6 +42,8 @@
 	// DefaultBatchDelay is the pause after a poll that returned changes, so that the
 	// next poll returns more of them in one call.
 	DefaultBatchDelay = 200 * time.Millisecond
+	// behindLogDelay is how long a peer must have known a newer change before that is logged.
+	behindLogDelay = time.Second
 	// recoveryWindow is how long after an outage of the store a deletion may still be an
 	// effect of it: rows that expired in the meantime come with the first changes read.
 	recoveryWindow = 300 * time.Millisecond
@@ -120,8 +122,9 @@
 	probeGate     *ProbeGate
 
 	lock sync.Mutex
-	// cancelPoll cancels the current poll.
+	// cancelPoll cancels the current poll, which began at pollStart.
 	cancelPoll  context.CancelFunc
+	pollStart   time.Duration
 	rows        map[string]mimosatide.Row
 	state       State
 	lostAt      time.Time
@@ -132,6 +135,12 @@
 	steadyVersion mimosatide.RowVersion
 	readElsewhere bool
 	everCalled    bool
+	// newerVersion is the version of the newest change that a peer knows and this copy
+	// lacked at newerSince; zero while the copy has all of them. behindLogged is true once
+	// that was logged.
+	newerVersion mimosatide.RowVersion
+	newerSince   time.Duration
+	behindLogged bool
 	// relayed is true if the last check found that another node forwards the changes.
 	relayed bool
 }
@@ -222,6 +231,7 @@
 	defer cancel()
 	follower.lock.Lock()
 	follower.cancelPoll = cancel
+	follower.pollStart = follower.clock.Now()
 	follower.lock.Unlock()
 	err := follower.poll(pollCtx, hasSnapshot)
 	return err != nil && pollCtx.Err() != nil, err
@@ -243,6 +253,28 @@
 	return follower.state.Healthy && time.Since(follower.recoveredAt) > steadyAfter
 }
 
+// ObserveVersion takes the version of the newest change that a peer knows, and logs a copy
+// that has lacked such a change for behindLogDelay.
+func (follower *Follower) ObserveVersion(peer string, version mimosatide.RowVersion) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	now := follower.clock.Now()
+	if follower.state.Version >= follower.newerVersion {
+		follower.newerVersion, follower.behindLogged = 0, false
+	}
+	if version <= follower.state.Version {
+		return
+	}
+	if follower.newerVersion == 0 {
+		follower.newerVersion, follower.newerSince = version, now
+	}
+	if behind := now - follower.newerSince; behind >= behindLogDelay && !follower.behindLogged {
+		follower.behindLogged = true
+		follower.log.Info("copy behind peers", "table", follower.table, "version", follower.state.Version, "peer", peer,
+			"peerVersion", version, "behind", behind, "open", now-follower.pollStart, "healthy", follower.state.Healthy)
+	}
+}
+
 // receivesFromRelay reports whether another node forwards the changes, and logs when that starts or stops.
 func (follower *Follower) receivesFromRelay() bool {
 	if follower.peers == nil {
@@ -321,7 +353,8 @@
 		follower.log.Info("store answers", "table", follower.table, "version", follower.state.Version)
 	} else {
 		follower.lostAt = time.Now()
-		follower.log.Info("store lost", "table", follower.table, "version", follower.state.Version, "reason", err.Error())
+		follower.log.Info("store lost", "table", follower.table, "version", follower.state.Version,
+			"open", follower.clock.Now()-follower.pollStart, "reason", err.Error())
 	}
 	follower.state.Healthy = healthy
 	follower.everCalled = true
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -41,6 +41,8 @@
 	loader  *fakeLoader
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
+	// age is the age of the gateway's copy of the configuration.
+	age time.Duration
 
 	lock     sync.Mutex
 	requests []receivedRequest
@@ -80,16 +82,17 @@
 	}
 	deployment := testDeployment()
 	gate := gateway.New(gateway.Dependencies{
-		Deployment:   func() *mimosatide.Deployment { return deployment },
-		Targets:      created.targets,
-		Tracker:      created.tracker,
-		Ledger:       created.ledger,
-		Client:       exchange.New(&net.Dialer{}),
-		Loader:       created.loader,
-		RetryBudget:  gateway.NewRetryBudget(0.2, 56),
-		CrashTracker: gateway.NewCrashTracker(),
-		Meter:        metric.New(),
-		Draining:     created.draining,
+		Deployment:    func() *mimosatide.Deployment { return deployment },
+		DeploymentAge: func() time.Duration { return created.age },
+		Targets:       created.targets,
+		Tracker:       created.tracker,
+		Ledger:        created.ledger,
+		Client:        exchange.New(&net.Dialer{}),
+		Loader:        created.loader,
+		RetryBudget:   gateway.NewRetryBudget(0.2, 56),
+		CrashTracker:  gateway.NewCrashTracker(),
+		Meter:         metric.New(),
+		Draining:      created.draining,
 	}, logr.Discard())
 	created.server = httptest.NewServer(gate)
 	t.Cleanup(created.server.Close)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,9 +45,12 @@
 	// Deployment returns the configuration in force. It returns nil while none is known,
 	// and while it is stale on a node that must not serve on a stale one.
 	Deployment func() *mimosatide.Deployment
-	Targets    *registry.Registry
-	Tracker    *balance.Tracker
-	Ledger     *allowance.Ledger
+	// DeploymentAge returns the time since the configuration in force was last known to
+	// be current.
+	DeploymentAge func() time.Duration
+	Targets       *registry.Registry
+	Tracker       *balance.Tracker
+	Ledger        *allowance.Ledger
 	// Client sends the requests to the targets.
 	Client       *exchange.Client
 	Loader       Loader
@@ -80,6 +83,7 @@
 		return
 	}
 	handler.version = deployment.Version
+	handler.versionAge = gateway.DeploymentAge()
 	callerRequest, err := platform.DecodeCallerRequest(request, deployment.Limits.BodyBytes)
 	handler.request = callerRequest
 	if err != nil {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -75,6 +75,7 @@
 		"service", handler.service.Name, "model", handler.request.Model, "adapter", handler.request.Adapter,
 		"target", handler.instance.ID, "status", status, "result", result, "detail", detail,
 		"sends", handler.sends, "mayHaveRun", handler.possibleRuns, "configuration", handler.version,
+		"configurationAge", handler.versionAge.Round(time.Millisecond),
 		"waited", handler.waited.Round(time.Millisecond/10), "held", handler.deferred.Round(time.Millisecond/10),
 		"first", handler.firstEvent.Round(time.Millisecond/10), "pause", handler.longestGap.Round(time.Millisecond/10),
 		"took", time.Since(handler.arrived).Round(time.Millisecond/10))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -31,8 +31,9 @@
 	gapObjective time.Duration
 	account      mimosatide.AccountLimit
 	priority     int
-	// version is that of the configuration.
+	// version is that of the configuration, versionAge the age of this node's copy of it.
 	version       int64
+	versionAge    time.Duration
 	arrived       time.Time
 	deadline      time.Time
 	chargedTokens float64
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -123,6 +123,11 @@
 	meter.scope.Gauge(name).Update(value)
 }
 
+// SetCopyAge sets the time since the copy of a table was last known to be current.
+func (meter *Meter) SetCopyAge(table string, age time.Duration) {
+	meter.scope.Tagged(map[string]string{"table": table}).Gauge("copy_age_seconds").Update(age.Seconds())
+}
+
 // ObserveQueueWait records how long a request waited until it was sent to a target.
 func (meter *Meter) ObserveQueueWait(account string, wait time.Duration) {
 	meter.observe("queue_wait", map[string]string{"account": account}, wait)
