Replace a poll that no longer gets an answer

Cause: a poll whose answer is lost looks like a poll without changes. The follower waited for the poll's whole wait and slack (12 s). Its last call had been answered, so it counted as healthy and did not ask the peers, whose digests named versions 60 and more ahead. The same class: any state that is only as fresh as one call that may never return.

Evidence: 'copy behind peers ... open=8.3s healthy=true' on the host that gave the 404, for the tables op and servers, then 'store lost ... open=12.0s'.

Change: a poll that has not returned a change 0.4 s after a peer is known to have it is replaced by one that doesn't wait; after 0.8 s the peer's rows are requested too. A failed call of one table replaces the open polls of the others. The first host of a small fleet polls the configuration every 0.5 s, so that an outage is noticed even if all polls are silent, as the relays of a large one do. Calls time out after 0.8 s beyond their wait (1.6 s after a failure) instead of 2 s. If a replaced poll's successor returns changes at once, its deletions count as possible effects of an outage. Two unused fields go.

TestLargeFleetFollowsTheStoreThroughRelays wanted calls by at least three hosts once the store left one relay without an answer. The relay now gets the change from the other zone and its zone from the relay, so it wants that the zone gets the change, and the calls once the store answers neither relay.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -68,6 +68,10 @@
 	// lastSpent holds the totals of spent tokens in this node's last digest.
 	lastSpent map[string]float64
 
+	// watching is true while this node's polls of the configuration are kept short for the
+	// whole fleet.
+	watching bool
+
 	chooser *relay.Chooser
 	// relayAddress is the peer address of the zone's relay as last chosen.
 	relayAddress string
@@ -172,6 +176,7 @@
 				fleet.broadcast(gossip.Batch{Digests: []gossip.Digest{digest}})
 			}
 			fleet.node.loader.sendUsage(now)
+			fleet.updateWatch()
 			fleet.removeSilentHosts(ctx, now)
 		}
 	}
@@ -342,7 +347,8 @@
 }
 
 // requestNewerRows asks a peer whose tables are newer for its rows, if the store does
-// not answer this node or the peer is the relay that forwards changes to it.
+// not answer this node, its answers don't bring the changes that the peer knows, or the
+// peer is the relay that forwards changes to this node.
 func (fleet *fleet) requestNewerRows(from string, tables map[string]uint64, now time.Time) {
 	// Use the relay as last chosen: choosing again for each of hundreds of digests costs too much.
 	fleet.lock.Lock()
@@ -353,10 +359,10 @@
 		if !found {
 			continue
 		}
-		follower.ObserveVersion(from, mimosatide.RowVersion(changed))
+		behind := follower.ObserveVersion(from, mimosatide.RowVersion(changed))
 		state := follower.State()
 		relayed := relayAddress == from && fleet.ReceivesFromRelay(table)
-		if state.Healthy && !relayed || uint64(state.LastChange) >= changed {
+		if state.Healthy && !relayed && !behind || uint64(state.LastChange) >= changed {
 			continue
 		}
 		fleet.lock.Lock()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -137,9 +137,7 @@
 // addFollower creates the follower of a table; Run starts it.
 func (node *Node) addFollower(table string, apply func(feed.Update)) {
 	settings := feed.Settings{Table: table, Peers: node.fleet, ProbeGate: node.probeGate}
-	if table != hostTable {
-		settings.RelayPollWait = relayPollWait
-	} else {
+	if table == hostTable {
 		settings.BatchDelay = hostBatchDelay
 	}
 	if table == platform.TargetTable {
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -17,6 +17,9 @@
 	relayBatchDelay = 100 * time.Millisecond
 	// relayPollWait is how long the store may hold a relay's poll open.
 	relayPollWait = 500 * time.Millisecond
+	// watchPollWait is how long the store may hold a poll of the configuration open at the
+	// node that watches the store for a small fleet.
+	watchPollWait = 500 * time.Millisecond
 	// relayMaxStaleness is how old a relay's copy of the configuration may be: two polls
 	// and some slack. A zone whose relay has lost the store then calls the store itself
 	// within two of the three seconds in which a configuration has to be in force.
@@ -193,6 +196,43 @@
 	return self
 }
 
+// PollWaitLimit returns how long the store may hold a poll of a table open while others
+// depend on this node to notice an outage; zero means no limit. It implements feed.Peers.
+// In a large fleet the relays follow the store for their zones. In a small one, every
+// node follows the store with long polls, and the first node watches it for all.
+func (fleet *fleet) PollWaitLimit(table string) time.Duration {
+	if table == hostTable {
+		return 0
+	}
+	if fleet.usesRelays() {
+		if fleet.IsRelay() {
+			return relayPollWait
+		}
+		return 0
+	}
+	if table == platform.ConfigurationTable && fleet.rank() == 0 {
+		return watchPollWait
+	}
+	return 0
+}
+
+// updateWatch replaces the open poll of the configuration when this node begins to watch
+// the store for the fleet.
+func (fleet *fleet) updateWatch() {
+	watching := !fleet.usesRelays() && fleet.rank() == 0
+	fleet.lock.Lock()
+	begins := watching && !fleet.watching
+	changed := watching != fleet.watching
+	fleet.watching = watching
+	fleet.lock.Unlock()
+	if changed {
+		fleet.node.log.Info("watch of the store", "node", fleet.node.settings.Node, "watching", watching)
+	}
+	if begins {
+		fleet.node.followers[platform.ConfigurationTable].Interrupt()
+	}
+}
+
 // relaysTables reports whether this node is its zone's relay and all its tables are current.
 func (fleet *fleet) relaysTables() bool {
 	if !fleet.IsRelay() {
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -51,8 +51,9 @@
 
 // TestLargeFleetFollowsTheStoreThroughRelays changes the configuration of a fleet with
 // relays: only the two relays may call the store, which charges for every call. Then the
-// store stops answering one relay: its zone must call the store itself, and later follow
-// it through another relay.
+// store stops answering one relay: its zone must get the next change all the same. Once
+// it answers neither relay, the other nodes must call it themselves, and later follow it
+// through other relays.
 func TestLargeFleetFollowsTheStoreThroughRelays(t *testing.T) {
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration(1, "k1"))
@@ -67,13 +68,17 @@
 	})
 
 	nodes["a-00"].entrance.SetUnresponsive(true)
+	version++
+	changeConfiguration(t, store, nodes, version)
+	nodes["b-01"].entrance.SetUnresponsive(true)
 	delete(nodes, "a-00")
+	delete(nodes, "b-01")
 	called := storeCallers(nodes, func() { changeConfiguration(t, store, nodes, version+1) })
 	if len(called) < 3 {
-		t.Errorf("while the store does not answer relay a-00: got calls by %v, want at least 3 nodes", called)
+		t.Errorf("while the store answers neither relay: got calls by %v, want at least 3 nodes", called)
 	}
 	version++
-	eventually(t, "changes through another relay of zone a", func() bool {
+	eventually(t, "changes through other relays", func() bool {
 		version++
 		return len(storeCallers(nodes, func() { changeConfiguration(t, store, nodes, version) })) <= 2
 	})
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -1,8 +1,10 @@
 // Package feed keeps a local copy of a table of the platform's store up to date.
 //
 // A Follower reads the whole table once and then follows its changes with one
-// long poll at a time. While the store rejects a node's calls, the node takes
-// snapshots from its peers instead. All versions come from a single counter, so
+// long poll at a time. A poll whose answer was lost looks like one without changes.
+// A Follower therefore replaces its poll once a peer knows a newer change, or once
+// another call to the store has failed. While the store rejects a node's calls, the
+// node takes snapshots from its peers instead. All versions come from a single counter, so
 // the highest one wins, whatever its source, and no row reverts. In a large fleet
 // the relay of a zone forwards the changes to its nodes; their followers then
 // don't call the store.
@@ -12,6 +14,7 @@
 //	follower := feed.New(feed.Settings{Table: "hosts"}, store, clock, log, onUpdate)
 //	go follower.Run(ctx)
 //	follower.Merge(snapshotOfAPeer)
+//	behind := follower.ObserveVersion(peer, versionOfAPeer)
 package feed
 
 import (
@@ -29,9 +32,14 @@
 const (
 	// DefaultPollWait is how long the store may hold a poll open; a longer wait costs fewer calls.
 	DefaultPollWait = 10 * time.Second
-	// pollSlack is how long after the end of a poll's wait its answer may still arrive.
-	pollSlack       = 2 * time.Second
-	snapshotTimeout = 2 * time.Second
+	// pollSlack is how long after the end of a poll's wait its answer may still arrive,
+	// and snapshotTimeout bounds a read of a page of the table. Both are doubled after a
+	// failed call, because the store may only be slow.
+	pollSlack       = 800 * time.Millisecond
+	snapshotTimeout = time.Second
+	// silentPollDelay is how long an open poll may leave a change unanswered that a peer
+	// knows of, before the poll counts as silent.
+	silentPollDelay = 400 * time.Millisecond
 	// retryDelay is the mean pause after a first failure. It doubles with each further
 	// one up to maxRetryDelay, because every call is charged for, even a rejected one.
 	retryDelay    = 150 * time.Millisecond
@@ -88,9 +96,6 @@
 	BatchDelay time.Duration
 	// Peers is nil for a follower that works alone.
 	Peers Peers
-	// RelayPollWait is the longest PollWait while this node is a relay, so that a store
-	// that has stopped answering is noticed soon; zero means PollWait.
-	RelayPollWait time.Duration
 	// ProbeGate is shared by the followers of one store, so that only one of them probes
 	// a lost store; nil for a follower that works alone.
 	ProbeGate *ProbeGate
@@ -101,8 +106,9 @@
 type Peers interface {
 	// ReceivesFromRelay reports whether the relay forwards the changes of a table to this node.
 	ReceivesFromRelay(table string) bool
-	// IsRelay reports whether this node is the relay of its zone.
-	IsRelay() bool
+	// PollWaitLimit returns the longest PollWait of a table while other nodes depend on this
+	// one to notice that the store has stopped answering; zero means PollWait.
+	PollWaitLimit(table string) time.Duration
 	// Forward passes on changes from the store; after is the version of the newest change before them.
 	Forward(table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool)
 }
@@ -117,24 +123,26 @@
 	pollWait   time.Duration
 	batchDelay time.Duration
 	peers      Peers
-	// relayPollWait limits pollWait while this node is a relay.
-	relayPollWait time.Duration
-	probeGate     *ProbeGate
+	probeGate  *ProbeGate
 
 	lock sync.Mutex
-	// cancelPoll cancels the current poll, which began at pollStart.
-	cancelPoll  context.CancelFunc
-	pollStart   time.Duration
+	// cancelPoll cancels the current poll, which began at pollStart; polling is false
+	// between two polls.
+	cancelPoll context.CancelFunc
+	pollStart  time.Duration
+	polling    bool
+	// suspected says that the last poll was replaced because it seemed to be silent, so
+	// that the next one must not wait.
+	suspected bool
+	// failed says that the last call failed, batched that it returned changes. Only Run's
+	// goroutine uses them.
+	failed      bool
+	batched     bool
 	rows        map[string]mimosatide.Row
 	state       State
 	lostAt      time.Time
 	recoveredAt time.Time
-	// steadyVersion and readElsewhere are unused. They stand for the newest version that
-	// steady nodes know, and for whether they have read changes since this node lost the
-	// store, so that there is no outage.
-	steadyVersion mimosatide.RowVersion
-	readElsewhere bool
-	everCalled    bool
+	everCalled  bool
 	// newerVersion is the version of the newest change that a peer knows and this copy
 	// lacked at newerSince; zero while the copy has all of them. behindLogged is true once
 	// that was logged.
@@ -157,21 +165,21 @@
 	if settings.ProbeGate == nil {
 		settings.ProbeGate = &ProbeGate{}
 	}
-	return &Follower{
+	follower := &Follower{
 		table:      settings.Table,
 		pollWait:   settings.PollWait,
 		batchDelay: settings.BatchDelay,
 		peers:      settings.Peers,
-
-		relayPollWait: settings.RelayPollWait,
-		probeGate:     settings.ProbeGate,
-		cancelPoll:    func() {},
-		clock:         clock,
-		store:         store,
-		log:           log,
-		onUpdate:      onUpdate,
-		rows:          map[string]mimosatide.Row{},
+		probeGate:  settings.ProbeGate,
+		cancelPoll: func() {},
+		clock:      clock,
+		store:      store,
+		log:        log,
+		onUpdate:   onUpdate,
+		rows:       map[string]mimosatide.Row{},
 	}
+	follower.probeGate.add(follower)
+	return follower
 }
 
 // State returns how current the copy is.
@@ -218,6 +226,10 @@
 		follower.recordOutcome(err)
 		if err == nil {
 			pause = retryDelay
+			if follower.batched {
+				follower.batched = false
+				sleep(ctx, follower.batchDelay)
+			}
 			continue
 		}
 		sleep(ctx, pause/2+rand.N(pause))
@@ -225,15 +237,20 @@
 	}
 }
 
-// pollOnce makes one poll and reports whether Interrupt cancelled it before an answer came.
+// pollOnce makes one poll and reports whether it was cancelled before an answer came,
+// because it was interrupted or replaced.
 func (follower *Follower) pollOnce(ctx context.Context, hasSnapshot *bool) (bool, error) {
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	follower.lock.Lock()
 	follower.cancelPoll = cancel
 	follower.pollStart = follower.clock.Now()
+	follower.polling = true
 	follower.lock.Unlock()
 	err := follower.poll(pollCtx, hasSnapshot)
+	follower.lock.Lock()
+	follower.polling = false
+	follower.lock.Unlock()
 	return err != nil && pollCtx.Err() != nil, err
 }
 
@@ -253,9 +270,11 @@
 	return follower.state.Healthy && time.Since(follower.recoveredAt) > steadyAfter
 }
 
-// ObserveVersion takes the version of the newest change that a peer knows, and logs a copy
-// that has lacked such a change for behindLogDelay.
-func (follower *Follower) ObserveVersion(peer string, version mimosatide.RowVersion) {
+// ObserveVersion takes the version of the newest change that a peer knows. A poll that has
+// not returned such a change within silentPollDelay is replaced. ObserveVersion returns
+// true if the copy still lacks the change after twice that time: the caller should then
+// request the peer's copy.
+func (follower *Follower) ObserveVersion(peer string, version mimosatide.RowVersion) bool {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
 	now := follower.clock.Now()
@@ -263,16 +282,38 @@
 		follower.newerVersion, follower.behindLogged = 0, false
 	}
 	if version <= follower.state.Version {
-		return
+		return false
 	}
 	if follower.newerVersion == 0 {
 		follower.newerVersion, follower.newerSince = version, now
 	}
-	if behind := now - follower.newerSince; behind >= behindLogDelay && !follower.behindLogged {
+	behind := now - follower.newerSince
+	if behind >= behindLogDelay && !follower.behindLogged {
 		follower.behindLogged = true
 		follower.log.Info("copy behind peers", "table", follower.table, "version", follower.state.Version, "peer", peer,
 			"peerVersion", version, "behind", behind, "open", now-follower.pollStart, "healthy", follower.state.Healthy)
 	}
+	if now-max(follower.newerSince, follower.pollStart) >= silentPollDelay {
+		follower.suspectPollLocked("a peer knows a newer change")
+	}
+	return follower.state.Synced && behind >= 2*silentPollDelay
+}
+
+// suspectPoll replaces the open poll, if there is one, by one that doesn't wait.
+func (follower *Follower) suspectPoll(reason string) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	follower.suspectPollLocked(reason)
+}
+
+func (follower *Follower) suspectPollLocked(reason string) {
+	if !follower.polling || follower.suspected || !follower.state.Healthy {
+		return
+	}
+	follower.suspected = true
+	follower.log.Info("poll replaced", "table", follower.table, "version", follower.state.Version,
+		"open", follower.clock.Now()-follower.pollStart, "reason", reason)
+	follower.cancelPoll()
 }
 
 // receivesFromRelay reports whether another node forwards the changes, and logs when that starts or stops.
@@ -292,8 +333,14 @@
 // for changes after the copy's version.
 func (follower *Follower) poll(ctx context.Context, hasSnapshot *bool) error {
 	start := follower.clock.Now()
+	follower.lock.Lock()
+	state, suspected, slowdown := follower.state, follower.suspected, time.Duration(1)
+	follower.lock.Unlock()
+	if follower.failed {
+		slowdown = 2
+	}
 	if !*hasSnapshot {
-		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, slowdown*snapshotTimeout)
 		defer cancel()
 		batch, err := follower.store.Snapshot(callCtx, follower.table)
 		if err != nil {
@@ -305,31 +352,46 @@
 		return nil
 	}
 	wait := follower.pollWait
-	state := follower.State()
-	if follower.relayPollWait > 0 && follower.peers != nil && follower.peers.IsRelay() {
-		wait = min(wait, follower.relayPollWait)
+	if follower.peers != nil {
+		if limit := follower.peers.PollWaitLimit(follower.table); limit > 0 {
+			wait = min(wait, limit)
+		}
 	}
-	if !state.Healthy {
+	if !state.Healthy || suspected {
 		wait = 0
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+pollSlack)
+	callCtx, cancel := context.WithTimeout(ctx, wait+slowdown*pollSlack)
 	defer cancel()
 	batch, err := follower.store.Changes(callCtx, follower.table, state.Version, wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	follower.endSuspicion(len(batch.Rows) > 0)
 	recovering := follower.recovering()
 	follower.Merge(batch)
 	follower.markCurrent(start)
 	if len(batch.Rows) > 0 {
+		follower.batched = true
 		if follower.peers != nil {
 			follower.peers.Forward(follower.table, state.LastChange, batch, recovering)
 		}
-		sleep(ctx, follower.batchDelay)
 	}
 	return nil
 }
 
+// endSuspicion ends the suspicion of the last poll. If the poll that replaced it returned
+// changes at once, the last one was silent: the store may have had an outage that this
+// follower did not notice, and deletions may be effects of it.
+func (follower *Follower) endSuspicion(changed bool) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if follower.suspected && changed {
+		follower.lostAt = time.Now()
+		follower.recoveredAt = follower.lostAt
+	}
+	follower.suspected = false
+}
+
 // markCurrent records that the copy was current at a clock reading.
 func (follower *Follower) markCurrent(at time.Duration) {
 	follower.lock.Lock()
@@ -339,9 +401,11 @@
 
 // recordOutcome takes the outcome of a call and logs when the store is lost or answers again.
 func (follower *Follower) recordOutcome(err error) {
+	follower.failed = err != nil
 	follower.probeGate.record(follower, err == nil)
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
+	follower.suspected = false
 	healthy := err == nil
 	if healthy == follower.state.Healthy && follower.everCalled {
 		return
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -26,19 +26,23 @@
 	err   error
 	// delay is how long the store takes to answer.
 	delay time.Duration
+	// silent says that the store never answers the call.
+	silent bool
 }
 
 func (store *scriptedStore) next(ctx context.Context, call string) (mimosatide.RowBatch, error) {
 	store.lock.Lock()
 	store.calls = append(store.calls, call)
-	if len(store.answers) == 0 {
-		store.lock.Unlock()
+	next := answer{silent: true}
+	if len(store.answers) > 0 {
+		next = store.answers[0]
+		store.answers = store.answers[1:]
+	}
+	store.lock.Unlock()
+	if next.silent {
 		<-ctx.Done()
 		return mimosatide.RowBatch{}, ctx.Err()
 	}
-	next := store.answers[0]
-	store.answers = store.answers[1:]
-	store.lock.Unlock()
 	time.Sleep(next.delay)
 	return next.batch, next.err
 }
@@ -225,7 +229,7 @@
 	return peers.receives
 }
 
-func (peers *fakePeers) IsRelay() bool { return false }
+func (peers *fakePeers) PollWaitLimit(string) time.Duration { return 0 }
 
 func (peers *fakePeers) Forward(_ string, after mimosatide.RowVersion, _ mimosatide.RowBatch, _ bool) {
 	peers.lock.Lock()
@@ -335,6 +339,92 @@
 	})
 }
 
+// observeFor passes a version that a peer knows to a follower, as its digests do for the
+// given time.
+func observeFor(follower *feed.Follower, version mimosatide.RowVersion, duration time.Duration) {
+	for passed := time.Duration(0); passed < duration; passed += 200 * time.Millisecond {
+		follower.ObserveVersion("peer", version)
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// TestSilentPollIsReplacedOnceAPeerKnowsMore guards against a copy that stays old for the
+// whole wait of a poll whose answer was lost, while the store answers new calls.
+func TestSilentPollIsReplacedOnceAPeerKnowsMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}},
+			{silent: true},
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 9)}, Version: 9}},
+		}}
+		follower, _ := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		observeFor(follower, 9, 2*time.Second)
+		if state := follower.State(); state.Version != 9 || len(store.calls) != 4 {
+			t.Errorf("2 s after a peer knew version 9: got version %d and calls %v, want version 9 and 4 calls", state.Version, store.calls)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestDeletionAfterASilentPollIsMarkedRecovering guards against taking a row that lapsed
+// during an outage for deleted, because the poll was silent and the outage not noticed.
+func TestDeletionAfterASilentPollIsMarkedRecovering(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone := mimosatide.RowChange{Row: mimosatide.Row{Key: "a", Version: 9}, Deleted: true}
+		store := &scriptedStore{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}},
+			{silent: true},
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{gone}, Version: 9}},
+		}}
+		follower, collected := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		go follower.Run(ctx)
+		<-collected.updates
+		observeFor(follower, 9, 2*time.Second)
+		if len(collected.updates) != 1 {
+			t.Fatalf("got %d updates after a peer knew version 9, want 1", len(collected.updates))
+		}
+		if update := <-collected.updates; !update.Recovering || follower.Steady() {
+			t.Errorf("got update %+v and steady %v, want Recovering and not steady", update, follower.Steady())
+		}
+	})
+}
+
+// TestFailedCallReplacesTheOpenPollsOfTheOtherFollowers guards against a silent poll of
+// one table that is kept although the store was seen to fail meanwhile.
+func TestFailedCallReplacesTheOpenPollsOfTheOtherFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := &feed.ProbeGate{}
+		whole := answer{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}}
+		failing := &scriptedStore{answers: []answer{
+			whole, {err: errors.New("down"), delay: time.Second}, {batch: mimosatide.RowBatch{Version: 9}},
+		}}
+		silent := &scriptedStore{answers: []answer{
+			whole, {silent: true}, {batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 9)}, Version: 9}},
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var followers []*feed.Follower
+		for _, store := range []*scriptedStore{failing, silent} {
+			settings := feed.Settings{Table: "t", BatchDelay: time.Millisecond, ProbeGate: gate}
+			follower := feed.New(settings, store, mimosatide.NewMonotonicClock(), logr.Discard(), func(feed.Update) {})
+			followers = append(followers, follower)
+			go follower.Run(ctx)
+		}
+		time.Sleep(3 * time.Second)
+		if state := followers[1].State(); state.Version != 9 {
+			t.Errorf("2 s after the store failed: got version %d of the other follower and calls %v, want 9", state.Version, silent.calls)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestChangesAfterAGapAreRejected(t *testing.T) {
 	follower, _ := newFollower(&scriptedStore{})
 	batch := mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 9)}, Version: 9}
