Send nothing more to a target whose answers say that it leaves

What callers saw: their requests reached a target that had said in an answer that it leaves, and ended with it (DRAIN).

Cause: that a target leaves was known from its row only. Nothing read the header Server-Leaving, which a leaving target sets in all its answers, so the host that passed such an answer on went on sending to the target. Even the row counted only until the next one: a late row or a row that came back after an outage made the incarnation ready again.

The choice of a target, retries, resumed streams, waiting requests and orders all read the registry's list, which leaves the target out.

The soak let a leaving target return within its incarnation, which the platform's targets never do; it now starts a new incarnation. Half of its leaving targets don't announce it in their row, and the run is checked for requests at a target later than the drain time after the node passed on its word.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -281,6 +281,12 @@
 		StoreOutage:  fleet.storeOutage(time.Now()),
 		Steady:       fleet.steady(),
 	}
+	for id, born := range node.targets.ToldLeaving(time.Now()) {
+		if digest.Leaving == nil {
+			digest.Leaving = map[string]int64{}
+		}
+		digest.Leaving[id] = born.UnixMilli()
+	}
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{
 			Running: load.Running, PrefillMillis: load.Prefill.Milliseconds(), LongPrefills: load.LongPrefills, Deferred: load.Deferred,
@@ -328,6 +334,9 @@
 	node.loader.handleOwnerships(from, digest.Ownerships, now)
 	node.loader.handleHandovers(digest.Handovers)
 	node.crashTracker.SetPeerCrashes(digest.Node, digest.Crashes)
+	for id, born := range digest.Leaving {
+		node.targets.MarkLeavingByPeer(id, time.UnixMilli(born), now)
+	}
 	if digest.Steady {
 		// That node read the change without an outage, so that deletions up to it are final.
 		node.targets.ConfirmDeletions(mimosatide.RowVersion(digest.Tables[platform.TargetTable]))
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -94,6 +94,7 @@
 // metrics are served at metricsPort of the node's IP address.
 func New(settings platform.Settings, metricsPort string, log logr.Logger) (*Node, error) {
 	dialer := newDialer()
+	targets := registry.New(log)
 	node := &Node{
 		settings:    settings,
 		log:         log,
@@ -102,8 +103,8 @@
 		store:       platform.NewStore(settings.Store.Address, dialer),
 		engines: platform.NewEngines(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout,
-		}),
-		targets:        registry.New(log),
+		}, func(engine mimosatide.Instance) { targets.MarkLeaving(engine, time.Now()) }),
+		targets:        targets,
 		tracker:        balance.New(settings.Zone),
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -150,6 +150,35 @@
 	}
 }
 
+// TestTargetThatSaysItLeavesGetsNoMoreRequests guards against requests at a target whose
+// answers say that it leaves while its row still calls it ready.
+func TestTargetThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"success":       respond("body"),
+		"rejection":     respondStatus(http.StatusServiceUnavailable, true),
+		"misdirected":   respondStatus(http.StatusMisdirectedRequest, false),
+		"server error":  respondStatus(http.StatusInternalServerError, false),
+		"broken stream": respondEvents(1, 2, false),
+	}
+	for name, answer := range answers {
+		fixture := newFixture(t)
+		fixture.addTarget("leaving", "llm", func(writer http.ResponseWriter, request *http.Request) {
+			writer.Header().Set("Server-Leaving", "1")
+			answer(writer, request)
+		}, "m")
+		for range 3 {
+			request := newChatRequest(fixture, "/resumable/x", "m")
+			fixture.send(request)
+			known, _ := fixture.targets.View().Instance("leaving")
+			known.Leaving = false
+			fixture.targets.Put(known)
+		}
+		if count := len(fixture.received()); count != 1 {
+			t.Errorf("%s that says that its target leaves: got %d requests at it, want 1", name, count)
+		}
+	}
+}
+
 // A target that does not answer must not keep its caller past the route's timeout. The
 // target must know the deadline, and its connection must be closed when it has passed.
 func TestRequestIsRefusedAtItsRoutesTimeout(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -211,6 +211,9 @@
 // and unencoded answer to this request.
 func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
 	head := platform.DecodeAnswerHead(reply.Response)
+	if head.Leaving {
+		handler.gateway.Targets.MarkLeaving(handler.instance, time.Now())
+	}
 	if head.NotRun && (head.RequestID == "" || head.RequestID == handler.request.ID) {
 		reply.Close(drainBody(reply))
 		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -47,6 +47,9 @@
 	// Crashes counts the target crashes at the start of a request, by the hash of the
 	// request's content.
 	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
+	// Leaving holds the targets whose answers have told the node that they leave, with the
+	// start of the incarnation in milliseconds of Unix time.
+	Leaving map[string]int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Load is the load that a node puts on a target.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,7 +4,8 @@
 // Each target describes itself in its row in the store. The owner of a service,
 // the node that holds the lease on the orders to its targets, knows earlier what
 // they hold. The holdings that the owner reports therefore override the row until
-// the target has had the time to update it.
+// the target has had the time to update it. That an incarnation leaves is final, whether
+// its row, its answers or a peer said so.
 //
 // # Usage
 //
@@ -89,7 +90,9 @@
 	removals  map[string]pendingRemoval
 	// refutations holds, by target, the end of each refutation.
 	refutations map[string]map[holdingKey]time.Time
-	changed     chan struct{}
+	// leaving holds, by target, the newest incarnation that is known to leave.
+	leaving map[string]leavingMark
+	changed chan struct{}
 }
 
 // pendingRemoval is the deletion of a row that may only be an effect of an outage of
@@ -115,6 +118,7 @@
 		reported:    map[string]timedHoldings{},
 		removals:    map[string]pendingRemoval{},
 		refutations: map[string]map[holdingKey]time.Time{},
+		leaving:     map[string]leavingMark{},
 		changed:     make(chan struct{}),
 	}
 	return registry
@@ -146,6 +150,12 @@
 	before, found := registry.instances[instance.ID]
 	delete(registry.removals, instance.ID)
 	registry.instances[instance.ID] = instance
+	if mark, marked := registry.leaving[instance.ID]; marked && instance.Born.After(mark.born) {
+		delete(registry.leaving, instance.ID)
+	}
+	if instance.Leaving {
+		registry.markLeavingLocked(instance.ID, instance.Born, time.Now(), time.Time{})
+	}
 	if time.Since(registry.reported[instance.ID].at) > reportTTL {
 		delete(registry.reported, instance.ID)
 	}
@@ -167,7 +177,7 @@
 	if !found {
 		return
 	}
-	if recovering && !instance.Leaving {
+	if recovering && !registry.isLeaving(instance) {
 		registry.removals[id] = pendingRemoval{row: row, until: now.Add(removalDelay)}
 		registry.log.Info("target row lapsed", "target", id, "service", instance.Service, "row", row)
 		return
@@ -176,11 +186,12 @@
 	registry.markChanged()
 }
 
-// Expire drops outdated refutations and removes the targets whose rows did not
+// Expire drops outdated refutations and marks of leaving targets, and removes the targets whose rows did not
 // reappear after an outage.
 func (registry *Registry) Expire(now time.Time) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
+	registry.expireLeaving(now)
 	expired := registry.expireRefutations(now)
 	for id, removal := range registry.removals {
 		if now.After(removal.until) {
@@ -295,6 +306,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(registry.instances)) {
 		instance := registry.effective(registry.instances[id], now)
+		instance.Leaving = registry.isLeaving(instance)
 		view.byID[id] = &instance
 		if !instance.Leaving {
 			view.services[instance.Service] = append(view.services[instance.Service], instance)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -156,3 +156,61 @@
 		t.Error("deletions up to version 12 confirmed: got the target kept, want it removed")
 	}
 }
+
+// TestLeavingTargetStaysLeavingWithinItsIncarnation guards against requests at a target that
+// has said that it leaves, after a late row, a lapsed one or a report called it ready.
+func TestLeavingTargetStaysLeavingWithinItsIncarnation(t *testing.T) {
+	listed := func(targets *registry.Registry) bool { return len(targets.View().Service("llm")) == 1 }
+	leaving := instance("m1")
+	leaving.Leaving = true
+	sources := map[string]func(targets *registry.Registry){
+		"answer": func(targets *registry.Registry) { targets.MarkLeaving(instance("m1"), time.Now()) },
+		"peer":   func(targets *registry.Registry) { targets.MarkLeavingByPeer("i-1", time.UnixMilli(7), time.Now()) },
+		"row":    func(targets *registry.Registry) { targets.Put(leaving) },
+	}
+	returns := map[string]func(targets *registry.Registry){
+		"late row": func(targets *registry.Registry) { targets.Put(instance("m1")) },
+		"lapsed row": func(targets *registry.Registry) {
+			targets.Delete("i-1", 9, true, time.Now())
+			targets.Put(instance("m1"))
+		},
+		"report": func(targets *registry.Registry) { targets.SetHoldings(reportedHoldings(7, 3, "m1")) },
+		"sweep":  func(targets *registry.Registry) { targets.Expire(time.Now()) },
+	}
+	for source, leave := range sources {
+		for name, comeBack := range returns {
+			targets := registry.New(logr.Discard())
+			targets.Put(instance("m1"))
+			if leave(targets); listed(targets) {
+				t.Errorf("leaving by its %s: got listed, want not listed", source)
+			}
+			if comeBack(targets); listed(targets) {
+				t.Errorf("%s after it left by its %s: got listed, want not listed", name, source)
+			}
+			restarted := instance("m1")
+			restarted.Born = time.UnixMilli(8)
+			if targets.Put(restarted); !listed(targets) {
+				t.Errorf("new incarnation after it left by its %s: got not listed, want listed", source)
+			}
+			if leave(targets); source != "row" && !listed(targets) {
+				t.Errorf("late word of the earlier incarnation's %s: got not listed, want listed", source)
+			}
+		}
+	}
+}
+
+func TestOnlyTargetsThatToldThisNodeAreReportedAsLeaving(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	now := time.Now()
+	targets.MarkLeavingByPeer("i-1", time.UnixMilli(7), now)
+	if told := targets.ToldLeaving(now); len(told) != 0 {
+		t.Errorf("after a peer's word: got %v reported, want none", told)
+	}
+	targets.MarkLeaving(instance(), now)
+	if told := targets.ToldLeaving(now); len(told) != 1 || !told["i-1"].Equal(time.UnixMilli(7)) {
+		t.Errorf("after an answer: got %v reported, want i-1 with its incarnation", told)
+	}
+	if told := targets.ToldLeaving(now.Add(time.Minute)); len(told) != 0 {
+		t.Errorf("a minute later: got %v reported, want none", told)
+	}
+}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -36,6 +36,9 @@
 	err    error
 	// signature is the Response-Signature header, which names the target.
 	signature string
+	// leaving is the incarnation of the target that said in this answer that it leaves;
+	// empty if none did.
+	leaving string
 }
 
 // routes are the names of the routes that callers use.
@@ -71,6 +74,9 @@
 	if err == nil {
 		outcome.status = response.StatusCode
 		outcome.signature = response.Header.Get("Response-Signature")
+		if response.Header.Get("Server-Leaving") != "" {
+			outcome.leaving = response.Header.Get("Incarnation")
+		}
 		var read []byte
 		read, err = io.ReadAll(response.Body)
 		outcome.body = string(read)
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -13,6 +13,10 @@
 // recoveryTimeout bounds the time until the fleet serves again after all faults have ended.
 const recoveryTimeout = 30 * time.Second
 
+// drainTime is how long requests may still be sent to a target that leaves, as the
+// nodes' settings say.
+const drainTime = time.Second
+
 // notRun are the status codes which state that a request has not run.
 var notRun = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
@@ -41,9 +45,47 @@
 	for id := range runs {
 		violations = append(violations, "a target ran request "+id+", which no caller sent")
 	}
+	violations = append(violations, testbed.checkLeaving(results)...)
 	return append(violations, testbed.checkQuota()...)
 }
 
+// checkLeaving describes the requests that a node sent to a target although it had passed
+// on an answer in which this incarnation of the target said that it leaves, more than the
+// drain time before the caller sent the request. A disruption or restart of the node since
+// then excuses them.
+func (testbed *testbed) checkLeaving(results []result) []string {
+	type knowledge struct {
+		node        *node
+		incarnation string
+	}
+	known := map[knowledge]time.Time{}
+	nodeOf := map[string]result{}
+	for _, result := range results {
+		nodeOf[result.id] = result
+		key := knowledge{node: result.node, incarnation: result.leaving}
+		if at, found := known[key]; result.leaving != "" && (!found || result.ended.Before(at)) {
+			known[key] = result.ended
+		}
+	}
+	var violations []string
+	for _, run := range testbed.recorder.Runs() {
+		result, sent := nodeOf[run.Request]
+		at, told := known[knowledge{node: result.node, incarnation: run.Incarnation}]
+		if sent && told && result.sent.After(at.Add(drainTime)) && !result.node.changedSince(at) {
+			violations = append(violations, fmt.Sprintf("%s ran at target %s %s after node %s had passed on that the target leaves",
+				run.Request, run.Target, result.sent.Sub(at).Round(time.Millisecond), result.node.name))
+		}
+	}
+	return violations
+}
+
+// changedSince reports whether the node was disrupted or started after a time.
+func (node *node) changedSince(at time.Time) bool {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	return node.lastDisrupted.After(at) || node.lastStarted.After(at)
+}
+
 // checkResult describes how a request and its runs break a promise; empty if they do not.
 func (testbed *testbed) checkResult(result result, runs []emulator.Run) string {
 	repeatable := result.route == "look" || result.route == "draft"
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mimosatide.example/mimosatide/platform/emulator"
 )
 
 const (
@@ -67,8 +69,8 @@
 		{"crash a target", (*testbed).crashTarget},
 		{"let a target leave", func(testbed *testbed, _ string) func() {
 			target := testbed.targets[testbed.random.IntN(len(testbed.targets))]
-			target.Leave(true)
-			return func() { target.Leave(false) }
+			target.Leave(testbed.random.IntN(2) == 0)
+			return func() { testbed.replaceLeaving(target) }
 		}},
 		{"let a target lose answers, delay orders and fail requests", func(testbed *testbed, _ string) func() {
 			target := testbed.targets[testbed.random.IntN(len(testbed.targets))]
@@ -180,6 +182,13 @@
 	}
 }
 
+// replaceLeaving ends a leaving target and starts its next incarnation.
+func (testbed *testbed) replaceLeaving(target *emulator.Target) {
+	if err := target.ReplaceIfLeaving(); err != nil {
+		testbed.t.Logf("replace target %s: %v", target.Address(), err)
+	}
+}
+
 // injectFaults injects random faults until the context ends and waits until all
 // have ended. It passes the name of each fault to onFault.
 func (testbed *testbed) injectFaults(ctx context.Context, program string, onFault func(name string)) {
@@ -215,6 +224,6 @@
 	for index, target := range testbed.targets {
 		testbed.targetProxies[index].set(linkCondition{}, linkCondition{})
 		target.SetFailureRates(0, 0, 0)
-		target.Leave(false)
+		testbed.replaceLeaving(target)
 	}
 }
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -82,6 +82,8 @@
 	// lastDisrupted is when the process was last paused, continued or killed with SIGKILL
 	// by a fault, or found not to have exited in time after SIGTERM.
 	lastDisrupted time.Time
+	// lastStarted is when the process was last started.
+	lastStarted time.Time
 }
 
 func newTestbed(t *testing.T, program string, seed uint64) *testbed {
@@ -227,11 +229,12 @@
 limits.memoryMb=284
 bounds.leaseMs=1000
 bounds.graceS=%d
-bounds.drainMs=1000
+bounds.drainMs=%d
 bounds.retryBudgetRatio=0.2
 bounds.budgetSlack=56
 platform.address=%s
-`, node.name, node.ip, node.callers, node.readiness, testbed.bootstrap, int(shutdownGrace.Seconds()), node.storeProxy.address())
+`, node.name, node.ip, node.callers, node.readiness, testbed.bootstrap, int(shutdownGrace.Seconds()),
+		drainTime.Milliseconds(), node.storeProxy.address())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		testbed.t.Error(err)
 		return
@@ -251,6 +254,7 @@
 	}
 	node.lock.Lock()
 	node.process, node.ended, node.log = process, ended, log
+	node.lastStarted = time.Now()
 	node.lock.Unlock()
 	go func() {
 		result := process.Wait()
