Honor the pause that an overloaded target asks for

Cause: nothing read a target's Retry-After. A rejection cost the target 0.25 s of preference, and it was chosen all the same where it was the only one.

Change: 503 or 429 with Retry-After pauses this incarnation of the target at this node; it is left out of every choice until the time is over. If all targets of a request have asked for a pause, the request waits for the first to end if that takes at most a quarter of the time until its deadline, and is otherwise refused at once with the rest of the pause as Retry-After, spread over 0.1 s.

A target may also begin to leave or to pause while a connection to it is opened: the client asks once more directly before the first byte is written.

The soak does not cover pauses, as its targets can't tell the nodes apart.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -63,8 +63,14 @@
 	// their idle timeout. It is meant for requests that can't be retried after the
 	// target has closed the connection.
 	LimitReuse bool
+	// Permitted is called once a connection is open, directly before the message is
+	// written. If it returns false, nothing is sent; nil always permits.
+	Permitted func() bool
 }
 
+// ErrNotPermitted is the error of a call that was not sent because Permitted returned false.
+var ErrNotPermitted = errors.New("the target may not be sent requests any more")
+
 // Client sends requests over a pool of connections. It is safe for concurrent use.
 type Client struct {
 	dialer *net.Dialer
@@ -107,6 +113,10 @@
 	if err != nil {
 		return nil, mimosatide.CallNotSent, errors.Trace(err)
 	}
+	if call.Permitted != nil && !call.Permitted() {
+		_ = acquired.Close()
+		return nil, mimosatide.CallNotSent, errors.Trace(ErrNotPermitted)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = acquired.Close() })
 	written, failure, err := write(acquired, call.Message)
 	if failure != mimosatide.CallSucceeded {
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/exchange"
 )
@@ -256,3 +258,23 @@
 	}
 	<-closed
 }
+
+// TestCallThatIsNoLongerPermittedIsNotSent guards against a request at a target that began
+// to leave while the connection to it was opened.
+func TestCallThatIsNoLongerPermittedIsNotSent(t *testing.T) {
+	var requests atomic.Int32
+	target := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		requests.Add(1)
+		writeAnswer(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	refused := call(target.address)
+	refused.Permitted = func() bool { return false }
+	_, failure, err := exchange.New(&net.Dialer{}).Send(context.Background(), refused)
+	if failure != mimosatide.CallNotSent || !errors.Is(err, exchange.ErrNotPermitted) {
+		t.Errorf("got failure %q and error %v, want NotSent and ErrNotPermitted", failure, err)
+	}
+	if count := requests.Load(); count != 0 {
+		t.Errorf("got %d requests at the target, want none", count)
+	}
+}
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -23,6 +24,13 @@
 	startupRetryAfter = 500 * time.Millisecond
 	// drainingRetryAfter is the Retry-After of a draining node; the retry reaches another node.
 	drainingRetryAfter = 50 * time.Millisecond
+	// pauseWaitShare is the share of the time until its deadline for which a request waits
+	// for the end of a pause that all its targets have asked for. A longer pause refuses it
+	// at once, since a retry reaches another node.
+	pauseWaitShare = 0.25
+	// returnSpread is the time over which the requests that waited for the end of a pause,
+	// or were refused because of it, return.
+	returnSpread = 100 * time.Millisecond
 	// noCapacityRetryAfter is the Retry-After when there is no usable target.
 	noCapacityRetryAfter = time.Second
 )
@@ -31,7 +39,7 @@
 // it waits until one holds the model.
 func (handler *requestHandler) findTarget(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
 	if handler.service.Engine == nil {
-		return handler.findServiceTarget()
+		return handler.findServiceTarget(ctx)
 	}
 	if handler.request.Model == "" {
 		return mimosatide.Instance{}, mimosatide.Refuse(mimosatide.ReasonMalformed, "the request names no model")
@@ -40,8 +48,15 @@
 		changed := handler.gateway.Targets.Changed()
 		candidates := handler.gateway.Targets.View().Service(handler.service.Name)
 		ready, _ := balance.Ready(handler.request, candidates)
-		if len(ready) > 0 {
-			return handler.findAdapterTarget(ctx, ready)
+		unpaused, pausedUntil := handler.gateway.Tracker.Unpaused(ready, time.Now())
+		if len(unpaused) > 0 {
+			return handler.findAdapterTarget(ctx, unpaused)
+		}
+		if !pausedUntil.IsZero() {
+			if refusal := handler.awaitPause(ctx, changed, pausedUntil); refusal.Refused() {
+				return mimosatide.Instance{}, refusal
+			}
+			continue
 		}
 		if refusal := handler.refuseUnloadable(candidates); refusal.Refused() {
 			return mimosatide.Instance{}, refusal
@@ -53,13 +68,36 @@
 	}
 }
 
-func (handler *requestHandler) findServiceTarget() (mimosatide.Instance, mimosatide.Refusal) {
-	candidates := handler.gateway.Targets.View().Service(handler.service.Name)
-	instance, _, found := handler.gateway.Tracker.Choose(handler.query(), candidates, time.Now())
-	if !found {
-		return mimosatide.Instance{}, mimosatide.Refuse(mimosatide.ReasonNoCapacity, "the service has no target").WithRetryAfter(noCapacityRetryAfter)
+// findServiceTarget returns a target of a plain service.
+func (handler *requestHandler) findServiceTarget(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
+	for {
+		changed := handler.gateway.Targets.Changed()
+		candidates := handler.gateway.Targets.View().Service(handler.service.Name)
+		unpaused, pausedUntil := handler.gateway.Tracker.Unpaused(candidates, time.Now())
+		if pausedUntil.IsZero() {
+			instance, _, found := handler.gateway.Tracker.Choose(handler.query(), unpaused, time.Now())
+			if !found {
+				return mimosatide.Instance{}, mimosatide.Refuse(mimosatide.ReasonNoCapacity, "the service has no target").WithRetryAfter(noCapacityRetryAfter)
+			}
+			return instance, mimosatide.Refusal{}
+		}
+		if refusal := handler.awaitPause(ctx, changed, pausedUntil); refusal.Refused() {
+			return mimosatide.Instance{}, refusal
+		}
+	}
+}
+
+// awaitPause waits until the first target of the request takes requests again, or until
+// the targets change. It refuses the request at once if the pause is too long.
+func (handler *requestHandler) awaitPause(ctx context.Context, changed <-chan struct{}, until time.Time) mimosatide.Refusal {
+	remaining := time.Until(until) + rand.N(returnSpread)
+	if remaining > time.Duration(float64(time.Until(handler.deadline))*pauseWaitShare) {
+		return mimosatide.Refuse(mimosatide.ReasonNoCapacity, "all targets have asked for a pause").WithRetryAfter(remaining)
+	}
+	if !handler.wait(ctx, changed, remaining) {
+		return handler.waitRefusal(ctx)
 	}
-	return instance, mimosatide.Refusal{}
+	return mimosatide.Refusal{}
 }
 
 // findAdapterTarget chooses among the targets that hold the model. If the chosen
@@ -79,6 +117,7 @@
 		changed := handler.gateway.Targets.Changed()
 		candidates := handler.gateway.Targets.View().Service(handler.service.Name)
 		_, complete := balance.Ready(handler.request, candidates)
+		complete, _ = handler.gateway.Tracker.Unpaused(complete, time.Now())
 		for _, candidate := range complete {
 			if candidate.ID == chosen.ID {
 				return candidate, mimosatide.Refusal{}
@@ -96,8 +135,9 @@
 		if !handler.wait(ctx, changed, loadRequestInterval) {
 			return mimosatide.Instance{}, handler.waitRefusal(ctx)
 		}
-		if _, present := handler.gateway.Targets.View().Instance(chosen.ID); !present || time.Now().After(until) {
+		if !handler.gateway.permits(chosen) || time.Now().After(until) {
 			ready, _ := balance.Ready(handler.request, handler.gateway.Targets.View().Service(handler.service.Name))
+			ready, _ = handler.gateway.Tracker.Unpaused(ready, time.Now())
 			if len(ready) == 0 {
 				return handler.findTarget(ctx)
 			}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -179,6 +180,73 @@
 	}
 }
 
+// respondPause turns a request away and asks for a pause, given in seconds.
+func respondPause(seconds string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		sign(writer, request)
+		writer.Header().Set("Not-Executed", "1")
+		writer.Header().Set("Retry-After", seconds)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// TestTargetThatAsksForAPauseGetsNoRequestsMeanwhile guards against requests at a target
+// that has turned one away with Retry-After; its callers must learn when to come back.
+func TestTargetThatAsksForAPauseGetsNoRequestsMeanwhile(t *testing.T) {
+	for path, service := range map[string]string{"/lookup/x": "desk", "/order/x": "desk", "/resumable/x": "llm"} {
+		fixture := newFixture(t)
+		fixture.addTarget("paused", service, respondPause("60.5"), "m")
+		for range 3 {
+			response, body, _ := fixture.send(newChatRequest(fixture, path, "m"))
+			wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			if response.StatusCode != http.StatusServiceUnavailable || err != nil || wait < 1 {
+				t.Errorf("%s: got status %d, Retry-After %v (%v) and body %q, want 503 with Retry-After", path, response.StatusCode, wait, err, body)
+			}
+		}
+		if count := len(fixture.received()); count != 1 {
+			t.Errorf("%s: got %d requests at a target that asked for a pause, want 1", path, count)
+		}
+		answer := respond("body")
+		if service == "llm" {
+			answer = respondEvents(1, 3, true)
+		}
+		fixture.addTarget("other", service, answer, "m")
+		if response, _, _ := fixture.send(newChatRequest(fixture, path, "m")); response.StatusCode != http.StatusOK {
+			t.Errorf("%s: got status %d with another target, want 200", path, response.StatusCode)
+		}
+	}
+}
+
+func TestRequestWaitsForTheEndOfAShortPause(t *testing.T) {
+	fixture := newFixture(t)
+	var turnedAway atomic.Bool
+	fixture.addTarget("d-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+		if turnedAway.CompareAndSwap(false, true) {
+			respondPause("0.1")(writer, request)
+			return
+		}
+		respond("body")(writer, request)
+	})
+	response, body, _ := fixture.send(fixture.newRequest(http.MethodGet, "/lookup/x"))
+	if response.StatusCode != http.StatusOK || len(fixture.received()) != 2 {
+		t.Errorf("got status %d, body %q and %d requests, want 200 at the second", response.StatusCode, body, len(fixture.received()))
+	}
+}
+
+// TestInvalidPauseIsIgnored guards against targets that a garbled header takes out of use.
+func TestInvalidPauseIsIgnored(t *testing.T) {
+	for _, seconds := range []string{"", "-1", "0", "NaN", "soon", "Inf", "1e400"} {
+		fixture := newFixture(t)
+		fixture.addTarget("d-1", "desk", respondPause(seconds))
+		for range 2 {
+			fixture.send(fixture.newRequest(http.MethodPost, "/short/x"))
+		}
+		if count := len(fixture.received()); count < 2 {
+			t.Errorf("Retry-After %q: got %d requests at the target, want one or more of each caller", seconds, count)
+		}
+	}
+}
+
 // A target that does not answer must not keep its caller past the route's timeout. The
 // target must know the deadline, and its connection must be closed when it has passed.
 func TestRequestIsRefusedAtItsRoutesTimeout(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/exchange"
@@ -158,6 +160,7 @@
 		Method:     handler.request.Method,
 		Message:    message,
 		LimitReuse: !handler.route.Repeatable(),
+		Permitted:  func() bool { return handler.gateway.permits(instance) },
 	})
 	if failure != mimosatide.CallSucceeded {
 		if failure != mimosatide.CallNotSent {
@@ -166,11 +169,36 @@
 		if failure == mimosatide.CallCut {
 			go handler.gateway.checkCrash(handler.digest, handler.request.ID, instance)
 		}
+		if errors.Is(err, exchange.ErrNotPermitted) {
+			handler.inFlight.End(balance.Withdrawn, time.Now())
+		}
 		return handler.failSend(ctx, failure, err.Error())
 	}
 	return handler.checkAnswer(reply)
 }
 
+// permits reports whether a target may still be sent requests: its incarnation is known,
+// does not leave and has not asked this node for a pause.
+func (gateway *Gateway) permits(instance mimosatide.Instance) bool {
+	known, found := gateway.Targets.View().Instance(instance.ID)
+	return found && !known.Leaving && known.Born.Equal(instance.Born) &&
+		gateway.Tracker.PausedUntil(instance, time.Now()).IsZero()
+}
+
+// recordWishes records what an answer says about further requests: that its target
+// leaves, or that it wants none for some time.
+func (handler *requestHandler) recordWishes(head platform.AnswerHead) {
+	now := time.Now()
+	if head.Leaving {
+		handler.gateway.Targets.MarkLeaving(handler.instance, now)
+	}
+	if head.Pause > 0 {
+		handler.gateway.Tracker.Pause(handler.instance, now.Add(head.Pause), now)
+		handler.gateway.log.Info("target asks for a pause", "target", handler.instance.ID, "service", handler.service.Name,
+			"request", handler.request.ID, "pause", head.Pause)
+	}
+}
+
 // enginePriority returns the priority that is sent to an engine; -1 sends none to a
 // plain service.
 func (handler *requestHandler) enginePriority() int {
@@ -211,9 +239,7 @@
 // and unencoded answer to this request.
 func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
 	head := platform.DecodeAnswerHead(reply.Response)
-	if head.Leaving {
-		handler.gateway.Targets.MarkLeaving(handler.instance, time.Now())
-	}
+	handler.recordWishes(head)
 	if head.NotRun && (head.RequestID == "" || head.RequestID == handler.request.ID) {
 		reply.Close(drainBody(reply))
 		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
