Retry at an untried target while there is one

What callers saw: a retry may reach the target that has just failed the request, although another one has not been tried.

Cause: the choice compared the number of candidates with the number of tried targets. Tried targets that are gone, leave or pause are no candidates any more, so that two tried ones, one of them gone, allowed both of two candidates.

Change: a tried target is left out while an untried candidate exists.

Result: the test fails without the change.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,7 +77,7 @@
 }
 
 // Choose returns the candidate with the lowest cost, and that cost. Targets in
-// Query.Tried are skipped while there are more candidates than tried targets.
+// Query.Tried are skipped while there are others.
 // The last result is false if there is no candidate.
 func (tracker *Tracker) Choose(
 	query Query, candidates []mimosatide.Instance, now time.Time,
@@ -84,9 +85,10 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	preferred := rendezvousTarget(query.affinityKey(), candidates)
+	untried := slices.ContainsFunc(candidates, func(candidate mimosatide.Instance) bool { return !query.Tried[candidate.ID] })
 	best, least := -1, time.Duration(0)
 	for index, candidate := range candidates {
-		if query.Tried[candidate.ID] && len(candidates) > len(query.Tried) {
+		if untried && query.Tried[candidate.ID] {
 			continue
 		}
 		cost := tracker.cost(query, candidate, candidate.ID == preferred, now)
