Let another follower probe the store when the prober follows a relay

What callers saw: nothing yet; found by reading, as the cause of a copy that stays old in a large fleet.

Cause: one follower of a node probes a lost store while the others wait. A prober that begins to get its table from a relay stops calling the store, but stayed the prober, so the others waited without an end.

Change: such a follower withdraws from the gate.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -205,7 +205,12 @@
 	hasSnapshot := false
 	pause := retryDelay
 	for ctx.Err() == nil {
-		if follower.receivesFromRelay() || follower.probeGate.blocks(follower) {
+		if follower.receivesFromRelay() {
+			follower.probeGate.withdraw(follower)
+			sleep(ctx, standbyInterval)
+			continue
+		}
+		if follower.probeGate.blocks(follower) {
 			sleep(ctx, standbyInterval)
 			continue
 		}
--- a/internal/feed/probe_gate.go
+++ b/internal/feed/probe_gate.go
@@ -56,6 +56,16 @@
 	return !known
 }
 
+// withdraw lets another follower probe the store, because this one no longer calls it.
+func (gate *ProbeGate) withdraw(follower *Follower) {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	delete(gate.lost, follower)
+	if gate.prober == follower {
+		gate.prober = nil
+	}
+}
+
 // blocks reports whether a follower must wait while another one probes the lost store.
 func (gate *ProbeGate) blocks(follower *Follower) bool {
 	gate.lock.Lock()
