Deny a route or key only by a configuration that is known to be current

Cause: a request is decided by the node's copy of the configuration, and nothing bounded its age.

Change: a copy counts as confirmed at the start of the store's last answer to this node, or to a peer whose digest names no change that the copy lacks (digests carry that age, so that one hop is all it travels). A 401, 404 or 413 by a copy that was not confirmed within the time in which a configuration has to be in force everywhere becomes 503 with Retry-After, and its detail names the denial. Requests that the copy allows are served as before.

Result: the new tests fail without the change.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -295,6 +295,10 @@
 	for _, table := range []string{platform.ConfigurationTable, platform.TargetTable, hostTable} {
 		digest.Tables[table] = uint64(node.followers[table].State().LastChange)
 	}
+	configuration := node.followers[platform.ConfigurationTable].State()
+	if configuration.CurrentAt > 0 {
+		digest.ConfigurationAgeMillis = max((bootClock{}.Now() - configuration.CurrentAt).Milliseconds(), 1)
+	}
 	active := len(digest.Loads) > 0 || digest.RelaysTables || digest.StoreOutage
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
@@ -334,6 +338,11 @@
 	node.loader.handleOwnerships(from, digest.Ownerships, now)
 	node.loader.handleHandovers(digest.Handovers)
 	node.crashTracker.SetPeerCrashes(digest.Node, digest.Crashes)
+	if digest.ConfigurationAgeMillis > 0 {
+		confirmedAt := bootClock{}.Now() - time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond
+		node.followers[platform.ConfigurationTable].Confirm(
+			mimosatide.RowVersion(digest.Tables[platform.ConfigurationTable]), confirmedAt)
+	}
 	for id, born := range digest.Leaving {
 		node.targets.MarkLeavingByPeer(id, time.UnixMilli(born), now)
 	}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -184,7 +184,8 @@
 func (node *Node) activeDeployment() *mimosatide.Deployment {
 	bounds := node.settings.Bounds
 	if bounds.StopWhenStale {
-		if node.configurationAge() > bounds.StaleAfter {
+		age := bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().CurrentAt
+		if age > bounds.StaleAfter {
 			return nil
 		}
 	}
@@ -265,16 +266,17 @@
 	}
 }
 
-// configurationAge returns the time since the configuration was last known to be current.
+// configurationAge returns the time since the store last confirmed to this node or to a
+// peer that the configuration in force is current.
 func (node *Node) configurationAge() time.Duration {
-	return bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().CurrentAt
+	return bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().ConfirmedAt
 }
 
 // recordCopyAges sets the gauges of the ages of the tables' copies.
 func (node *Node) recordCopyAges() {
 	now := bootClock{}.Now()
 	for table, follower := range node.followers {
-		node.meter.SetCopyAge(table, now-follower.State().CurrentAt)
+		node.meter.SetCopyAge(table, now-follower.State().ConfirmedAt)
 	}
 }
 
--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -235,6 +235,22 @@
 	}
 }
 
+// TestNodeWithoutTheStoreDoesNotDenyAnUnknownKeyForGood guards against callers that get 401
+// for a key that was added since the node lost the store.
+func TestNodeWithoutTheStoreDoesNotDenyAnUnknownKeyForGood(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "a 200 answer", func() bool { return node.request("k1") == http.StatusOK })
+	eventually(t, "a 401 answer for an unknown key", func() bool { return node.request("k2") == http.StatusUnauthorized })
+	node.entrance.SetUnresponsive(true)
+	eventually(t, "a 503 answer for an unknown key without the store", func() bool { return node.request("k2") == http.StatusServiceUnavailable })
+	if status := node.request("k1"); status != http.StatusOK {
+		t.Errorf("known key without the store: got status %d, want 200", status)
+	}
+}
+
 func TestNodeThatMustNotBeStaleRefusesWithoutTheStore(t *testing.T) {
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration(1, "k1"))
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -26,6 +26,7 @@
 	handler := gateway.New(gateway.Dependencies{
 		Deployment:    node.activeDeployment,
 		DeploymentAge: node.configurationAge,
+		MaxDenialAge:  node.settings.Bounds.ConfigurationSpread,
 		Targets:       node.targets,
 		Tracker:       node.tracker,
 		Ledger:        node.ledger,
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -75,8 +75,10 @@
 	LastChange mimosatide.RowVersion
 	// Healthy is true if the store answered this node's last call.
 	Healthy bool
-	// CurrentAt is the latest clock reading at which the copy is known to have been current.
-	CurrentAt time.Duration
+	// CurrentAt is the latest clock reading at which the copy was current according to an
+	// answer of the store to this node, ConfirmedAt the same according to any node's.
+	CurrentAt   time.Duration
+	ConfirmedAt time.Duration
 	// Synced is true once the whole table has been read, from the store or from a peer.
 	Synced bool
 }
@@ -402,6 +404,17 @@
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
 	follower.state.CurrentAt = max(follower.state.CurrentAt, at)
+	follower.state.ConfirmedAt = max(follower.state.ConfirmedAt, at)
+}
+
+// Confirm records that a peer's copy, whose newest change has the given version, was
+// current at a clock reading. It has no effect if this copy lacks that change.
+func (follower *Follower) Confirm(version mimosatide.RowVersion, at time.Duration) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if follower.state.Synced && follower.state.Version >= version {
+		follower.state.ConfirmedAt = max(follower.state.ConfirmedAt, at)
+	}
 }
 
 // recordOutcome takes the outcome of a call and logs when the store is lost or answers again.
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -467,6 +467,23 @@
 	})
 }
 
+// TestCopyIsConfirmedOnlyIfItHasThePeersChanges guards against an old copy that counts as
+// current because a newer one does.
+func TestCopyIsConfirmedOnlyIfItHasThePeersChanges(t *testing.T) {
+	follower, _ := newFollower(&scriptedStore{})
+	follower.Confirm(0, time.Hour)
+	follower.Merge(mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 3)}, Version: 5, Complete: true})
+	follower.Confirm(6, 2*time.Hour)
+	if state := follower.State(); state.ConfirmedAt != 0 {
+		t.Errorf("confirmed by nobody with the same changes: got confirmed at %v, want never", state.ConfirmedAt)
+	}
+	follower.Confirm(4, time.Hour)
+	follower.Confirm(4, time.Minute)
+	if state := follower.State(); state.ConfirmedAt != time.Hour || state.CurrentAt != 0 {
+		t.Errorf("got confirmed at %v and current at %v, want 1h and never", state.ConfirmedAt, state.CurrentAt)
+	}
+}
+
 func TestChangesAfterAGapAreRejected(t *testing.T) {
 	follower, _ := newFollower(&scriptedStore{})
 	batch := mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 9)}, Version: 9}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -47,6 +48,21 @@
 	return mimosatide.Refusal{}
 }
 
+// confirmDenial replaces a refusal that is final for the caller by one that asks it to come
+// back, if the configuration behind it may be out of date.
+func (handler *requestHandler) confirmDenial(refusal mimosatide.Refusal) mimosatide.Refusal {
+	switch refusal.Reason {
+	case mimosatide.ReasonUnknownRoute, mimosatide.ReasonNoKey, mimosatide.ReasonUnknownKey, mimosatide.ReasonTooLarge:
+	default:
+		return refusal
+	}
+	if handler.versionAge <= handler.gateway.MaxDenialAge {
+		return refusal
+	}
+	detail := "the configuration may be out of date; by version " + strconv.FormatInt(handler.version, 10) + ": " + refusal.Detail
+	return mimosatide.Refuse(mimosatide.ReasonNotFresh, detail).WithRetryAfter(startupRetryAfter)
+}
+
 // pickService splits a route's requests over its services by weight. The choice
 // depends only on the request id.
 func pickService(route mimosatide.PathRoute, id string) string {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -84,6 +84,7 @@
 	gate := gateway.New(gateway.Dependencies{
 		Deployment:    func() *mimosatide.Deployment { return deployment },
 		DeploymentAge: func() time.Duration { return created.age },
+		MaxDenialAge:  time.Second,
 		Targets:       created.targets,
 		Tracker:       created.tracker,
 		Ledger:        created.ledger,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,9 +48,12 @@
 	// DeploymentAge returns the time since the configuration in force was last known to
 	// be current.
 	DeploymentAge func() time.Duration
-	Targets       *registry.Registry
-	Tracker       *balance.Tracker
-	Ledger        *allowance.Ledger
+	// MaxDenialAge is the DeploymentAge up to which a caller is told that its route or key
+	// does not exist. Beyond it they may have been added since.
+	MaxDenialAge time.Duration
+	Targets      *registry.Registry
+	Tracker      *balance.Tracker
+	Ledger       *allowance.Ledger
 	// Client sends the requests to the targets.
 	Client       *exchange.Client
 	Loader       Loader
@@ -87,11 +90,11 @@
 	callerRequest, err := platform.DecodeCallerRequest(request, deployment.Limits.BodyBytes)
 	handler.request = callerRequest
 	if err != nil {
-		handler.refuse(decodeRefusal(err))
+		handler.refuse(handler.confirmDenial(decodeRefusal(err)))
 		return
 	}
 	if refusal := handler.resolve(deployment); refusal.Refused() {
-		handler.refuse(refusal)
+		handler.refuse(handler.confirmDenial(refusal))
 		return
 	}
 	timeout := handler.route.Timeout
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// TestDenialByAnUnconfirmedConfigurationAsksToComeBack guards against callers that are told
+// for good that a route or key does not exist, by a copy that is older than its addition.
+func TestDenialByAnUnconfirmedConfigurationAsksToComeBack(t *testing.T) {
+	for _, change := range []func(request *http.Request){
+		func(request *http.Request) { request.Host = "unknown.example" },
+		func(request *http.Request) { request.Header.Set("Authorization", "Bearer unknown") },
+		func(request *http.Request) { request.Header.Del("Authorization") },
+	} {
+		fixture := newFixture(t)
+		fixture.addTarget("d-1", "desk", respond("body"))
+		request := fixture.newRequest(http.MethodGet, "/lookup/x")
+		change(request)
+		fixture.age = 2 * time.Second
+		response, body, _ := fixture.send(request)
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("got status %d, Retry-After %q and body %q, want 503 with Retry-After", response.StatusCode, response.Header.Get("Retry-After"), body)
+		}
+		if response, _, _ := fixture.send(fixture.newRequest(http.MethodGet, "/lookup/x")); response.StatusCode != http.StatusOK {
+			t.Errorf("request that the copy allows: got status %d, want 200", response.StatusCode)
+		}
+	}
+}
+
 // The account's bucket holds one token, so that the second request is over its rate.
 // Without a Retry-After the caller would not know when the bucket is refilled.
 func TestRequestOverItsAccountsRateIsRefusedWithRetryAfter(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -50,6 +50,9 @@
 	// Leaving holds the targets whose answers have told the node that they leave, with the
 	// start of the incarnation in milliseconds of Unix time.
 	Leaving map[string]int64 `cbor:"12,keyasint,omitempty"`
+	// ConfigurationAgeMillis is the time since the store last confirmed to the node that its
+	// copy of the configuration is current, at least 1; zero if it never has.
+	ConfigurationAgeMillis int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Load is the load that a node puts on a target.
