Check in the soak that a proper key is not denied

A request whose key has been in force for longer than a configuration may take to spread and a fault may delay a message must not get 401, and none gets 404.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -17,6 +17,10 @@
 // nodes' settings say.
 const drainTime = time.Second
 
+// configurationSpread is the time within which a configuration has to be in force on every
+// node, as the nodes' settings say.
+const configurationSpread = 2 * time.Second
+
 // notRun are the status codes which state that a request has not run.
 var notRun = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
@@ -49,6 +53,24 @@
 	return append(violations, testbed.checkQuota()...)
 }
 
+// deniedWrongly reports whether a request was answered 401 or 404 although its key had been
+// in force when it was sent, for longer than a configuration may take to spread and a
+// fault may delay a message, and still was when the answer came.
+func (testbed *testbed) deniedWrongly(result result) bool {
+	if result.status != http.StatusUnauthorized && result.status != http.StatusNotFound {
+		return false
+	}
+	testbed.lock.Lock()
+	defer testbed.lock.Unlock()
+	lifetime, found := testbed.keys[result.key]
+	if !found || result.status == http.StatusNotFound {
+		// The key of the other account and all routes are in every configuration.
+		return true
+	}
+	return result.sent.After(lifetime.added.Add(configurationSpread+maxFaultDuration)) &&
+		(lifetime.withdrawn.IsZero() || result.ended.Before(lifetime.withdrawn))
+}
+
 // checkLeaving describes the requests that a node sent to a target although it had passed
 // on an answer in which this incarnation of the target said that it leaves, more than the
 // drain time before the caller sent the request. A disruption or restart of the node since
@@ -101,6 +123,8 @@
 	switch {
 	case !repeatable && len(runs) > 1:
 		return "ran more than once, want at most one run"
+	case testbed.deniedWrongly(result):
+		return "was denied although its route and key had long been in force"
 	case notRun[result.status] && len(runs) > 0:
 		return "was refused as not run but has run"
 	case result.status == http.StatusOK:
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -55,11 +55,20 @@
 	// version is that of the configuration, key the current key of the account school.
 	version int
 	key     string
+	// keys holds all keys that the account school has had.
+	keys    map[string]keyLifetime
 	results []result
 	// violations describes the broken promises that neither callers nor targets see.
 	violations []string
 }
 
+// keyLifetime is when the configuration with a key was confirmed, and when the next
+// one, which lacks the key, was written; zero while there is none.
+type keyLifetime struct {
+	added     time.Time
+	withdrawn time.Time
+}
+
 // node is a process with the proxies of its callers, its store endpoint and its peers.
 type node struct {
 	testbed *testbed
@@ -90,7 +99,7 @@
 	t.Helper()
 	created := &testbed{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), folder: t.TempDir(), bootstrap: true,
-		store: emulator.NewStore(), recorder: emulator.NewRecorder(),
+		store: emulator.NewStore(), recorder: emulator.NewRecorder(), keys: map[string]keyLifetime{},
 	}
 	created.rotateKey()
 	// Concurrent runs use different loopback networks.
@@ -182,6 +191,10 @@
 func (testbed *testbed) rotateKey() {
 	testbed.lock.Lock()
 	defer testbed.lock.Unlock()
+	if previous, found := testbed.keys[testbed.key]; found {
+		previous.withdrawn = time.Now()
+		testbed.keys[testbed.key] = previous
+	}
 	testbed.version += 1 + testbed.random.IntN(3)
 	testbed.key = fmt.Sprintf("school-%d", testbed.version)
 	models := ""
@@ -206,6 +219,7 @@
 		route("look", "idempotent", "desk", 2, false), route("buy", "non_idempotent", "desk", 1, false),
 		route("chat", "stream", "llm", 1, false), route("draft", "stream", "llm", 2, true),
 		models, testbed.key, clubRate, clubBurst))
+	testbed.keys[testbed.key] = keyLifetime{added: time.Now()}
 }
 
 func (testbed *testbed) schoolKey() string {
@@ -230,11 +244,12 @@
 bounds.leaseMs=1000
 bounds.graceS=%d
 bounds.drainMs=%d
+bounds.configApplyMs=%d
 bounds.retryBudgetRatio=0.2
 bounds.budgetSlack=56
 platform.address=%s
 `, node.name, node.ip, node.callers, node.readiness, testbed.bootstrap, int(shutdownGrace.Seconds()),
-		drainTime.Milliseconds(), node.storeProxy.address())
+		drainTime.Milliseconds(), configurationSpread.Milliseconds(), node.storeProxy.address())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		testbed.t.Error(err)
 		return
