Log crashes of targets under answers that had begun

The crashes of tainted left no line, because only a connection that closed before the head of its answer was checked. 'target crashed under an answer' names the request, its prompt parts and for how long its events had been coming. Nothing is decided by it yet.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,6 +51,7 @@
 	body, err := io.ReadAll(io.LimitReader(outcome.reply.Body(), maxBufferedBytes+1))
 	if err != nil {
 		outcome.reply.Abort()
+		handler.logCrash()
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
 	if len(body) > maxBufferedBytes {
@@ -158,6 +159,7 @@
 // failStream ends the send of a stream that broke off; an incomplete event is dropped.
 func (handler *requestHandler) failStream(ctx context.Context, outcome sendOutcome, err error) sendOutcome {
 	outcome.reply.Abort()
+	handler.logCrash()
 	failed := handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	failed.reason = metric.RetryResume
 	return failed
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -234,6 +234,21 @@
 	gateway.log.Info("target crashed under a request", "request", request, "target", instance.ID, "crashes", count)
 }
 
+// logCrash logs a crash of the target under an answer that had begun.
+func (handler *requestHandler) logCrash() {
+	instance, parts := handler.instance, handler.request.Parts
+	answering := time.Duration(0)
+	if !handler.lastEventTime.IsZero() {
+		answering = time.Since(handler.arrived.Add(handler.firstEvent))
+	}
+	go func() {
+		if !handler.gateway.Client.Reachable(instance.Address) {
+			handler.gateway.log.Info("target crashed under an answer", "request", handler.request.ID, "target", instance.ID,
+				"parts", parts, "answering", answering)
+		}
+	}()
+}
+
 // checkAnswer checks the head of an answer. The send has failed if the target says
 // that it did not run the request, or if the answer is not the target's own signed
 // and unencoded answer to this request.
