Quarantine what crashes one target after the other

Cause: crashes were counted only if the connection closed before the head of the answer, and by the whole content of a request. The check ran beside the retry that it should prevent, and a request that waited was not asked again. Counts of a peer that was gone never ended.

Change: a new package, quarantine. A target that refuses connections after it cut a request has crashed; each request that it had not been answering for 0.15 s is a suspect, by its content and by its prompt parts but the last. An answer that goes well acquits them. A content is quarantined after 2 crashes, a part after 3 that are 0.1 s apart, or 4 if another part has as many or requests with it were answered shortly before. Crashes that a quarantined part explains count against no other part. Nodes exchange suspicions, acquittals and quarantines in their digests; suspicions end after 2 minutes, a quarantine after 5, or with a good answer to a request that was under way. Quarantine is asked for on arrival, after each wait, before a retry, and directly before the first byte is sent; the check for a crash comes before the retry. A target that is silent has not crashed, and one that leaves may end.

Digests no longer carry crash counts (key 8).

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -276,7 +276,7 @@
 		Tables:       map[string]uint64{},
 		Ownerships:   node.loader.ownerships(),
 		Handovers:    node.loader.handovers(),
-		Crashes:      node.crashTracker.OwnCrashes(time.Now()),
+		Quarantine:   gossip.EncodeQuarantine(node.quarantine.Report(time.Now())),
 		RelaysTables: fleet.relaysTables(),
 		StoreOutage:  fleet.storeOutage(time.Now()),
 		Steady:       fleet.steady(),
@@ -299,7 +299,7 @@
 	if configuration.CurrentAt > 0 {
 		digest.ConfigurationAgeMillis = max((bootClock{}.Now() - configuration.CurrentAt).Milliseconds(), 1)
 	}
-	active := len(digest.Loads) > 0 || digest.RelaysTables || digest.StoreOutage
+	active := len(digest.Loads) > 0 || digest.Quarantine != nil || digest.RelaysTables || digest.StoreOutage
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
@@ -337,7 +337,9 @@
 	node.tracker.SetPeerLoads(digest.Node, loads, now.Add(loadLifetimeDigests*fleet.maxDigestAge()))
 	node.loader.handleOwnerships(from, digest.Ownerships, now)
 	node.loader.handleHandovers(digest.Handovers)
-	node.crashTracker.SetPeerCrashes(digest.Node, digest.Crashes)
+	if digest.Quarantine != nil {
+		node.quarantine.Apply(digest.Quarantine.Report(), now)
+	}
 	if digest.ConfigurationAgeMillis > 0 {
 		confirmedAt := bootClock{}.Now() - time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond
 		node.followers[platform.ConfigurationTable].Confirm(
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -21,6 +21,7 @@
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/peer"
+	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -75,7 +76,7 @@
 	ledger       *allowance.Ledger
 	targetClient *exchange.Client
 	retryBudget  *gateway.RetryBudget
-	crashTracker *gateway.CrashTracker
+	quarantine   *quarantine.Tracker
 	meter        *metric.Meter
 	hub          *peer.Hub
 	followers    map[string]*feed.Follower
@@ -109,7 +110,7 @@
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
 		retryBudget:    gateway.NewRetryBudget(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
-		crashTracker:   gateway.NewCrashTracker(),
+		quarantine:     quarantine.New(log),
 		meter:          metric.New(),
 		followers:      map[string]*feed.Follower{},
 		probeGate:      &feed.ProbeGate{},
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -33,7 +33,7 @@
 		Client:        node.targetClient,
 		Loader:        node.loader,
 		RetryBudget:   node.retryBudget,
-		CrashTracker:  node.crashTracker,
+		Quarantine:    node.quarantine,
 		Meter:         node.meter,
 		Draining:      node.refuseWaiting,
 	}, node.log)
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -26,6 +26,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,8 +38,8 @@
 // The bounds of a connection.
 const (
 	dialTimeout = time.Second
-	// reachTimeout bounds the check whether a target still accepts connections.
-	reachTimeout = 300 * time.Millisecond
+	// refusalTimeout bounds the check whether a target refuses connections.
+	refusalTimeout = 200 * time.Millisecond
 	// defaultIdleTimeout applies to targets that send no Keep-Alive timeout.
 	defaultIdleTimeout = 3 * time.Second
 	// idleTimeoutMargin is subtracted from the target's Keep-Alive timeout, so that
@@ -261,16 +262,17 @@
 	return err == nil && empty
 }
 
-// Reachable reports whether a target accepts connections.
-func (client *Client) Reachable(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+// Refuses reports whether nothing accepts connections at a target's address, because its
+// process has ended. A target that does not respond is not known to have ended.
+func (client *Client) Refuses(ctx context.Context, address string) bool {
+	bounded, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
-	dialled, err := client.dialer.DialContext(ctx, "tcp", address)
+	dialled, err := client.dialer.DialContext(bounded, "tcp", address)
 	if err != nil {
-		return false
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = dialled.Close()
-	return true
+	return false
 }
 
 // Body returns the answer's body.
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -194,8 +194,8 @@
 	if _, failure := sendAndRead(t, client, address); failure != mimosatide.CallNotSent {
 		t.Errorf("got failure %q, want NotSent", failure)
 	}
-	if client.Reachable(address) {
-		t.Error("reachable: got true for a closed port, want false")
+	if !client.Refuses(context.Background(), address) {
+		t.Error("refuses connections: got false for a closed port, want true")
 	}
 }
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -20,6 +20,7 @@
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
 )
 
@@ -91,7 +92,7 @@
 		Client:        exchange.New(&net.Dialer{}),
 		Loader:        created.loader,
 		RetryBudget:   gateway.NewRetryBudget(0.2, 56),
-		CrashTracker:  gateway.NewCrashTracker(),
+		Quarantine:    quarantine.New(logr.Discard()),
 		Meter:         metric.New(),
 		Draining:      created.draining,
 	}, logr.Discard())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -55,11 +56,12 @@
 	Tracker      *balance.Tracker
 	Ledger       *allowance.Ledger
 	// Client sends the requests to the targets.
-	Client       *exchange.Client
-	Loader       Loader
-	RetryBudget  *RetryBudget
-	CrashTracker *CrashTracker
-	Meter        *metric.Meter
+	Client      *exchange.Client
+	Loader      Loader
+	RetryBudget *RetryBudget
+	// Quarantine holds the requests that crash targets.
+	Quarantine *quarantine.Tracker
+	Meter      *metric.Meter
 	// Draining is closed when the requests that still wait for a target have to be
 	// refused, because the process would exit before they were served.
 	Draining <-chan struct{}
@@ -101,9 +103,9 @@
 	if callerRequest.Wait > 0 && (timeout <= 0 || callerRequest.Wait < timeout) {
 		timeout = callerRequest.Wait
 	}
-	handler.digest = contentDigest(callerRequest)
-	if gateway.CrashTracker.IsPoison(handler.digest) {
-		handler.refuse(mimosatide.Refuse(mimosatide.ReasonPoisonRequest, "targets crashed while they ran this request"))
+	handler.features = features(callerRequest)
+	if handler.quarantined() {
+		handler.refuse(poisonRefusal())
 		return
 	}
 	handler.deadline = arrived.Add(timeout)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -450,6 +450,64 @@
 	}
 }
 
+// addTargetWithDeadlyPart adds an engine that crashes as soon as it begins to answer a
+// request whose prompt has the part "deadly".
+func (fixture *fixture) addTargetWithDeadlyPart(id string) {
+	var closeListener func()
+	fixture.addTarget(id, "llm", func(writer http.ResponseWriter, request *http.Request) {
+		if !strings.Contains(request.Header.Get("Prompt-Prefix"), "deadly") {
+			respondEvents(1, 3, true)(writer, request)
+			return
+		}
+		sign(writer, request)
+		writer.WriteHeader(http.StatusOK)
+		writer.(http.Flusher).Flush()
+		closeListener()
+		panic(http.ErrAbortHandler)
+	}, "m")
+	closeListener = fixture.closeLast()
+}
+
+// TestRequestsWithADeadlyPartDoNotCrashOneTargetAfterTheOther guards against requests that
+// crash each target that begins to answer them and are alike in one prompt part only;
+// sound requests that share their other parts must go on.
+func TestRequestsWithADeadlyPartDoNotCrashOneTargetAfterTheOther(t *testing.T) {
+	fixture := newFixture(t)
+	for _, id := range []string{"e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8"} {
+		fixture.addTargetWithDeadlyPart(id)
+	}
+	send := func(index int, prefix string) *http.Response {
+		request := newChatRequest(fixture, "/chat/"+strconv.Itoa(index), "m")
+		request.Header.Set("Prompt-Prefix", prefix+":50,own"+strconv.Itoa(index)+":20")
+		response, _, _ := fixture.send(request)
+		return response
+	}
+	arrived := func() int {
+		count := 0
+		for _, request := range fixture.received() {
+			if strings.Contains(request.header.Get("Prompt-Prefix"), "deadly") {
+				count++
+			}
+		}
+		return count
+	}
+	if response := send(100, "common:10,rare"); response.StatusCode != http.StatusOK {
+		t.Errorf("sound request: got status %d, want 200", response.StatusCode)
+	}
+	var last *http.Response
+	for index := range 7 {
+		last = send(index, "common:10,rare:10,deadly")
+		// Crashes at the same time count as one.
+		time.Sleep(120 * time.Millisecond)
+	}
+	if count := arrived(); count > 4 || last == nil || last.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %d deadly requests at targets and answer %v to the last, want at most 4 and 503", count, last)
+	}
+	if response := send(200, "common:10,rare"); response.StatusCode != http.StatusOK {
+		t.Errorf("sound request after the crashes: got status %d, want 200", response.StatusCode)
+	}
+}
+
 // addCrashingTarget adds a target that stops accepting connections once a request runs.
 func (fixture *fixture) addCrashingTarget(id string) {
 	var closeListener func()
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -1,39 +1,28 @@
 package gateway
 
 import (
-	"sync"
+	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/quarantine"
 )
 
-// The bounds of poison requests.
-const (
-	// maxCrashes is the number of target crashes from which a request is refused.
-	maxCrashes = 2
-	// crashRetention is how long a request's crashes are kept after the last one.
-	crashRetention = 30 * time.Second
-)
-
-type crashCount struct {
-	count int
-	last  time.Time
-}
-
-// CrashTracker counts the target crashes of each request, over all nodes, to detect
-// poison requests. A request is identified by the digest of its content, because a
-// caller retries it under a new id. It is safe for concurrent use.
-type CrashTracker struct {
-	lock  sync.Mutex
-	own   map[uint64]crashCount
-	peers map[string]map[uint64]int
-}
+// provenAfter is how long a target must have gone on after it began to answer a request,
+// until the request counts as one that does not crash it.
+const provenAfter = 150 * time.Millisecond
 
-// NewCrashTracker returns a tracker without crashes.
-func NewCrashTracker() *CrashTracker {
-	return &CrashTracker{own: map[uint64]crashCount{}, peers: map[string]map[uint64]int{}}
+// features returns what a request may have in common with others that crash targets. The
+// last part of a prompt belongs to the request alone.
+func features(request mimosatide.CallerRequest) quarantine.Features {
+	var parts []string
+	for index := 0; index+1 < len(request.Parts); index++ {
+		parts = append(parts, request.Parts[index].ID)
+	}
+	return quarantine.NewFeatures(contentDigest(request), parts)
 }
 
 // contentDigest returns the digest of everything that a caller's retry has in
@@ -48,57 +37,54 @@
 	return digest.Sum64()
 }
 
-// RecordCrash counts a crash of a target that ran a request, and returns the number
-// of its crashes that this node has seen.
-func (tracker *CrashTracker) RecordCrash(digest uint64, now time.Time) int {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	known := tracker.own[digest]
-	tracker.own[digest] = crashCount{count: known.count + 1, last: now}
-	return known.count + 1
+// quarantined reports whether the request must not be sent, because it has crashed targets
+// or has a prompt part that does.
+func (handler *requestHandler) quarantined() bool {
+	return handler.gateway.Quarantine.Holds(handler.features, time.Now())
 }
 
-// Clear removes the crashes that this node has seen of a request, once a target has answered it.
-func (tracker *CrashTracker) Clear(digest uint64) {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	delete(tracker.own, digest)
+func poisonRefusal() mimosatide.Refusal {
+	return mimosatide.Refuse(mimosatide.ReasonPoisonRequest, "targets crashed while they answered such requests")
 }
 
-// IsPoison reports whether a request has crashed so many targets that it must not be sent again.
-func (tracker *CrashTracker) IsPoison(digest uint64) bool {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	count := tracker.own[digest].count
-	for _, crashes := range tracker.peers {
-		count += crashes[digest]
+// checkCrash puts the request under suspicion if its connection was cut because the target
+// has crashed: nothing accepts connections at its address any more. A request that the
+// target had been answering for some time is not suspected.
+func (handler *requestHandler) checkCrash(ctx context.Context) {
+	instance := handler.instance
+	answering := time.Duration(0)
+	if !handler.answerBegan.IsZero() {
+		answering = time.Since(handler.answerBegan)
+	}
+	known, found := handler.gateway.Targets.View().Instance(instance.ID)
+	if ctx.Err() != nil || found && known.Leaving || !handler.gateway.Client.Refuses(ctx, instance.Address) {
+		return
+	}
+	suspected := answering < provenAfter
+	handler.gateway.log.Info("target crashed under a request", "request", handler.request.ID, "target", instance.ID,
+		"parts", handler.features.Parts, "content", handler.features.Content, "answering", answering, "suspected", suspected)
+	if suspected {
+		crash := xxhash.Sum64String(instance.ID + "@" + strconv.FormatInt(instance.Born.UnixMilli(), 10))
+		handler.gateway.Quarantine.Suspect(crash, handler.features, time.Now())
 	}
-	return count >= maxCrashes
 }
 
-// OwnCrashes returns the number of crashes that this node has seen, by request
-// digest, for the other nodes. It removes those older than crashRetention.
-func (tracker *CrashTracker) OwnCrashes(now time.Time) map[uint64]int {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	counts := map[uint64]int{}
-	for digest, known := range tracker.own {
-		if now.Sub(known.last) > crashRetention {
-			delete(tracker.own, digest)
-			continue
-		}
-		counts[digest] = known.count
+// recordAnswering records that the target sends its answer, and acquits the request once
+// that has gone on for long enough.
+func (handler *requestHandler) recordAnswering(now time.Time) {
+	if handler.answerBegan.IsZero() {
+		handler.answerBegan = now
+	}
+	if !handler.acquitted && now.Sub(handler.answerBegan) >= provenAfter {
+		handler.acquit(now)
 	}
-	return counts
 }
 
-// SetPeerCrashes replaces the crashes seen by another node.
-func (tracker *CrashTracker) SetPeerCrashes(node string, crashes map[uint64]int) {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	if len(crashes) == 0 {
-		delete(tracker.peers, node)
+// acquit records that the target answered the request without a crash.
+func (handler *requestHandler) acquit(now time.Time) {
+	if handler.acquitted {
 		return
 	}
-	tracker.peers[node] = crashes
+	handler.acquitted = true
+	handler.gateway.Quarantine.Acquit(handler.features, now)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,12 +51,12 @@
 	body, err := io.ReadAll(io.LimitReader(outcome.reply.Body(), maxBufferedBytes+1))
 	if err != nil {
 		outcome.reply.Abort()
-		handler.logCrash()
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
 	if len(body) > maxBufferedBytes {
 		return handler.relayLarge(outcome, body)
 	}
+	handler.acquit(time.Now())
 	answer := &bufferedAnswer{head: outcome.head, body: body}
 	if outcome.head.Status >= http.StatusInternalServerError && handler.route.Repeatable() {
 		outcome.reply.Close(true)
@@ -113,6 +113,7 @@
 		}
 		handler.inFlight.PrefillDone()
 		handler.recordEvent(time.Now())
+		handler.recordAnswering(time.Now())
 		if err := handler.writeEvent(outcome, event); err != nil {
 			outcome.reply.Abort()
 			handler.inFlight.End(balance.Withdrawn, time.Now())
@@ -159,7 +160,6 @@
 // failStream ends the send of a stream that broke off; an incomplete event is dropped.
 func (handler *requestHandler) failStream(ctx context.Context, outcome sendOutcome, err error) sendOutcome {
 	outcome.reply.Abort()
-	handler.logCrash()
 	failed := handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	failed.reason = metric.RetryResume
 	return failed
@@ -207,7 +207,7 @@
 		result = balance.Failed
 	}
 	handler.inFlight.End(result, time.Now())
-	handler.gateway.CrashTracker.Clear(handler.digest)
+	handler.acquit(time.Now())
 	handler.gateway.Meter.ObserveAnswer(time.Since(handler.arrived))
 	handler.log(outcome.head.Status, "Served", "")
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -39,7 +40,7 @@
 	arrived       time.Time
 	deadline      time.Time
 	chargedTokens float64
-	digest        uint64
+	features      quarantine.Features
 	// waitingSince is when the request began to wait for its model.
 	waitingSince time.Time
 
@@ -57,6 +58,10 @@
 	inFlight *balance.InFlight
 	// releaseAdapter ends the use of the adapter at the current target.
 	releaseAdapter func()
+	// answerBegan is when the current target began to send its answer, after the head.
+	// acquitted says that a target has answered the request without a crash.
+	answerBegan time.Time
+	acquitted   bool
 	// headSent says that the answer to the caller has begun.
 	headSent    bool
 	lastEventID string
@@ -105,6 +110,10 @@
 			handler.refuse(refusal.WithRun(handler.runState()))
 			return
 		}
+		if handler.quarantined() {
+			handler.refuse(poisonRefusal().WithRun(handler.runState()))
+			return
+		}
 		outcome := handler.send(ctx, instance)
 		if !outcome.failed() {
 			outcome = handler.relay(ctx, outcome)
@@ -132,6 +141,7 @@
 	handler.instance = instance
 	handler.tried[instance.ID] = true
 	handler.sends++
+	handler.answerBegan = time.Time{}
 	if handler.sends == 1 {
 		handler.waited = time.Since(handler.arrived)
 	}
@@ -160,15 +170,12 @@
 		Method:     handler.request.Method,
 		Message:    message,
 		LimitReuse: !handler.route.Repeatable(),
-		Permitted:  func() bool { return handler.gateway.permits(instance) },
+		Permitted:  func() bool { return handler.gateway.permits(instance) && !handler.quarantined() },
 	})
 	if failure != mimosatide.CallSucceeded {
 		if failure != mimosatide.CallNotSent {
 			handler.possibleRuns++
 		}
-		if failure == mimosatide.CallCut {
-			go handler.gateway.checkCrash(handler.digest, handler.request.ID, instance)
-		}
 		if errors.Is(err, exchange.ErrNotPermitted) {
 			handler.inFlight.End(balance.Withdrawn, time.Now())
 		}
@@ -209,7 +216,7 @@
 }
 
 // failSend ends a send without an answer. It counts against the target unless the
-// request's context has ended.
+// request's context has ended. A crash is checked for before the request may be retried.
 func (handler *requestHandler) failSend(ctx context.Context, failure mimosatide.CallFailure, detail string) sendOutcome {
 	outcome := sendOutcome{failure: failure, detail: detail, reason: metric.RetryCut}
 	if failure == mimosatide.CallNotSent {
@@ -221,32 +228,10 @@
 	} else {
 		handler.inFlight.End(balance.Failed, time.Now())
 	}
-	return outcome
-}
-
-// checkCrash records a crash for a request if its target, which closed the
-// connection without an answer, no longer accepts connections.
-func (gateway *Gateway) checkCrash(digest uint64, request string, instance mimosatide.Instance) {
-	if gateway.Client.Reachable(instance.Address) {
-		return
-	}
-	count := gateway.CrashTracker.RecordCrash(digest, time.Now())
-	gateway.log.Info("target crashed under a request", "request", request, "target", instance.ID, "crashes", count)
-}
-
-// logCrash logs a crash of the target under an answer that had begun.
-func (handler *requestHandler) logCrash() {
-	instance, parts := handler.instance, handler.request.Parts
-	answering := time.Duration(0)
-	if !handler.lastEventTime.IsZero() {
-		answering = time.Since(handler.arrived.Add(handler.firstEvent))
+	if failure == mimosatide.CallCut {
+		handler.checkCrash(ctx)
 	}
-	go func() {
-		if !handler.gateway.Client.Reachable(instance.Address) {
-			handler.gateway.log.Info("target crashed under an answer", "request", handler.request.ID, "target", instance.ID,
-				"parts", parts, "answering", answering)
-		}
-	}()
+	return outcome
 }
 
 // checkAnswer checks the head of an answer. The send has failed if the target says
@@ -297,7 +282,7 @@
 // mayRetry reports whether the request may be sent again. Unless no byte of it reached
 // the target, the retry is taken from the service's retry budget.
 func (handler *requestHandler) mayRetry(ctx context.Context, outcome sendOutcome) bool {
-	if ctx.Err() != nil || handler.sends >= maxSends || handler.gateway.CrashTracker.IsPoison(handler.digest) {
+	if ctx.Err() != nil || handler.sends >= maxSends || handler.quarantined() {
 		return false
 	}
 	if outcome.failure == mimosatide.CallNotSent {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -44,15 +44,16 @@
 	StoreOutage bool `cbor:"10,keyasint,omitempty"`
 	// Steady is set by a node that reads the store itself and has seen no recent outage.
 	Steady bool `cbor:"11,keyasint,omitempty"`
-	// Crashes counts the target crashes at the start of a request, by the hash of the
-	// request's content.
-	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
+	// Key 8 held the crashes of whole requests and must not be used for anything else.
+
 	// Leaving holds the targets whose answers have told the node that they leave, with the
 	// start of the incarnation in milliseconds of Unix time.
 	Leaving map[string]int64 `cbor:"12,keyasint,omitempty"`
 	// ConfigurationAgeMillis is the time since the store last confirmed to the node that its
 	// copy of the configuration is current, at least 1; zero if it never has.
 	ConfigurationAgeMillis int64 `cbor:"13,keyasint,omitempty"`
+	// Quarantine is what the node reports of requests that crash targets; nil if nothing.
+	Quarantine *Quarantine `cbor:"14,keyasint,omitempty"`
 }
 
 // Load is the load that a node puts on a target.
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,160 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide/internal/quarantine"
+)
+
+var start = time.Unix(1000, 0)
+
+// at returns a time in seconds after the start.
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// request returns the features of a request that is like no other one but for its parts.
+func request(content uint64, parts ...string) quarantine.Features {
+	return quarantine.NewFeatures(content, parts)
+}
+
+func held(tracker *quarantine.Tracker, now time.Time, parts ...string) bool {
+	return tracker.Holds(request(99999, parts...), now)
+}
+
+// TestPartThatCrashesTargetsIsQuarantined guards against requests with one deadly part that
+// crash one target after the other, because no two of them are alike.
+func TestPartThatCrashesTargetsIsQuarantined(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	for crash := range uint64(3) {
+		if held(tracker, at(float64(crash)), "common", "deadly") {
+			t.Errorf("after %d crashes: got quarantined, want not yet", crash)
+		}
+		now := at(float64(crash))
+		tracker.Suspect(crash, request(crash, "common", "deadly"), now)
+		tracker.Suspect(crash, request(100+crash, "common", fmt.Sprint("sound", crash)), now)
+		tracker.Acquit(request(200+crash, "common", "sound"), now.Add(time.Millisecond))
+	}
+	now := at(3)
+	if !held(tracker, now, "other", "deadly") {
+		t.Error("part of three crashes: got not quarantined, want quarantined whatever else the request has")
+	}
+	if held(tracker, now, "common", "sound") || held(tracker, now, "common", "sound1") {
+		t.Error("parts that sound requests have: got quarantined, want not")
+	}
+}
+
+// TestPartsOfADeadlyPartsRequestsAreNotQuarantined guards against refusing sound requests
+// that share a part with deadly ones, if no sound one was answered between the crashes.
+func TestPartsOfADeadlyPartsRequestsAreNotQuarantined(t *testing.T) {
+	for _, parts := range [][]string{{"common", "deadly"}, {"deadly", "common"}} {
+		tracker := quarantine.New(logr.Discard())
+		tracker.Acquit(request(1, "common", "sound"), at(0))
+		for crash := range uint64(6) {
+			now := at(1 + float64(crash)/5)
+			if held(tracker, now, parts...) {
+				break
+			}
+			tracker.Suspect(crash, request(10+crash, parts...), now)
+		}
+		if now := at(3); held(tracker, now, "common") || !held(tracker, now, "deadly") {
+			t.Errorf("%v: got common quarantined %v and deadly %v, want only deadly",
+				parts, held(tracker, now, "common"), held(tracker, now, "deadly"))
+		}
+	}
+}
+
+// TestTargetsThatCrashTogetherPutNothingInQuarantine guards against refusing what is most
+// asked for after a part of the targets has crashed for another reason.
+func TestTargetsThatCrashTogetherPutNothingInQuarantine(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	tracker.Acquit(request(1, "common"), at(0))
+	for crash := range uint64(8) {
+		now := at(1 + float64(crash)/100)
+		tracker.Suspect(crash, request(1, "common"), now)
+		tracker.Suspect(crash, request(10+crash, "common", "rare"), now)
+	}
+	now := at(2)
+	if tracker.Holds(request(1, "common"), now) || held(tracker, now, "common", "rare") {
+		t.Error("after eight targets crashed together: got a quarantine, want none")
+	}
+}
+
+func TestRequestThatCrashedTwoTargetsIsQuarantined(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	tracker.Suspect(1, request(7, "common"), at(1))
+	tracker.Suspect(1, request(7, "common"), at(1.2))
+	if tracker.Holds(request(7, "common"), at(2)) {
+		t.Error("after one crash: got quarantined, want not")
+	}
+	tracker.Suspect(2, request(7, "common"), at(3))
+	if !tracker.Holds(request(7, "common"), at(4)) {
+		t.Error("after two crashes: got not quarantined, want quarantined")
+	}
+	if held(tracker, at(4), "common") {
+		t.Error("part of the request: got quarantined, want not")
+	}
+}
+
+// TestAnswerEndsAQuarantine guards against a sound part that stays refused: a request that
+// was under way when its part was quarantined may show that it is sound.
+func TestAnswerEndsAQuarantine(t *testing.T) {
+	tracker, peer := quarantine.New(logr.Discard()), quarantine.New(logr.Discard())
+	for crash := range uint64(3) {
+		tracker.Suspect(crash, request(crash, "part"), at(float64(crash)))
+	}
+	peer.Apply(tracker.Report(at(2.1)), at(2.2))
+	if !held(peer, at(2.2), "part") {
+		t.Fatal("quarantine of a peer: got not held, want held")
+	}
+	tracker.Acquit(request(50, "part"), at(3))
+	peer.Apply(tracker.Report(at(3.1)), at(3.2))
+	if held(tracker, at(3.3), "part") || held(peer, at(3.3), "part") {
+		t.Error("after a good answer: got quarantined, want not, here and at the peer")
+	}
+	late := quarantine.New(logr.Discard())
+	for crash := range uint64(3) {
+		late.Suspect(crash, request(crash, "part"), at(float64(crash)))
+	}
+	if tracker.Apply(late.Report(at(3.4)), at(3.4)); held(tracker, at(3.5), "part") {
+		t.Error("late report of a peer that does not know of the answer: got quarantined, want not")
+	}
+}
+
+func TestSuspicionsOfAllNodesCount(t *testing.T) {
+	trackers := []*quarantine.Tracker{quarantine.New(logr.Discard()), quarantine.New(logr.Discard()), quarantine.New(logr.Discard())}
+	for crash, tracker := range trackers {
+		now := at(float64(crash))
+		tracker.Suspect(uint64(crash), request(uint64(crash), "part"), now)
+		for _, other := range trackers {
+			other.Apply(tracker.Report(now), now.Add(200*time.Millisecond))
+			other.Apply(tracker.Report(now), now.Add(400*time.Millisecond))
+		}
+	}
+	for index, tracker := range trackers {
+		if !held(tracker, at(3), "part") {
+			t.Errorf("node %d after three crashes at three nodes: got not quarantined, want quarantined", index)
+		}
+	}
+}
+
+// TestQuarantineAndSuspicionsEnd guards against counts of nodes that are gone, or of an
+// earlier hour, which refuse requests for ever.
+func TestQuarantineAndSuspicionsEnd(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	tracker.Suspect(1, request(1, "part"), at(0))
+	tracker.Suspect(2, request(2, "part"), at(1))
+	tracker.Suspect(3, request(3, "part"), at(600))
+	if held(tracker, at(601), "part") {
+		t.Error("crashes ten minutes apart: got quarantined, want not")
+	}
+	tracker.Suspect(4, request(4, "part"), at(601))
+	tracker.Suspect(5, request(5, "part"), at(602))
+	if !held(tracker, at(603), "part") || held(tracker, at(1300), "part") {
+		t.Error("got not quarantined at once or for more than ten minutes, want quarantined for some minutes")
+	}
+}
