--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -338,6 +340,54 @@
 	}
 }
 
+// respondUntilClose sends a 200 answer with neither a length nor chunks, which ends with
+// its connection; reset makes the connection end with a reset.
+func respondUntilClose(body string, reset bool) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		connection, _, err := writer.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: signature\r\n"+
+			"Content-Type: text/event-stream\r\n\r\n%s", request.Header.Get("Attempt-Id"), body)
+		if reset {
+			// Without the pause the reset could overtake the body.
+			time.Sleep(20 * time.Millisecond)
+			_ = connection.(*net.TCPConn).SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+}
+
+// TestAnswerThatEndsWithItsConnection guards against a cut answer that looks complete
+// because the connection's end is the only sign of its own.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		body  string
+		reset bool
+		whole bool
+	}{
+		"plain answer":            {path: "/order/x", body: "the answer", whole: true},
+		"plain answer, reset":     {path: "/order/x", body: "the ans", reset: true},
+		"stream":                  {path: "/chat/x", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", whole: true},
+		"stream inside an event":  {path: "/chat/x", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n"},
+		"stream inside a line":    {path: "/chat/x", body: "id: 1\ndata: a\n\nid: 2\nda"},
+		"stream between, reset":   {path: "/chat/x", body: "id: 1\ndata: a\n\n", reset: true},
+		"stream without an event": {path: "/chat/x", body: "id: 1", reset: false},
+	}
+	for name, test := range cases {
+		fixture := newFixture(t)
+		fixture.addTarget("d-1", "desk", respondUntilClose(test.body, test.reset))
+		fixture.addTarget("e-1", "llm", respondUntilClose(test.body, test.reset), "m")
+		response, body, whole := fixture.send(newChatRequest(fixture, test.path, "m"))
+		complete := response != nil && response.StatusCode == http.StatusOK && whole
+		if complete != test.whole || complete && body != test.body {
+			t.Errorf("%s: got response %v with body %q and complete %v, want complete %v", name, response, body, complete, test.whole)
+		}
+	}
+}
+
 // The first target breaks off in the middle of event 3. The caller must get every event
 // exactly once, and nothing of the incomplete one.
 func TestResumableStreamContinuesAfterItsLastEvent(t *testing.T) {
