End a begun stream instead of writing an error into it

Cause: a stream that is resumed at another target goes through the same code as a first answer. Only server errors were kept out; any other answer was written behind the events that the caller had, and so was the node's own refusal when no target was left.

Change: once an answer has begun, only a 200 of the same media type continues it; anything else counts as a failed try. A refusal of a request whose answer has begun aborts the connection, so that the stream doesn't look complete.

Result: of the eleven cases of the test, five failed before: 302, 400, 404, 204 and no target left.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -500,6 +500,61 @@
 	}
 }
 
+// TestErrorOfAResumedStreamIsNotWrittenIntoIt guards against callers that find the text of
+// an error in the middle of their stream, or a stream that ends as if it were complete.
+func TestErrorOfAResumedStreamIsNotWrittenIntoIt(t *testing.T) {
+	const noTargetLeft = "no target left"
+	answers := map[string]http.HandlerFunc{
+		"bad request":      respondError(http.StatusBadRequest, false),
+		"not found":        respondError(http.StatusNotFound, false),
+		"server error":     respondError(http.StatusInternalServerError, false),
+		"unavailable":      respondError(http.StatusServiceUnavailable, false),
+		"rejected":         respondError(http.StatusServiceUnavailable, true),
+		"not found at all": respondError(http.StatusMisdirectedRequest, true),
+		"no stream":        respond("the whole answer"),
+		"redirect":         respondError(http.StatusFound, false),
+		"no content":       respondStatus(http.StatusNoContent, false),
+		"paused":           respondPause("60"),
+		noTargetLeft:       respond("not reached"),
+	}
+	for name, answer := range answers {
+		fixture := newFixture(t)
+		sends := 0
+		handler := func(writer http.ResponseWriter, request *http.Request) {
+			fixture.lock.Lock()
+			sends++
+			first := sends == 1
+			fixture.lock.Unlock()
+			if !first {
+				answer(writer, request)
+				return
+			}
+			if name == noTargetLeft {
+				for _, id := range []string{"e-1", "e-2"} {
+					fixture.targets.Delete(id, 1, false, time.Now())
+				}
+			}
+			respondEvents(1, 2, false)(writer, request)
+		}
+		fixture.addTarget("e-1", "llm", handler, "m")
+		fixture.addTarget("e-2", "llm", handler, "m")
+		response, body, whole := fixture.send(newChatRequest(fixture, "/resumable/x", "m"))
+		want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+		if response == nil || body != want || whole {
+			t.Errorf("%s: got body %q and complete %v, want the two events and not complete", name, body, whole)
+		}
+	}
+}
+
+// respondError answers an error with a text; with notRun the target declares that it did
+// not run the request.
+func respondError(status int, notRun bool) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		respondStatus(status, notRun)(writer, request)
+		_, _ = writer.Write([]byte("id: 9\ndata: the text of the error\n\n"))
+	}
+}
+
 // addTargetWithDeadlyPart adds an engine that crashes as soon as it begins to answer a
 // request whose prompt has the part "deadly".
 func (fixture *fixture) addTargetWithDeadlyPart(id string) {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -26,8 +26,12 @@
 
 // refuse answers a request with a refusal. A request that may have run gets 502 or
 // 504 and no Retry-After; one that did not run is refunded. If the caller has
-// disconnected, its connection is closed without an answer.
+// disconnected, its connection is closed without an answer; an answer that has begun is
+// aborted.
 func (handler *requestHandler) refuse(refusal mimosatide.Refusal) {
+	if handler.headSent {
+		handler.abort(sendOutcome{detail: string(refusal.Reason) + ": " + refusal.Detail})
+	}
 	status, found := refusalStatus[refusal.Reason]
 	if !found {
 		status = http.StatusServiceUnavailable
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -33,7 +34,7 @@
 // have to be sent again: the answer broke off before any of it was sent, a stream broke
 // off or could not be resumed, or a repeatable request got a server error.
 func (handler *requestHandler) relay(ctx context.Context, outcome sendOutcome) sendOutcome {
-	if outcome.head.Status >= http.StatusInternalServerError && handler.headSent {
+	if handler.headSent && !handler.continuesStream(outcome.head) {
 		outcome.reply.Abort()
 		handler.inFlight.End(balance.Failed, time.Now())
 		return sendOutcome{failure: mimosatide.CallCut, detail: "the stream could not be resumed", reason: metric.RetryResume}
@@ -44,6 +45,14 @@
 	return handler.relayBuffered(ctx, outcome)
 }
 
+// continuesStream reports whether an answer goes on with the stream that the caller has
+// begun to receive. Any other answer belongs to no place in it.
+func (handler *requestHandler) continuesStream(head platform.AnswerHead) bool {
+	begun, _, _ := strings.Cut(handler.writer.Header().Get("Content-Type"), ";")
+	next, _, _ := strings.Cut(head.Header.Get("Content-Type"), ";")
+	return head.Status == http.StatusOK && next == begun
+}
+
 // relayBuffered reads the whole answer before it sends it, so that a failed request
 // can still be retried.
 func (handler *requestHandler) relayBuffered(ctx context.Context, outcome sendOutcome) sendOutcome {
