Don't believe a rejection that may belong to an earlier request

Cause: an answer was matched to its request by its id, but a rejection without an id was believed on any connection, and a request that was rejected and sent to the same target again has the id of the earlier rejection, which may come once more on the connection that both use.

Change: a rejection without an id is believed only on a new connection; on one that carried an earlier call it counts as the answer to another request, so that the request may have run. A request that goes to a target for the second time gets a new connection.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -64,6 +64,9 @@
 	// their idle timeout. It is meant for requests that can't be retried after the
 	// target has closed the connection.
 	LimitReuse bool
+	// NewConnection forbids a pooled connection. It is meant for a request that was sent to
+	// the target before, whose earlier answer may be repeated on the same connection.
+	NewConnection bool
 	// Permitted is called once a connection is open, directly before the message is
 	// written. If it returns false, nothing is sent; nil always permits.
 	Permitted func() bool
@@ -84,6 +87,8 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// reused says that the connection has carried an earlier call.
+	reused bool
 }
 
 // New returns a client with an empty pool.
@@ -94,6 +99,9 @@
 // Reply is the answer to a call. The caller has to call Close or Abort.
 type Reply struct {
 	Response *http.Response
+	// Reused says that the connection carried an earlier call, so that an answer which does
+	// not name its request may be a late one to that call.
+	Reused bool
 
 	client     *Client
 	address    string
@@ -136,6 +144,7 @@
 	}
 	return &Reply{
 		Response:   response,
+		Reused:     acquired.reused,
 		client:     client,
 		address:    call.Address,
 		connection: acquired,
@@ -181,7 +190,7 @@
 
 // acquire returns a reusable connection from the pool, or a new one.
 func (client *Client) acquire(ctx context.Context, call Call) (*connection, error) {
-	for {
+	for !call.NewConnection {
 		pooled := client.popIdle(call.Address)
 		if pooled == nil {
 			break
@@ -191,6 +200,7 @@
 			age *= 2
 		}
 		if age < pooled.idleTimeout && pooled.noPendingInput() {
+			pooled.reused = true
 			return pooled, nil
 		}
 		_ = pooled.Close()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -555,6 +555,60 @@
 	}
 }
 
+// addRepeatingTarget adds a target that rejects the first request and keeps the connection.
+// It runs every later request, but on that connection it writes the rejection once more
+// before. withID says that the rejection names its request. It returns the number of runs.
+func (fixture *fixture) addRepeatingTarget(withID bool) *atomic.Int32 {
+	var runs, requests atomic.Int32
+	fixture.addTarget("d-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+		if requests.Add(1) > 1 {
+			runs.Add(1)
+			respond("the answer")(writer, request)
+			return
+		}
+		connection, buffered, err := writer.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		rejection := "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+		if withID {
+			rejection += "Attempt-Id: " + request.Header.Get("Attempt-Id") + "\r\n"
+		}
+		_, _ = connection.Write([]byte(rejection + "\r\n"))
+		if _, err := http.ReadRequest(buffered.Reader); err != nil {
+			return
+		}
+		runs.Add(1)
+		_, _ = connection.Write([]byte(rejection + "\r\n"))
+	})
+	return &runs
+}
+
+// TestRepeatedRejectionIsNotTakenForTheAnswer guards against callers that are told that
+// their request has not run, by an earlier rejection on the same connection, although it
+// was running.
+func TestRepeatedRejectionIsNotTakenForTheAnswer(t *testing.T) {
+	for _, withID := range []bool{false, true} {
+		fixture := newFixture(t)
+		runs := fixture.addRepeatingTarget(withID)
+		for index := range 2 {
+			before := runs.Load()
+			request := fixture.newRequest(http.MethodPost, "/order/x")
+			request.Header.Set("Attempt-Id", "r-"+strconv.Itoa(index))
+			response, body, _ := fixture.send(request)
+			ran := runs.Load() - before
+			if response.StatusCode == http.StatusServiceUnavailable && ran > 0 || ran > 1 {
+				t.Errorf("rejection with id %v, request %d: got status %d and body %q after %d runs, want no 503 and one run at most",
+					withID, index, response.StatusCode, body, ran)
+			}
+		}
+		if runs.Load() == 0 {
+			t.Errorf("rejection with id %v: got no run of two requests, want one or more", withID)
+		}
+	}
+}
+
 // addTargetWithDeadlyPart adds an engine that crashes as soon as it begins to answer a
 // request whose prompt has the part "deadly".
 func (fixture *fixture) addTargetWithDeadlyPart(id string) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -139,6 +139,7 @@
 // send sends the request to a target and checks the head of its answer.
 func (handler *requestHandler) send(ctx context.Context, instance mimosatide.Instance) sendOutcome {
 	handler.instance = instance
+	repeated := handler.tried[instance.ID]
 	handler.tried[instance.ID] = true
 	handler.sends++
 	handler.answerBegan = time.Time{}
@@ -166,11 +167,12 @@
 		LastEvent:      lastEvent,
 	})
 	reply, failure, err := handler.gateway.Client.Send(ctx, exchange.Call{
-		Address:    instance.Address,
-		Method:     handler.request.Method,
-		Message:    message,
-		LimitReuse: !handler.route.Repeatable(),
-		Permitted:  func() bool { return handler.gateway.permits(instance) && !handler.quarantined() },
+		Address:       instance.Address,
+		Method:        handler.request.Method,
+		Message:       message,
+		LimitReuse:    !handler.route.Repeatable(),
+		NewConnection: repeated,
+		Permitted:     func() bool { return handler.gateway.permits(instance) && !handler.quarantined() },
 	})
 	if failure != mimosatide.CallSucceeded {
 		if failure != mimosatide.CallNotSent {
@@ -236,11 +238,12 @@
 
 // checkAnswer checks the head of an answer. The send has failed if the target says
 // that it did not run the request, or if the answer is not the target's own signed
-// and unencoded answer to this request.
+// and unencoded answer to this request. A rejection without a request id is only believed
+// on a new connection: on another one it may belong to an earlier request.
 func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
 	head := platform.DecodeAnswerHead(reply.Response)
 	handler.recordWishes(head)
-	if head.NotRun && (head.RequestID == "" || head.RequestID == handler.request.ID) {
+	if head.NotRun && (head.RequestID == handler.request.ID || head.RequestID == "" && !reply.Reused) {
 		reply.Close(drainBody(reply))
 		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
 		if head.Status == http.StatusMisdirectedRequest {
