Bound the head of a target's answer and the body of a rejection

What callers would see: a target that sends bytes without end in the head of its answer makes the node read them until it is killed for its memory, with all requests on it; one that does so, or nothing, in the body of a rejection keeps the request until its deadline, instead of a retry.

Cause: the standard library bounds the head of an answer only in its own client, and a rejected answer's body was read to 4 KiB or its end without a time.

Change: at most 64 KiB are read for a head, the informational ones before it included. The body of a rejection is read only if its length is known, and for 10 ms; otherwise the connection is closed.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -47,6 +47,12 @@
 	idleTimeoutMargin = time.Second
 	maxIdlePerTarget  = 16
 	readBufferBytes   = 4 << 10
+	// maxHeadBytes bounds the head of an answer, with the informational ones before it.
+	maxHeadBytes = 64 << 10
+	// maxDiscardBytes and discardTimeout bound the body that Discard reads, so that the
+	// connection can be reused.
+	maxDiscardBytes = 4 << 10
+	discardTimeout  = 10 * time.Millisecond
 	// maxInlineWriteBytes is the largest message that is written before the answer is
 	// read: it can't block, even if the target does not read.
 	maxInlineWriteBytes = 2 << 10
@@ -89,6 +95,25 @@
 	idleTimeout time.Duration
 	// reused says that the connection has carried an earlier call.
 	reused bool
+	// headLimit is how many bytes may still be read for the head of an answer; nil while no
+	// head is read.
+	headLimit *int
+}
+
+// errHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// Read reads from the connection, within the limit while the head of an answer is read.
+func (open *connection) Read(buffer []byte) (int, error) {
+	if open.headLimit == nil {
+		return open.Conn.Read(buffer)
+	}
+	if *open.headLimit <= 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := open.Conn.Read(buffer[:min(len(buffer), *open.headLimit)])
+	*open.headLimit -= count
+	return count, err
 }
 
 // New returns a client with an empty pool.
@@ -133,7 +158,7 @@
 		_ = acquired.Close()
 		return nil, failure, errors.Trace(err)
 	}
-	response, err := readHead(acquired.reader, call.Method)
+	response, err := acquired.readHead(call.Method)
 	if err != nil {
 		stop()
 		_ = acquired.Close()
@@ -176,9 +201,12 @@
 }
 
 // readHead reads the head of the final answer and skips informational (1xx) answers.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func (open *connection) readHead(method string) (*http.Response, error) {
+	limit := maxHeadBytes
+	open.headLimit = &limit
+	defer func() { open.headLimit = nil }()
 	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(open.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -211,7 +239,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &connection{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBufferBytes)}, nil
+	opened := &connection{Conn: dialled}
+	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
+	return opened, nil
 }
 
 // popIdle takes the most recently used connection to an address from the pool, nil if there is none.
@@ -249,11 +279,11 @@
 
 // noPendingInput reports whether nothing has arrived on an idle connection: neither
 // its end nor bytes that belong to no request.
-func (idle *connection) noPendingInput() bool {
-	if idle.reader.Buffered() > 0 {
+func (open *connection) noPendingInput() bool {
+	if open.reader.Buffered() > 0 {
 		return false
 	}
-	source, ok := idle.Conn.(*net.TCPConn)
+	source, ok := open.Conn.(*net.TCPConn)
 	if !ok {
 		return false
 	}
@@ -325,6 +355,24 @@
 	reply.Close(false)
 }
 
+// Discard releases the connection of an answer whose body isn't needed. The connection
+// returns to the pool only if the body is short and arrives at once.
+func (reply *Reply) Discard() {
+	length := reply.Response.ContentLength
+	if length < 0 || length > maxDiscardBytes {
+		reply.Close(false)
+		return
+	}
+	err := reply.connection.SetReadDeadline(time.Now().Add(discardTimeout))
+	if err == nil {
+		_, err = io.Copy(io.Discard, reply.Response.Body)
+	}
+	if err == nil {
+		err = reply.connection.SetReadDeadline(time.Time{})
+	}
+	reply.Close(err == nil)
+}
+
 func (reply *Reply) fullyWritten() bool {
 	select {
 	case err := <-reply.written:
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -278,3 +278,82 @@
 		t.Errorf("got %d requests at the target, want none", count)
 	}
 }
+
+// startEndlessTarget starts a target that answers with a start and then repeats a piece
+// until its connection is closed. The channel receives the number of bytes that it wrote.
+func startEndlessTarget(t *testing.T, start, piece string) (string, <-chan int) {
+	t.Helper()
+	written := make(chan int, 1)
+	target := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		total := 0
+		pieces := strings.Repeat(piece, 1+4096/len(piece))
+		for text := start; ; text = pieces {
+			count, err := io.WriteString(connection, text)
+			total += count
+			if err != nil {
+				written <- total
+				return false
+			}
+		}
+	})
+	return target.address, written
+}
+
+// TestEndlessHeadIsCut guards against a node that reads the head of an answer until it runs
+// out of memory.
+func TestEndlessHeadIsCut(t *testing.T) {
+	heads := map[string][2]string{
+		"field":         {"HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa"},
+		"fields":        {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+		"status line":   {"", "HTTP/1.1 "},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n"},
+	}
+	for name, head := range heads {
+		address, written := startEndlessTarget(t, head[0], head[1])
+		_, failure, err := exchange.New(&net.Dialer{}).Send(context.Background(), call(address))
+		if failure != mimosatide.CallCut || err == nil {
+			t.Errorf("endless %s: got failure %q and error %v, want Cut", name, failure, err)
+		}
+		// What the sockets of both ends buffer counts as written.
+		if total := <-written; total > 32<<20 {
+			t.Errorf("endless %s: got %d bytes written until the connection was closed, want some hundred KB", name, total)
+		}
+	}
+}
+
+// TestDiscardDoesNotWaitForABody guards against a request that waits for the rest of an
+// answer that nobody needs.
+func TestDiscardDoesNotWaitForABody(t *testing.T) {
+	bodies := map[string]struct {
+		head, piece string
+		reused      bool
+	}{
+		"whole":          {head: "Content-Length: 2\r\n\r\nab", reused: true},
+		"empty":          {head: "Content-Length: 0\r\n\r\n", reused: true},
+		"missing":        {head: "Content-Length: 2\r\n\r\na"},
+		"endless":        {head: "\r\n", piece: "a"},
+		"endless chunks": {head: "Transfer-Encoding: chunked\r\n\r\n", piece: "1\r\na\r\n"},
+	}
+	for name, body := range bodies {
+		target := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+			writeAnswer(connection, "HTTP/1.1 503 Service Unavailable\r\n"+body.head)
+			for body.piece != "" {
+				if _, err := io.WriteString(connection, body.piece); err != nil {
+					return false
+				}
+			}
+			return true
+		})
+		client := exchange.New(&net.Dialer{})
+		for range 2 {
+			reply, failure, err := client.Send(context.Background(), call(target.address))
+			if failure != mimosatide.CallSucceeded {
+				t.Fatalf("%s: got failure %q (%v), want success", name, failure, err)
+			}
+			reply.Discard()
+		}
+		if reused := target.connections.Load() == 1; reused != body.reused {
+			t.Errorf("%s body: got connection reused %v, want %v", name, reused, body.reused)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,7 +12,6 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
-	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -25,9 +24,6 @@
 	// maxEventBytes bounds one event of a stream. It is only checked at a line that is
 	// longer than the read buffer.
 	maxEventBytes = 1 << 20
-	// maxDrainBytes is the size below which a discarded body is read to its end, so
-	// that its connection can be reused.
-	maxDrainBytes = 4 << 10
 )
 
 // relay sends an answer to the caller. It returns a failed outcome if the request may
@@ -201,13 +197,6 @@
 	}
 }
 
-// drainBody reads a short body to its end and reports whether it did, so that its
-// connection can be reused.
-func drainBody(reply *exchange.Reply) bool {
-	rest, err := io.ReadAll(io.LimitReader(reply.Body(), maxDrainBytes))
-	return err == nil && len(rest) < maxDrainBytes
-}
-
 // finish ends a request whose complete answer was relayed.
 func (handler *requestHandler) finish(outcome sendOutcome) {
 	outcome.reply.Close(true)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -244,7 +244,7 @@
 	head := platform.DecodeAnswerHead(reply.Response)
 	handler.recordWishes(head)
 	if head.NotRun && (head.RequestID == handler.request.ID || head.RequestID == "" && !reply.Reused) {
-		reply.Close(drainBody(reply))
+		reply.Discard()
 		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
 		if head.Status == http.StatusMisdirectedRequest {
 			outcome.reason = metric.RetryNotLoaded
