Don't end an event where a line fills the read buffer

Cause: a line that doesn't fit into the buffer is read in pieces, and a last piece that is only the line feed was taken for the empty line that ends an event.

Change: the line is looked at as a whole.

Result: of five lengths around the buffer's, the test fails at 4,097 bytes without the change (8,211 bytes instead of 4,114).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -327,6 +327,35 @@
 	}
 }
 
+// TestLongLineDoesNotEndAnEvent guards against events that are cut where a line fills the
+// read buffer: the caller would resume after an event that it has only in part.
+func TestLongLineDoesNotEndAnEvent(t *testing.T) {
+	for _, length := range []int{4095, 4096, 4097, 8192, 20000} {
+		fixture := newFixture(t)
+		event := "data: " + strings.Repeat("x", length-len("data: \n")) + "\nid: 1\ndata: end\n\n"
+		sends := 0
+		fixture.addTarget("e-1", "llm", func(writer http.ResponseWriter, request *http.Request) {
+			fixture.lock.Lock()
+			sends++
+			first := sends == 1
+			fixture.lock.Unlock()
+			sign(writer, request)
+			writer.Header().Set("Content-Type", "text/event-stream")
+			if first {
+				// The target breaks off inside the second line of the first event.
+				_, _ = writer.Write([]byte(event[:length+2]))
+				writer.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = writer.Write([]byte(event))
+		}, "m")
+		_, body, whole := fixture.send(newChatRequest(fixture, "/resumable/x", "m"))
+		if body != event || !whole {
+			t.Errorf("line of %d bytes: got %d bytes and complete %v, want the event of %d bytes once", length, len(body), whole, len(event))
+		}
+	}
+}
+
 // The target breaks off in the middle of an event. If the gateway then ended its answer
 // regularly, the caller would take the stream for complete. The route is not resumable,
 // so that the request must not be sent to the other target either.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -175,9 +175,10 @@
 func readEvent(reader *bufio.Reader) ([]byte, string, error) {
 	var event []byte
 	id := ""
+	lineStart := 0
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		piece, err := reader.ReadSlice('\n')
+		event = append(event, piece...)
 		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
 			continue
 		}
@@ -187,11 +188,12 @@
 		if err != nil {
 			return nil, "", err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(event[lineStart:], "\r\n")
+		lineStart = len(event)
+		if len(line) == 0 {
 			return event, id, nil
 		}
-		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = string(bytes.TrimSpace(value))
 		}
 	}
