Bound an event of many lines

What callers would see: nothing of a stream whose event never ends, while the node keeps all of it until its memory is full.

Cause: the size of an event was checked only at a line that is longer than the read buffer.

Change: it is checked at each piece that is read. The target's connection is closed, as for any stream that breaks off.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -356,6 +356,32 @@
 	}
 }
 
+// TestEventWithoutEndIsCut guards against a node that keeps an event which never ends.
+func TestEventWithoutEndIsCut(t *testing.T) {
+	for name, line := range map[string]string{"one line": "aaaaaaaa", "many lines": "data: a\n"} {
+		fixture := newFixture(t)
+		written := make(chan int, 1)
+		fixture.addTarget("e-1", "llm", func(writer http.ResponseWriter, request *http.Request) {
+			sign(writer, request)
+			writer.Header().Set("Content-Type", "text/event-stream")
+			pieces, total := []byte(strings.Repeat(line, 1024)), 0
+			for request.Context().Err() == nil && total < 256<<20 {
+				count, err := writer.Write(pieces)
+				total += count
+				if err != nil {
+					break
+				}
+			}
+			written <- total
+		}, "m")
+		_, body, whole := fixture.send(newChatRequest(fixture, "/chat/x", "m"))
+		// What the sockets of both ends buffer counts as written.
+		if total := <-written; total > 64<<20 || len(body) > 1<<20 && whole {
+			t.Errorf("%s: got %d bytes written until the connection was closed, want some MB", name, total)
+		}
+	}
+}
+
 // The target breaks off in the middle of an event. If the gateway then ended its answer
 // regularly, the caller would take the stream for complete. The route is not resumable,
 // so that the request must not be sent to the other target either.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/metric"
@@ -21,8 +23,7 @@
 	// maxBufferedBytes is the largest answer that is read completely before any of it
 	// is sent to the caller.
 	maxBufferedBytes = 1 << 20
-	// maxEventBytes bounds one event of a stream. It is only checked at a line that is
-	// longer than the read buffer.
+	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 )
 
@@ -170,6 +171,9 @@
 	return failed
 }
 
+// errEventTooLarge is the error of a stream with an event above maxEventBytes.
+var errEventTooLarge = errors.New("an event of the stream is too large")
+
 // readEvent reads one server-sent event up to and including the empty line that
 // ends it, and returns its bytes and its id. It returns io.EOF only between events.
 func readEvent(reader *bufio.Reader) ([]byte, string, error) {
@@ -179,7 +183,10 @@
 	for {
 		piece, err := reader.ReadSlice('\n')
 		event = append(event, piece...)
-		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
+		if len(event) > maxEventBytes {
+			return nil, "", errEventTooLarge
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err == io.EOF && len(event) > 0 {
