--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mimosatide.example/mimosatide/platform/emulator"
 )
 
 // The load that callers generate.
@@ -16,6 +18,10 @@
 	callerCount = 10
 	// meanCallerPause is the mean pause of a caller between two requests.
 	meanCallerPause = 30 * time.Millisecond
+	// sharedParts is the number of prompt parts that the requests of models share.
+	sharedParts = 3
+	// meanDeadlyPause is the mean pause between two requests that crash their targets.
+	meanDeadlyPause = 400 * time.Millisecond
 	// callerDeadline is the time for an answer that a request names.
 	callerDeadline = 3 * time.Second
 	// clientTimeout bounds a request at the HTTP client.
@@ -36,6 +42,8 @@
 	err    error
 	// signature is the Response-Signature header, which names the target.
 	signature string
+	// deadly says that the request crashes the target that begins to answer it.
+	deadly bool
 	// leaving is the incarnation of the target that said in this answer that it leaves;
 	// empty if none did.
 	leaving string
@@ -68,6 +76,11 @@
 	request.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", tokens-10, 10))
 	if outcome.route == "chat" || outcome.route == "draft" {
 		request.Header.Set("Model", fmt.Sprintf("m%d", rand.IntN(modelCount)))
+		deadly := ""
+		if outcome.deadly {
+			deadly = emulator.DeadlyPart + ":5,"
+		}
+		request.Header.Set("Prompt-Prefix", fmt.Sprintf("shared-%d:20,%sown-%s:5", rand.IntN(sharedParts), deadly, outcome.id))
 	}
 	outcome.sent = time.Now()
 	response, err := client.Do(request)
@@ -113,3 +126,24 @@
 		})
 	}
 }
+
+// runDeadlyCaller sends requests that crash the targets which begin to answer them, no two
+// of them alike, until the context ends.
+func (testbed *testbed) runDeadlyCaller(ctx context.Context, group *sync.WaitGroup) {
+	random := rand.New(rand.NewPCG(testbed.random.Uint64(), uint64(callerCount)))
+	group.Go(func() {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+		defer client.CloseIdleConnections()
+		for count := 0; ctx.Err() == nil; count++ {
+			request := result{
+				id: fmt.Sprintf("deadly-%d", count), route: "chat", deadly: true,
+				node: testbed.nodes[random.IntN(len(testbed.nodes))], key: testbed.schoolKey(),
+			}
+			got := send(client, request.node.callerProxy.address(), request, 50)
+			testbed.lock.Lock()
+			testbed.results = append(testbed.results, got)
+			testbed.lock.Unlock()
+			time.Sleep(time.Duration(random.Int64N(int64(2 * meanDeadlyPause))))
+		}
+	})
+}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -21,6 +21,14 @@
 // node, as the nodes' settings say.
 const configurationSpread = 2 * time.Second
 
+// Of the requests that crash targets, maxLateCrashes may reach one later than
+// quarantineTime after the crash with the number crashesBeforeQuarantine.
+const (
+	crashesBeforeQuarantine = 5
+	quarantineTime          = 3 * time.Second
+	maxLateCrashes          = 3
+)
+
 // notRun are the status codes which state that a request has not run.
 var notRun = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
@@ -50,6 +58,7 @@
 		violations = append(violations, "a target ran request "+id+", which no caller sent")
 	}
 	violations = append(violations, testbed.checkLeaving(results)...)
+	violations = append(violations, testbed.checkDeadly(results)...)
 	return append(violations, testbed.checkQuota()...)
 }
 
@@ -101,6 +110,40 @@
 	return violations
 }
 
+// checkDeadly describes the requests with the deadly part that reached targets later than
+// quarantineTime after the fifth crash, if they are too many. Nodes that were disrupted or
+// started, or whose connections to their peers were disrupted, since the first crash are
+// excused.
+func (testbed *testbed) checkDeadly(results []result) []string {
+	nodeOf := map[string]*node{}
+	for _, result := range results {
+		nodeOf[result.id] = result.node
+	}
+	var crashes []emulator.Run
+	for _, run := range testbed.recorder.Runs() {
+		if run.Deadly {
+			crashes = append(crashes, run)
+		}
+	}
+	if len(crashes) <= crashesBeforeQuarantine {
+		return nil
+	}
+	sort.Slice(crashes, func(i, j int) bool { return crashes[i].Began.Before(crashes[j].Began) })
+	end := crashes[crashesBeforeQuarantine-1].Began.Add(quarantineTime)
+	late := 0
+	for _, crash := range crashes {
+		node := nodeOf[crash.Request]
+		if crash.Began.After(end) && !node.changedSince(crashes[0].Began) && !node.peerProxy.disruptedSince(crashes[0].Began) {
+			late++
+		}
+	}
+	if late > maxLateCrashes {
+		return []string{fmt.Sprintf("%d requests with a deadly part crashed targets later than %s after the fifth crash, want at most %d",
+			late, quarantineTime, maxLateCrashes)}
+	}
+	return nil
+}
+
 // changedSince reports whether the node was disrupted or started after a time.
 func (node *node) changedSince(at time.Time) bool {
 	node.lock.Lock()
@@ -123,6 +166,8 @@
 	switch {
 	case !repeatable && len(runs) > 1:
 		return "ran more than once, want at most one run"
+	case !result.deadly && len(runs) == 0 && strings.HasPrefix(result.body, "PoisonRequest"):
+		return "was refused as one that crashes targets although it has nothing in common with those but shared parts"
 	case testbed.deniedWrongly(result):
 		return "was denied although its route and key had long been in force"
 	case notRun[result.status] && len(runs) > 0:
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -141,3 +141,10 @@
 		delete(proxy.open, connection)
 	}
 }
+
+// disruptedSince reports whether the connections were disrupted after a time.
+func (proxy *proxy) disruptedSince(at time.Time) bool {
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	return proxy.lastDisrupted.After(at)
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,9 @@
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
 
+// deadlySeeds is the divisor of the seeds whose runs have requests that crash targets.
+const deadlySeeds = 3
+
 // knownFailing are seeds that fail in some runs and are listed in KNOWN-RED.txt;
 // they run only with -soak.red.
 var knownFailing = []uint64{
@@ -68,6 +71,9 @@
 	defer cancel()
 	var callers sync.WaitGroup
 	testbed.runCallers(ctx, &callers)
+	if seed%deadlySeeds == 0 {
+		testbed.runDeadlyCaller(ctx, &callers)
+	}
 	var injected []string
 	began := time.Now()
 	testbed.injectFaults(ctx, program, func(name string) {
