Release a quarantined part once another one explains its crashes

Cause: a node judged by what it had been told so far. Where a crash had cut only a sound request of its own, the shared part had one crash more than the deadly one for the 50 ms until the peers' report came. The quarantine was final, its crashes no longer counted against the deadly part, and crashes that had been explained went on to count against the requests that had waited there.

Change: suspects are ordered by their crashes, by good answers before, and by how few requests share them. A crash counts only against the first of its suspects that are in quarantine or may be, and a part that would not be quarantined by the rest is released and acquitted, at the peers too. A repeated request counts once against its parts.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -1,42 +1,126 @@
 package quarantine
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // charge sums up what a feature is suspected of since its last acquittal.
 type charge struct {
 	feature Feature
 	firstAt time.Time
-	// crashes counts the crashes, spaced those at least crashSpacing apart, the last of
-	// them at spacedAt.
-	crashes  int
-	spaced   int
-	spacedAt time.Time
-	seen     map[uint64]bool
+	// crashes holds when each crash was first suspected. A request that is sent again is
+	// suspected anew, so counted leaves out the crashes under contents that were suspected
+	// of an earlier crash.
+	crashes  map[uint64]time.Time
+	counted  map[uint64]time.Time
+	contents map[Feature]bool
 	// depth is the position of a part in the prompts, from the first; deeper parts are
 	// shared by fewer requests.
 	depth int
+	// answered says that a request with the feature was answered well shortly before the
+	// feature was suspected. Such crashes may have another cause.
+	answered bool
+	// weight orders the suspects: crashes, less one if the feature was answered.
+	weight int
+}
+
+func newCharge(feature Feature, firstAt time.Time) *charge {
+	return &charge{
+		feature: feature, firstAt: firstAt,
+		crashes: map[uint64]time.Time{}, counted: map[uint64]time.Time{}, contents: map[Feature]bool{},
+	}
+}
+
+// add adds a suspicion.
+func (charged *charge) add(suspicion Suspicion, depth int) {
+	charged.depth = max(charged.depth, depth)
+	if _, known := charged.crashes[suspicion.Crash]; !known {
+		charged.crashes[suspicion.Crash] = suspicion.At
+	}
+	content := suspicion.Features.Content
+	if _, known := charged.counted[suspicion.Crash]; !known && !charged.contents[content] {
+		charged.counted[suspicion.Crash] = suspicion.At
+	}
+	charged.contents[content] = true
+}
+
+// suspectedMore reports whether a feature is a likelier cause than another one: the one
+// with more crashes, that was not answered before, or that fewer requests share.
+func (charged *charge) suspectedMore(other *charge) bool {
+	switch {
+	case charged.weight != other.weight:
+		return charged.weight > other.weight
+	case charged.answered != other.answered:
+		return !charged.answered
+	case charged.depth != other.depth:
+		return charged.depth > other.depth
+	}
+	return charged.feature < other.feature
+}
+
+// spaced counts crashes that are at least crashSpacing apart.
+func spaced(crashes map[uint64]time.Time) int {
+	count := 0
+	var last time.Time
+	for _, at := range slices.SortedFunc(maps.Values(crashes), time.Time.Compare) {
+		if count == 0 || at.Sub(last) >= crashSpacing {
+			count++
+			last = at
+		}
+	}
+	return count
+}
+
+// judge quarantines what has been suspected of enough crashes, and releases the parts
+// whose crashes are explained by another one.
+func (tracker *Tracker) judge(now time.Time) {
+	tracker.expire(now)
+	for {
+		feature, crashes, found := tracker.culprit(now)
+		if !found {
+			break
+		}
+		tracker.quarantined[feature] = now
+		tracker.log.Info("requests quarantined", "feature", feature, "crashes", crashes, "term", term)
+	}
+	tracker.release(now)
 }
 
 // culprit returns a feature that is suspected of enough crashes to be quarantined, and
-// their number. Suspicions that a quarantined feature explains count against no other.
+// their number.
 func (tracker *Tracker) culprit(now time.Time) (Feature, int, bool) {
-	contents, parts := map[Feature]*charge{}, map[Feature]*charge{}
+	contents, parts := tracker.charges(now)
+	for _, content := range contents {
+		if !content.answered && len(content.crashes) >= contentCrashes || spaced(content.crashes) >= doubtfulCrashes {
+			return content.feature, len(content.crashes), true
+		}
+	}
+	return tracker.guiltiest(parts)
+}
+
+// charges returns the charges of the contents that are not quarantined, and of all parts.
+func (tracker *Tracker) charges(now time.Time) (contents, parts map[Feature]*charge) {
+	contents, parts = map[Feature]*charge{}, map[Feature]*charge{}
 	for _, suspicion := range tracker.suspicions {
-		if tracker.holds(suspicion.Features, now) {
-			continue
+		if !tracker.holds(suspicion.Features, now) {
+			tracker.charge(contents, suspicion, suspicion.Features.Content, 0)
 		}
-		tracker.charge(contents, suspicion, suspicion.Features.Content, 0)
 		for depth, part := range suspicion.Features.Parts {
 			tracker.charge(parts, suspicion, part, depth)
 		}
 	}
-	for _, content := range contents {
-		doubtful := tracker.wasAnsweredBefore(content)
-		if !doubtful && content.crashes >= contentCrashes || content.spaced >= doubtfulCrashes {
-			return content.feature, content.crashes, true
+	for _, charges := range []map[Feature]*charge{contents, parts} {
+		for _, charged := range charges {
+			charged.answered = tracker.wasAnsweredBefore(charged)
+			charged.weight = spaced(charged.counted)
+			if charged.answered {
+				charged.weight--
+			}
 		}
 	}
-	return tracker.guiltiest(parts)
+	return contents, parts
 }
 
 // charge adds a suspicion to the charge of a feature, unless it was acquitted since.
@@ -46,59 +130,71 @@
 	}
 	known, found := charges[feature]
 	if !found {
-		known = &charge{feature: feature, firstAt: suspicion.At, seen: map[uint64]bool{}}
+		known = newCharge(feature, suspicion.At)
 		charges[feature] = known
 	}
-	known.depth = max(known.depth, depth)
-	if known.seen[suspicion.Crash] {
-		return
-	}
-	known.seen[suspicion.Crash] = true
-	known.crashes++
-	if known.spaced == 0 || suspicion.At.Sub(known.spacedAt) >= crashSpacing {
-		known.spaced++
-		known.spacedAt = suspicion.At
-	}
+	known.add(suspicion, depth)
 }
 
-// wasAnsweredBefore reports whether a request with the feature was answered well shortly
-// before the feature was suspected. Such crashes may have another cause.
 func (tracker *Tracker) wasAnsweredBefore(known *charge) bool {
 	at, found := tracker.goodAnswers[known.feature]
 	return found && known.firstAt.Sub(at) < goodMemory
 }
 
-// guiltiest returns the part with the most crashes, if they are enough. Among parts with
-// as many, one that was not answered before comes first, then the deepest.
+// guiltiest returns the most suspected part that is not quarantined and has enough crashes
+// which no quarantined part explains. They have to be more if they may well have another
+// cause: the part was answered before, or another one is suspected of as many.
 func (tracker *Tracker) guiltiest(parts map[Feature]*charge) (Feature, int, bool) {
 	var worst *charge
-	doubtful := false
-	for _, part := range parts {
-		switch {
-		case worst == nil || part.spaced > worst.spaced:
-			worst, doubtful = part, tracker.wasAnsweredBefore(part)
-		case part.spaced == worst.spaced:
-			doubtful = true
-			if tracker.suspectsMore(part, worst) {
-				worst = part
-			}
+	left := map[Feature]int{}
+	for feature, part := range parts {
+		if _, held := tracker.quarantined[feature]; held {
+			continue
+		}
+		left[feature] = spaced(tracker.unexplained(part, parts))
+		if left[feature] >= partCrashes && (worst == nil || part.suspectedMore(worst)) {
+			worst = part
 		}
 	}
-	if worst == nil || worst.spaced < partCrashes || doubtful && worst.spaced < doubtfulCrashes {
+	if worst == nil {
 		return "", 0, false
 	}
-	return worst.feature, worst.spaced, true
+	crashes, doubtful := left[worst.feature], worst.answered
+	for feature, others := range left {
+		doubtful = doubtful || feature != worst.feature && others >= crashes
+	}
+	return worst.feature, crashes, !doubtful || crashes >= doubtfulCrashes
 }
 
-// suspectsMore reports whether the first of two parts with as many crashes is the more
-// likely cause.
-func (tracker *Tracker) suspectsMore(part, other *charge) bool {
-	answered, otherAnswered := tracker.wasAnsweredBefore(part), tracker.wasAnsweredBefore(other)
-	if answered != otherAnswered {
-		return !answered
+// unexplained returns the counted crashes of a part without those of a quarantined part
+// that is suspected more.
+func (tracker *Tracker) unexplained(part *charge, parts map[Feature]*charge) map[uint64]time.Time {
+	rest := maps.Clone(part.counted)
+	for feature := range tracker.quarantined {
+		if other, known := parts[feature]; known && other != part && other.suspectedMore(part) {
+			maps.DeleteFunc(rest, func(crash uint64, _ time.Time) bool {
+				_, shared := other.crashes[crash]
+				return shared
+			})
+		}
 	}
-	if part.depth != other.depth {
-		return part.depth > other.depth
+	return rest
+}
+
+// release ends the quarantine of the parts that would not be quarantined any more, because
+// another quarantined part explains their crashes. A node that knows only some of the
+// crashes may have quarantined a part that sound requests share.
+func (tracker *Tracker) release(now time.Time) {
+	_, parts := tracker.charges(now)
+	for feature := range tracker.quarantined {
+		part, known := parts[feature]
+		if !known {
+			continue
+		}
+		rest := tracker.unexplained(part, parts)
+		if len(rest) < len(part.counted) && spaced(rest) < partCrashes {
+			tracker.log.Info("crashes explained by another part", "feature", feature, "crashes", len(part.counted), "left", len(rest))
+			tracker.acquit(feature, acquittal{at: now, own: true})
+		}
 	}
-	return part.feature < other.feature
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,8 +4,10 @@
 // each by its whole content, and by the parts of its prompt that other requests share.
 // An answer that goes well acquits the content and the parts of its request. What has
 // been suspected of several crashes since its last acquittal is quarantined, over all
-// nodes. Crashes under quarantined requests no longer count against their other parts, so
-// that the parts that sound requests have too are not taken for the cause.
+// nodes. Crashes that a quarantined part explains no longer count against parts that are
+// suspected less, so that the parts that sound requests have too, and those of requests
+// that were waiting at the target, are not taken for the cause. If one of them was
+// quarantined before the evidence was complete, it is released.
 //
 // Nodes exchange suspicions, acquittals and quarantines as reports.
 //
@@ -181,19 +183,6 @@
 	}
 }
 
-// judge quarantines what has been suspected of enough crashes.
-func (tracker *Tracker) judge(now time.Time) {
-	tracker.expire(now)
-	for {
-		feature, crashes, found := tracker.culprit(now)
-		if !found {
-			return
-		}
-		tracker.quarantined[feature] = now
-		tracker.log.Info("requests quarantined", "feature", feature, "crashes", crashes, "term", term)
-	}
-}
-
 // expire drops old suspicions, acquittals and quarantines.
 func (tracker *Tracker) expire(now time.Time) {
 	tracker.suspicions = slices.DeleteFunc(tracker.suspicions, func(known Suspicion) bool {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -68,6 +68,78 @@
 	}
 }
 
+// TestSharedPartIsReleasedOnceAnotherExplainsItsCrashes guards against refusing sound
+// requests for minutes after a node judged before it had the evidence of its peers: the
+// last crash it knew of only by a sound request that was waiting there too.
+func TestSharedPartIsReleasedOnceAnotherExplainsItsCrashes(t *testing.T) {
+	early, peer := quarantine.New(logr.Discard()), quarantine.New(logr.Discard())
+	for crash := range uint64(3) {
+		now := at(float64(crash))
+		peer.Suspect(crash, request(crash, "common", "session", "deadly"), now)
+		early.Apply(peer.Report(now), now)
+		peer.Apply(early.Report(now), now)
+	}
+	early.Suspect(3, request(100, "common", "other"), at(3))
+	if !held(early, at(3), "common") {
+		t.Fatal("four crashes under one part, three under the others: got not quarantined, want quarantined")
+	}
+	peer.Apply(early.Report(at(3.05)), at(3.05))
+	peer.Suspect(3, request(3, "common", "session", "deadly"), at(3.1))
+	early.Apply(peer.Report(at(3.2)), at(3.2))
+	peer.Apply(early.Report(at(3.4)), at(3.4))
+	early.Apply(peer.Report(at(3.6)), at(3.6))
+	for name, tracker := range map[string]*quarantine.Tracker{"early": early, "peer": peer} {
+		if held(tracker, at(4), "common", "session") || !held(tracker, at(4), "deadly") {
+			t.Errorf("%s: got the shared parts quarantined %v and the deadly one %v, want only the deadly one",
+				name, held(tracker, at(4), "common", "session"), held(tracker, at(4), "deadly"))
+		}
+	}
+}
+
+// TestCrashesThatAreExplainedDoNotCountAgainstBystanders guards against refusing requests
+// that wait at the targets which others crash.
+func TestCrashesThatAreExplainedDoNotCountAgainstBystanders(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	for crash := range uint64(10) {
+		now := at(float64(crash))
+		tracker.Suspect(crash, request(crash, "common", "session", "deadly"), now)
+		if crash >= 4 {
+			tracker.Suspect(crash, request(100+crash, "waiting", "waiting-session"), now)
+		}
+	}
+	if held(tracker, at(11), "waiting") || held(tracker, at(11), "waiting-session") || !held(tracker, at(11), "deadly") {
+		t.Error("after ten crashes: got the parts of a bystander quarantined, want only the deadly part")
+	}
+}
+
+// TestPartAtTheStartIsQuarantinedWhateverFollowsIt guards against a quarantine of a part
+// that only follows the deadly one in some of its requests.
+func TestPartAtTheStartIsQuarantinedWhateverFollowsIt(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	crashes := uint64(0)
+	for ; crashes < 4; crashes++ {
+		tracker.Suspect(crashes, request(crashes, "deadly", "session"), at(float64(crashes)))
+	}
+	for ; crashes < 10 && !held(tracker, at(float64(crashes)), "deadly"); crashes++ {
+		tracker.Suspect(crashes, request(crashes, "deadly", "other"), at(float64(crashes)))
+	}
+	if crashes > 5 {
+		t.Errorf("deadly part: got quarantined after %d crashes, want after 5 at most", crashes)
+	}
+}
+
+// TestRepeatedRequestCountsOnceAgainstItsParts guards against refusing what shares a part
+// with a request that crashes targets by its content and is sent again and again.
+func TestRepeatedRequestCountsOnceAgainstItsParts(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	for crash := range uint64(8) {
+		tracker.Suspect(crash, request(7, "common"), at(float64(crash)))
+	}
+	if !tracker.Holds(request(7, "common"), at(9)) || held(tracker, at(9), "common") {
+		t.Error("one request at eight crashes: got its part quarantined, want only its content")
+	}
+}
+
 // TestTargetsThatCrashTogetherPutNothingInQuarantine guards against refusing what is most
 // asked for after a part of the targets has crashed for another reason.
 func TestTargetsThatCrashTogetherPutNothingInQuarantine(t *testing.T) {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -50,15 +50,17 @@
 	for feature, age := range report.Acquittals {
 		tracker.acquit(feature, acquittal{at: now.Add(-age)})
 	}
+	adopted := false
 	for feature, age := range report.Quarantined {
 		since := now.Add(-age)
 		if _, found := tracker.quarantined[feature]; found || age >= term || !since.After(tracker.acquittals[feature].at) {
 			continue
 		}
 		tracker.quarantined[feature] = since
+		adopted = true
 		tracker.log.Info("requests quarantined", "feature", feature, "byPeer", true, "age", age)
 	}
-	if len(report.Suspicions) > 0 {
+	if adopted || len(report.Suspicions) > 0 {
 		tracker.judge(now)
 	}
 }
