Don't take back a lease that was released at shutdown

What callers saw: requests for models that were not loaded waited, or were refused, for some seconds after the owner of their service had been told to end.

Cause: the lease of a draining node was released and, at the next step, taken again by the same node, as its row was free and its own. After the process had ended, the others waited for the lease to expire.

Change: Release is final for the process. If it meets a takeover whose answer is still on its way, the lease is given back when the answer comes.

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -86,6 +86,8 @@
 	// holderSeenAt is when another node last reported that it holds the lease.
 	holderSeenAt time.Duration
 	holderSeen   bool
+	// released says that Release was called: this node takes the lease no more.
+	released bool
 }
 
 // NewLease returns a lease that this node does not hold yet. handoverDelay is the
@@ -180,8 +182,11 @@
 	now := lease.clock.Now()
 	held := lease.term != 0 && now < lease.expiresAt
 	holderGone := !lease.holderSeen || now-lease.holderSeenAt > holderTimeout+time.Duration(rank)*rankDelay
+	released := lease.released
 	lease.lock.Unlock()
 	switch {
+	case released:
+		return renewInterval
 	case held:
 		return lease.renew(ctx)
 	case holderGone:
@@ -272,9 +277,19 @@
 		lease.log.Info("lease not taken", "lease", lease.key, "term", next.Term, "outcome", outcome.String(), "reason", errorText(err))
 		return
 	}
+	if lease.recordTaken(version, row, begun, before) {
+		// The node began to drain while the row was written.
+		lease.Release(ctx)
+	}
+}
+
+// recordTaken records that this node has taken the lease, and reports whether Release was
+// called meanwhile. version and before are those of the row before, begun is when the
+// write of the new row began.
+func (lease *Lease) recordTaken(version, row mimosatide.RowVersion, begun time.Duration, before leaseRow) bool {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
-	lease.term = next.Term
+	lease.term = before.Term + 1
 	lease.failedRenewals = 0
 	lease.row = row
 	lease.expiresAt = begun + leaseDuration
@@ -287,16 +302,18 @@
 			lease.ordersFrom -= min(lease.givenUpIdle, lease.handoverDelay)
 		}
 	}
-	lease.log.Info("lease taken", "lease", lease.key, "term", next.Term, "row", row, "before", before.Holder,
+	lease.log.Info("lease taken", "lease", lease.key, "term", lease.term, "row", row, "before", before.Holder,
 		"released", before.Released, "ordersIn", lease.ordersFrom-lease.clock.Now())
+	return lease.released
 }
 
-// Release gives up the lease, so that another node can take it before it expires.
+// Release gives up the lease for good, so that another node can take it before it expires.
 // If the table does not confirm the release, GivenUp reports the lease instead.
 func (lease *Lease) Release(ctx context.Context) {
 	lease.lock.Lock()
 	term, row := lease.term, lease.row
 	lease.term = 0
+	lease.released = true
 	lease.lock.Unlock()
 	if term == 0 {
 		return
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -85,6 +85,22 @@
 	return mimosatide.CommitDone, table.version, nil
 }
 
+// hookedTable calls beforeAnswer, if it is set, once a commit is done and not yet answered.
+type hookedTable struct {
+	*memoryTable
+	beforeAnswer func()
+}
+
+func (table *hookedTable) Commit(
+	ctx context.Context, transaction mimosatide.Transaction,
+) (mimosatide.CommitOutcome, mimosatide.RowVersion, error) {
+	outcome, version, err := table.memoryTable.Commit(ctx, transaction)
+	if table.beforeAnswer != nil {
+		table.beforeAnswer()
+	}
+	return outcome, version, err
+}
+
 const handoverDelay = 3 * time.Second
 
 func newLease(holder string, table loading.LeaseTable, clock loading.Clock) *loading.Lease {
@@ -154,6 +170,44 @@
 	}
 }
 
+// TestReleasedLeaseIsNotTakenBack guards against a draining node that takes its own lease
+// again, so that the others wait for its expiry once the process is gone.
+func TestReleasedLeaseIsNotTakenBack(t *testing.T) {
+	table, clock := newTable(), &manualClock{}
+	first, second := newLease("a", table, clock), newLease("b", table, clock)
+	first.Step(context.Background(), 0)
+	first.Release(context.Background())
+	clock.advance(2 * time.Second)
+	first.Step(context.Background(), 0)
+	if _, _, held := first.Held(); held {
+		t.Error("after its release: got the lease held again, want not")
+	}
+	second.Step(context.Background(), 0)
+	if _, _, held := second.Held(); !held {
+		t.Error("other node after the release: got no lease, want it at once")
+	}
+}
+
+// TestLeaseThatIsReleasedWhileItIsTakenIsGivenBack guards against the same if the release
+// meets a takeover whose answer is still on its way.
+func TestLeaseThatIsReleasedWhileItIsTakenIsGivenBack(t *testing.T) {
+	table, clock := newTable(), &manualClock{}
+	slow := &hookedTable{memoryTable: table}
+	first, second := newLease("a", slow, clock), newLease("b", table, clock)
+	slow.beforeAnswer = func() {
+		slow.beforeAnswer = nil
+		first.Release(context.Background())
+	}
+	first.Step(context.Background(), 0)
+	if _, _, held := first.Held(); held {
+		t.Error("released before the answer: got the lease held, want not")
+	}
+	second.Step(context.Background(), 0)
+	if _, _, held := second.Held(); !held {
+		t.Error("other node after the release: got no lease, want it at once")
+	}
+}
+
 func TestHolderGivesUpLeaseWhenTableDoesNotAnswer(t *testing.T) {
 	clock, table := &manualClock{now: time.Hour}, newTable()
 	first, second := newLease("a", table, clock), newLease("b", table, clock)
