Keep the drain of a node within its grace period

What callers saw: nothing yet; found by reading.

Cause: the wait for new connections was 2.5 s whatever the grace, and leaving the list of hosts, after the deadline of the requests, could wait 1.5 s for a silent store. A process that is killed then cuts what it still serves.

Change: the wait takes at most half of the time for the requests, and leaving the list ends a quarter of a second before the grace does. With the usual grace of 8 s the wait is as long as before.

--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -211,6 +211,27 @@
 	}
 }
 
+// TestNodeEndsWithinItsGraceWithoutTheStore guards against a node that is killed at the end
+// of a short grace period because it still waits for new connections or for the store.
+func TestNodeEndsWithinItsGraceWithoutTheStore(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	node := startNodeWith(t, "a", "n1", "127.0.1.1", store, "bounds.graceS=2")
+	eventually(t, "readiness", node.ready)
+	node.entrance.SetUnresponsive(true)
+	node.stop()
+	select {
+	case err := <-node.ended:
+		if err != nil {
+			t.Errorf("Run: got error %v, want none", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("at the end of the grace period: got a node that runs, want it ended")
+		<-node.ended
+	}
+}
+
 func TestNodeRejectedByTheStoreUpdatesFromItsPeers(t *testing.T) {
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration(1, "k1"))
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -16,7 +16,11 @@
 	// rotationDelay is how long the platform may still send new connections to a node
 	// that is not ready: two readiness checks one second apart, and their answers.
 	rotationDelay = 2500 * time.Millisecond
-	// shutdownMargin is the part of the grace period that is left for ending the process.
+	// maxRotationShare is the largest share of the time for the requests in flight that may
+	// be spent on waiting for new connections.
+	maxRotationShare = 0.5
+	// shutdownMargin is the part of the grace period that is left for ending the process,
+	// half of it for leaving the list of hosts.
 	shutdownMargin = 500 * time.Millisecond
 )
 
@@ -84,16 +88,20 @@
 func (node *Node) drain(callers *http.Server) {
 	start := time.Now()
 	node.draining.Store(true)
-	node.log.Info("node drains", "node", node.settings.Node, "grace", node.settings.Bounds.Grace)
-	drainCtx, cancel := context.WithTimeout(context.Background(), node.settings.Bounds.Grace-shutdownMargin)
+	grace := node.settings.Bounds.Grace
+	node.log.Info("node drains", "node", node.settings.Node, "grace", grace)
+	drainCtx, cancel := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
 	defer cancel()
 	node.loader.releaseAll(drainCtx)
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(rotationDelay)
+	rotation := time.Duration(float64(grace-shutdownMargin) * maxRotationShare)
+	time.Sleep(min(rotationDelay, rotation))
 	close(node.refuseWaiting)
 	if err := callers.Shutdown(drainCtx); err != nil {
 		node.log.Info("connections still open at the end of the grace period", "reason", err.Error())
 	}
-	node.fleet.leave(context.Background())
+	leaveCtx, cancelLeave := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin/2))
+	defer cancelLeave()
+	node.fleet.leave(leaveCtx)
 	node.log.Info("node drained", "took", time.Since(start))
 }
