Don't take the answer to a resumption for that of the request

Cause: the resumption of a cut stream is a call of its own, and its answer went on as the answer to the request unless it was 404. A 409, 429 or 503 says that the resumption was not run, and was taken to say so of the request.

Change: anything but a 200 stream counts as the request cut at its target, which may have run it.

--- a/internal/dispatch/run_model.go
+++ b/internal/dispatch/run_model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -179,9 +180,11 @@
 		service.meter.CountRetry(metric.RetryResume)
 		service.journalDecision(run.request, "Resumed", string(answer.Failure), "Target", granted.candidate.Target)
 		answer = service.targets.Run(callCtx, granted.spec, run.resumeCall(call), run.forwardEvents(ctx, firstEventTimer))
-		if answer.Failure == mimosatide.CallNotSent || answer.Status == http.StatusNotFound {
-			// The first call reached the target, so the request may have run.
-			answer = mimosatide.Answer{Failure: mimosatide.CallCut, Detail: "the target no longer has the request"}
+		if answer.Failure == mimosatide.CallNotSent || answer.Failure == mimosatide.CallSucceeded && answer.Status != http.StatusOK {
+			// The answer to the resumption says nothing about the request, which may have run.
+			answer = mimosatide.Answer{
+				Failure: mimosatide.CallCut, Detail: "the stream could not be resumed: status " + strconv.Itoa(answer.Status),
+			}
 			break
 		}
 	}
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -189,6 +189,39 @@
 	}
 }
 
+// TestAnswerToAResumptionIsNotTakenForTheRequests guards against streams that end as if
+// they were complete, and against refusals as not run, after the target answered the
+// resumption of a cut stream with an error or a rejection.
+func TestAnswerToAResumptionIsNotTakenForTheRequests(t *testing.T) {
+	for _, status := range []int{204, 302, 400, 404, 409, 429, 500, 503} {
+		for _, events := range []int{0, 2} {
+			harness := newHarness(t, 1)
+			harness.target.answer = func(_ string, call mimosatide.Call, onEvent func(mimosatide.Event) error) mimosatide.Answer {
+				if call.Resume {
+					return mimosatide.Answer{Status: status, Body: []byte("error")}
+				}
+				for index := range events {
+					_ = onEvent(mimosatide.Event{Index: index + 1})
+				}
+				return mimosatide.Answer{Status: 200, Failure: mimosatide.CallCut}
+			}
+			var result dispatch.Result
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				request := harness.modelRequest("stream", paid)
+				request.WaitLimit = time.Second
+				result = harness.service.RunModel(context.Background(), request, ignoreEvent)
+			}()
+			placeAfterDemand(harness, 1)
+			<-done
+			if !result.Refusal.Refused() || result.Refusal.Run != mimosatide.RunUnknown {
+				t.Errorf("resumption answered %d after %d events: result = %+v, want a refusal as possibly run", status, events, result)
+			}
+		}
+	}
+}
+
 // placeAfterDemand places replicas once a request waits for the model.
 func placeAfterDemand(harness *testHarness, engines int) {
 	for len(harness.service.Waiting()) == 0 {
