Don't believe a rejection that may belong to an earlier request, in serve

What callers saw, in `serve`: 'not run, try again' for a request that an engine runs, after the engine had written an earlier rejection once more on a kept connection.

Cause: the client of engines discarded an answer that names another request, but believed one that names none; and a retry at the same engine could use the connection of the rejection, which names the same request.

Change: an error or a rejection without a request counts as the answer to another one on a kept connection, so that the request may have run. A retry opens a connection of its own.

--- a/internal/dispatch/run_model.go
+++ b/internal/dispatch/run_model.go
@@ -15,6 +15,8 @@
 	service *Service
 	request Request
 	onEvent func(mimosatide.Event) error
+	// sent says that an attempt was made before.
+	sent bool
 	// delivered is the index of the last event that was passed to the caller.
 	delivered int
 	// events is the number of events passed to the caller, without the final one.
@@ -172,7 +174,10 @@
 		Priority:     run.request.Account.Priority,
 		FencingToken: granted.candidate.FencingToken,
 		Stream:       true,
+		// A rejection of an earlier attempt names this request too.
+		FreshConnection: run.sent,
 	}
+	run.sent = true
 	callCtx, firstEventTimer := run.withFirstEventTimeout(ctx)
 	defer firstEventTimer.Stop()
 	answer := service.targets.Run(callCtx, granted.spec, call, run.forwardEvents(ctx, firstEventTimer))
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -238,6 +238,10 @@
 		if harness.target.count() == 1 {
 			return mimosatide.Answer{Status: 429}
 		}
+		if !call.FreshConnection {
+			// The target may write the rejection once more where it wrote the first.
+			t.Error("retry at the same replica: got a kept connection, want a new one")
+		}
 		return success(call)
 	}
 	results := make(chan dispatch.Result)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -114,10 +114,15 @@
 	if err := httpClient.Do(ctx, request, response); err != nil {
 		return failedAnswer(ctx, err)
 	}
-	if answered := string(response.Header.Peek(RequestHeader)); answered != "" && answered != call.Request {
+	answered := string(response.Header.Peek(RequestHeader))
+	if answered != "" && answered != call.Request {
 		forceClose(response)
 		return mimosatide.Answer{Failure: mimosatide.CallMismatched, Detail: "the answer names request " + answered}
 	}
+	if answered == "" && !call.FreshConnection && response.StatusCode() != 200 {
+		forceClose(response)
+		return mimosatide.Answer{Failure: mimosatide.CallMismatched, Detail: "the answer names no request and may be that to an earlier one"}
+	}
 	if call.Stream && response.StatusCode() == 200 {
 		return target.readStream(ctx, response, onEvent)
 	}
