Renew a quarantine at the first crash after its end

What callers would see: a part that goes on being sent crashes three or four engines after each quarantine of five minutes, as the suspicions before it have ended.

Change: a feature whose quarantine ended without an acquittal is quarantined again by a single crash within an hour, unless a part that is suspected more explains it. A good answer ends that.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -83,6 +83,7 @@
 			break
 		}
 		tracker.quarantined[feature] = now
+		delete(tracker.ended, feature)
 		tracker.log.Info("requests quarantined", "feature", feature, "crashes", crashes, "term", term)
 	}
 	tracker.release(now)
@@ -92,6 +93,13 @@
 // their number.
 func (tracker *Tracker) culprit(now time.Time) (Feature, int, bool) {
 	contents, parts := tracker.charges(now)
+	for feature := range tracker.ended {
+		for _, charges := range []map[Feature]*charge{contents, parts} {
+			if again, suspected := charges[feature]; suspected && len(tracker.unexplained(again, parts)) > 0 {
+				return feature, len(again.crashes), true
+			}
+		}
+	}
 	for _, content := range contents {
 		if !content.answered && len(content.crashes) >= contentCrashes || spaced(content.crashes) >= doubtfulCrashes {
 			return content.feature, len(content.crashes), true
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,10 +4,12 @@
 // each by its whole content, and by the parts of its prompt that other requests share.
 // An answer that goes well acquits the content and the parts of its request. What has
 // been suspected of several crashes since its last acquittal is quarantined, over all
-// nodes. Crashes that a quarantined part explains no longer count against parts that are
-// suspected less, so that the parts that sound requests have too, and those of requests
-// that were waiting at the target, are not taken for the cause. If one of them was
-// quarantined before the evidence was complete, it is released.
+// nodes, and after the end of its quarantine as soon as it is suspected again.
+//
+// Crashes that a quarantined part explains don't count against parts that are suspected
+// less, so that the parts that sound requests have too, and those of requests that were
+// waiting at the target, are not taken for the cause. If one of them was quarantined
+// before the evidence was complete, it is released.
 //
 // Nodes exchange suspicions, acquittals and quarantines as reports.
 //
@@ -34,6 +36,8 @@
 	suspicionTTL = 2 * time.Minute
 	// term is how long a quarantine lasts.
 	term = 5 * time.Minute
+	// relapseTime is how long after the end of a quarantine a single crash renews it.
+	relapseTime = time.Hour
 	// reportTime is how long a suspicion or an acquittal is reported: several digests.
 	reportTime = 1200 * time.Millisecond
 	// maxSuspicions bounds the suspicions that a node keeps; the oldest ones are dropped.
@@ -82,14 +86,17 @@
 	acquittals map[Feature]acquittal
 	// goodAnswers holds when a request of this node with a feature was last answered well.
 	goodAnswers map[Feature]time.Time
-	// quarantined holds since when a feature is in quarantine.
+	// quarantined holds since when a feature is in quarantine, ended when its quarantine
+	// ended without an acquittal.
 	quarantined map[Feature]time.Time
+	ended       map[Feature]time.Time
 }
 
 // New returns a tracker that suspects nothing.
 func New(log logr.Logger) *Tracker {
 	return &Tracker{
-		log: log, acquittals: map[Feature]acquittal{}, goodAnswers: map[Feature]time.Time{}, quarantined: map[Feature]time.Time{},
+		log: log, acquittals: map[Feature]acquittal{}, goodAnswers: map[Feature]time.Time{},
+		quarantined: map[Feature]time.Time{}, ended: map[Feature]time.Time{},
 	}
 }
 
@@ -154,6 +161,9 @@
 	if _, found := tracker.quarantined[feature]; found {
 		return true
 	}
+	if _, found := tracker.ended[feature]; found {
+		return true
+	}
 	return slices.ContainsFunc(tracker.suspicions, func(known Suspicion) bool { return known.Features.has(feature) })
 }
 
@@ -161,6 +171,7 @@
 	if acquitted.at.After(tracker.acquittals[feature].at) {
 		tracker.acquittals[feature] = acquitted
 	}
+	delete(tracker.ended, feature)
 	if since, found := tracker.quarantined[feature]; found && acquitted.at.After(since) {
 		delete(tracker.quarantined, feature)
 		tracker.log.Info("quarantine lifted", "feature", feature, "after", acquitted.at.Sub(since))
@@ -183,7 +194,7 @@
 	}
 }
 
-// expire drops old suspicions, acquittals and quarantines.
+// expire drops old suspicions and acquittals, and ends old quarantines.
 func (tracker *Tracker) expire(now time.Time) {
 	tracker.suspicions = slices.DeleteFunc(tracker.suspicions, func(known Suspicion) bool {
 		return now.Sub(known.At) > suspicionTTL
@@ -196,6 +207,12 @@
 	for feature, since := range tracker.quarantined {
 		if now.Sub(since) >= term {
 			delete(tracker.quarantined, feature)
+			tracker.ended[feature] = since.Add(term)
+		}
+	}
+	for feature, at := range tracker.ended {
+		if now.Sub(at) > relapseTime {
+			delete(tracker.ended, feature)
 		}
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -230,3 +230,24 @@
 		t.Error("got not quarantined at once or for more than ten minutes, want quarantined for some minutes")
 	}
 }
+
+// TestPartIsQuarantinedAgainAtOnce guards against a deadly part that crashes as many
+// targets again after each quarantine.
+func TestPartIsQuarantinedAgainAtOnce(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	for crash := range uint64(4) {
+		tracker.Suspect(crash, request(crash, "common", "deadly"), at(float64(crash)))
+	}
+	if !held(tracker, at(4), "deadly") || held(tracker, at(400), "deadly") {
+		t.Fatal("got not quarantined, or for more than six minutes, want quarantined for some minutes")
+	}
+	tracker.Suspect(10, request(10, "common", "deadly"), at(401))
+	if !held(tracker, at(401), "deadly") || held(tracker, at(401), "common") {
+		t.Error("crash after the quarantine: got not quarantined again, or another part too, want only the part as before")
+	}
+	tracker.Acquit(request(11, "deadly"), at(402))
+	tracker.Suspect(12, request(12, "common", "deadly"), at(403))
+	if held(tracker, at(403), "deadly") {
+		t.Error("crash after a good answer: got quarantined, want as many crashes needed as at first")
+	}
+}
