Read the fakes of the tests of feed under their locks

The tests read the fake store's calls and the fake peers' list while the follower's goroutine wrote them, which the race detector reported in five tests.

--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -51,6 +52,13 @@
 	}
 }
 
+// called returns the calls so far.
+func (store *scriptedStore) called() []string {
+	store.lock.Lock()
+	defer store.lock.Unlock()
+	return slices.Clone(store.calls)
+}
+
 func (store *scriptedStore) Snapshot(ctx context.Context, _ string) (mimosatide.RowBatch, error) {
 	return store.next(ctx, "snapshot")
 }
@@ -111,8 +119,8 @@
 		go follower.Run(ctx)
 		// Less than the limit of the snapshot, which this store leaves without an answer.
 		time.Sleep(500 * time.Millisecond)
-		if len(store.calls) != 3 || store.calls[2] != "snapshot" || !follower.State().Healthy {
-			t.Errorf("got calls %v and healthy %v, want 3 calls with a snapshot last, and healthy", store.calls, follower.State().Healthy)
+		if len(store.called()) != 3 || store.called()[2] != "snapshot" || !follower.State().Healthy {
+			t.Errorf("got calls %v and healthy %v, want 3 calls with a snapshot last, and healthy", store.called(), follower.State().Healthy)
 		}
 		cancel()
 		synctest.Wait()
@@ -242,6 +250,12 @@
 	peers.forwardedAfter = append(peers.forwardedAfter, after)
 }
 
+func (peers *fakePeers) forwarded() []mimosatide.RowVersion {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	return slices.Clone(peers.forwardedAfter)
+}
+
 func (peers *fakePeers) setReceives(receives bool) {
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
@@ -268,8 +282,8 @@
 		go follower.Run(ctx)
 		<-collected.updates
 		time.Sleep(time.Minute)
-		if len(store.calls) != 1 {
-			t.Errorf("got calls %v while a relay forwards, want the first one only", store.calls)
+		if len(store.called()) != 1 {
+			t.Errorf("got calls %v while a relay forwards, want the first one only", store.called())
 		}
 		if !follower.MergeChanges(1, mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("b", 6)}, Version: 6}, true) {
 			t.Error("changes that follow the copy: got rejected, want merged")
@@ -279,8 +293,8 @@
 		}
 		peers.setReceives(false)
 		time.Sleep(time.Second)
-		if len(store.calls) != 2 || store.calls[1] != "changes" {
-			t.Errorf("got calls %v without a relay, want a second one for changes", store.calls)
+		if len(store.called()) != 2 || store.called()[1] != "changes" {
+			t.Errorf("got calls %v without a relay, want a second one for changes", store.called())
 		}
 		cancel()
 		synctest.Wait()
@@ -300,8 +314,8 @@
 		time.Sleep(time.Second)
 		follower.Interrupt()
 		synctest.Wait()
-		if len(store.calls) != 3 || !follower.State().Healthy {
-			t.Errorf("got calls %v and healthy %v, want 3 calls and healthy", store.calls, follower.State().Healthy)
+		if len(store.called()) != 3 || !follower.State().Healthy {
+			t.Errorf("got calls %v and healthy %v, want 3 calls and healthy", store.called(), follower.State().Healthy)
 		}
 		cancel()
 		synctest.Wait()
@@ -331,13 +345,13 @@
 			go follower.Run(ctx)
 		}
 		time.Sleep(300 * time.Millisecond)
-		if len(stores[1].calls) != 3 {
-			t.Errorf("got calls %v of the follower that does not probe, want 3", stores[1].calls)
+		if len(stores[1].called()) != 3 {
+			t.Errorf("got calls %v of the follower that does not probe, want 3", stores[1].called())
 		}
 		time.Sleep(5 * time.Second)
 		for index, follower := range followers {
 			if !follower.State().Healthy {
-				t.Errorf("follower %d after the store answers again: got not healthy, want healthy; its calls: %v", index, stores[index].calls)
+				t.Errorf("follower %d after the store answers again: got not healthy, want healthy; its calls: %v", index, stores[index].called())
 			}
 		}
 		cancel()
@@ -374,7 +388,7 @@
 		peers.setReceives(true)
 		time.Sleep(5 * time.Second)
 		if !followers[1].State().Healthy {
-			t.Errorf("with a prober that follows a relay: got calls %v of the other follower, want it to probe the store", stores[1].calls)
+			t.Errorf("with a prober that follows a relay: got calls %v of the other follower, want it to probe the store", stores[1].called())
 		}
 		cancel()
 		synctest.Wait()
@@ -404,8 +418,8 @@
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
 		observeFor(follower, 9, 2*time.Second)
-		if state := follower.State(); state.Version != 9 || len(store.calls) != 4 {
-			t.Errorf("2 s after a peer knew version 9: got version %d and calls %v, want version 9 and 4 calls", state.Version, store.calls)
+		if state := follower.State(); state.Version != 9 || len(store.called()) != 4 {
+			t.Errorf("2 s after a peer knew version 9: got version %d and calls %v, want version 9 and 4 calls", state.Version, store.called())
 		}
 		cancel()
 		synctest.Wait()
@@ -460,7 +474,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		if state := followers[1].State(); state.Version != 9 {
-			t.Errorf("2 s after the store failed: got version %d of the other follower and calls %v, want 9", state.Version, silent.calls)
+			t.Errorf("2 s after the store failed: got version %d of the other follower and calls %v, want 9", state.Version, silent.called())
 		}
 		cancel()
 		synctest.Wait()
@@ -518,9 +532,9 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
-		if len(peers.forwardedAfter) != 1 || peers.forwardedAfter[0] != 3 {
+		if !slices.Equal(peers.forwarded(), []mimosatide.RowVersion{3}) {
 			// The other nodes know change 3, but not the version of a poll without changes.
-			t.Errorf("got changes forwarded after %v, want after 3", peers.forwardedAfter)
+			t.Errorf("got changes forwarded after %v, want after 3", peers.forwarded())
 		}
 		cancel()
 		synctest.Wait()
