--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -244,31 +244,6 @@
 	}
 }
 
-// pollOnce makes one poll and reports whether it was cancelled before an answer came,
-// because it was interrupted or replaced.
-func (follower *Follower) pollOnce(ctx context.Context, hasSnapshot *bool) (bool, error) {
-	pollCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	follower.lock.Lock()
-	follower.cancelPoll = cancel
-	follower.pollStart = follower.clock.Now()
-	follower.polling = true
-	follower.lock.Unlock()
-	err := follower.poll(pollCtx, hasSnapshot)
-	follower.lock.Lock()
-	follower.polling = false
-	follower.lock.Unlock()
-	return err != nil && pollCtx.Err() != nil, err
-}
-
-// Interrupt cancels the current poll, so that the next one uses the poll wait for
-// this node's present role. Call it when the node becomes a relay.
-func (follower *Follower) Interrupt() {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	follower.cancelPoll()
-}
-
 // Steady reports whether the store answers this node and its last outage here was
 // more than steadyAfter ago.
 func (follower *Follower) Steady() bool {
@@ -306,23 +281,6 @@
 	return follower.state.Synced && behind >= 2*silentPollDelay
 }
 
-// suspectPoll replaces the open poll, if there is one, by one that doesn't wait.
-func (follower *Follower) suspectPoll(reason string) {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	follower.suspectPollLocked(reason)
-}
-
-func (follower *Follower) suspectPollLocked(reason string) {
-	if !follower.polling || follower.suspected || !follower.state.Healthy {
-		return
-	}
-	follower.suspected = true
-	follower.log.Info("poll replaced", "table", follower.table, "version", follower.state.Version,
-		"open", follower.clock.Now()-follower.pollStart, "reason", reason)
-	follower.cancelPoll()
-}
-
 // receivesFromRelay reports whether another node forwards the changes, and logs when that starts or stops.
 func (follower *Follower) receivesFromRelay() bool {
 	if follower.peers == nil {
@@ -336,69 +294,6 @@
 	return relayed
 }
 
-// poll reads the whole table if hasSnapshot is false, and sets it; otherwise it waits
-// for changes after the copy's version.
-func (follower *Follower) poll(ctx context.Context, hasSnapshot *bool) error {
-	start := follower.clock.Now()
-	follower.lock.Lock()
-	state, suspected, slowdown := follower.state, follower.suspected, time.Duration(1)
-	follower.lock.Unlock()
-	if follower.failed {
-		slowdown = 2
-	}
-	if !*hasSnapshot {
-		callCtx, cancel := context.WithTimeout(ctx, slowdown*snapshotTimeout)
-		defer cancel()
-		batch, err := follower.store.Snapshot(callCtx, follower.table)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		follower.Merge(batch)
-		follower.markCurrent(start)
-		*hasSnapshot = true
-		return nil
-	}
-	wait := follower.pollWait
-	if follower.peers != nil {
-		if limit := follower.peers.PollWaitLimit(follower.table); limit > 0 {
-			wait = min(wait, limit)
-		}
-	}
-	if !state.Healthy || suspected {
-		wait = 0
-	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+slowdown*pollSlack)
-	defer cancel()
-	batch, err := follower.store.Changes(callCtx, follower.table, state.Version, wait)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	follower.endSuspicion(len(batch.Rows) > 0)
-	recovering := follower.recovering()
-	follower.Merge(batch)
-	follower.markCurrent(start)
-	if len(batch.Rows) > 0 {
-		follower.batched = true
-		if follower.peers != nil {
-			follower.peers.Forward(follower.table, state.LastChange, batch, recovering)
-		}
-	}
-	return nil
-}
-
-// endSuspicion ends the suspicion of the last poll. If the poll that replaced it returned
-// changes at once, the last one was silent: the store may have had an outage that this
-// follower did not notice, and deletions may be effects of it.
-func (follower *Follower) endSuspicion(changed bool) {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	if follower.suspected && changed {
-		follower.lostAt = time.Now()
-		follower.recoveredAt = follower.lostAt
-	}
-	follower.suspected = false
-}
-
 // markCurrent records that the copy was current at a clock reading.
 func (follower *Follower) markCurrent(at time.Duration) {
 	follower.lock.Lock()
