Request rows from a relay that is not on the list of hosts

What callers would see: answers by an old configuration from a host of a large fleet that the store has stopped answering, for as long as that lasts (CONFIG), or 503 from one that was started meanwhile. Seen in a test: beside four busy loops, TestLargeFleetFollowsTheStoreThroughRelays failed once in 16 runs with "version 5 at a-00: did not happen in time", 20 s.

Cause: digests in a relay's batch were dropped if their hosts were not on this host's list. The list is one of the tables that may be out of date: a host that the store stopped answering before it had read the others' rows knew none of them, so that it never learned that its tables were old. The class is that of the late copies: what a host hears was not compared with what it holds.

Evidence: in that run a-00 had the list of hosts at its own row (version 5 of 27) when the store went silent, logged 'store lost' for all three tables, and nothing after, while the relay of its zone sent it batches. In a small fleet digests come directly, and rows are requested from any sender.

Change: the table versions in a digest of an unknown host count, and the rows are requested from the relay that sent the batch.

Result: the new test fails without the change (no request for rows in 20 s) and passes with it.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -295,7 +295,7 @@
 	case gossip.HoldingsReport:
 		node.loader.handleHoldingsReport(message)
 	case gossip.Batch:
-		node.fleet.handleBatch(message, now)
+		node.fleet.handleBatch(from, message, now)
 	case gossip.Changes:
 		node.handleChanges(from, message)
 	case gossip.RowsRequest:
--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -32,9 +32,11 @@
 	entrance  *emulator.StoreEndpoint
 	callers   string
 	readiness string
-	stop      context.CancelFunc
-	ended     chan error
-	log       *logRecorder
+	// peers is the address at which the node listens for its peers.
+	peers string
+	stop  context.CancelFunc
+	ended chan error
+	log   *logRecorder
 }
 
 // logRecorder keeps the log lines of a node.
@@ -77,7 +79,7 @@
 		t.Fatal(err)
 	}
 	peers, metrics := portOf(free[2]), portOf(free[3])
-	node := &testNode{entrance: entrance, callers: free[0], readiness: free[1], ended: make(chan error, 1), log: &logRecorder{}}
+	node := &testNode{entrance: entrance, callers: free[0], readiness: free[1], peers: free[2], ended: make(chan error, 1), log: &logRecorder{}}
 	settings, err := platform.ParseSettings(fmt.Sprintf(`nodeName=%s
 zone=%s
 ip=%s
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -165,8 +165,10 @@
 	return addresses
 }
 
-// handleBatch applies the messages of a batch and forwards them as far as its reach says.
-func (fleet *fleet) handleBatch(batch gossip.Batch, now time.Time) {
+// handleBatch applies the messages of a batch and forwards them as far as its reach says;
+// from is the peer address of the relay. Of a host that is not on the list only the
+// versions of its tables count: this node's own list may be the one that is out of date.
+func (fleet *fleet) handleBatch(from string, batch gossip.Batch, now time.Time) {
 	for _, digest := range batch.Digests {
 		fleet.lock.Lock()
 		known, found := fleet.members[digest.Node]
@@ -177,6 +179,8 @@
 		fleet.lock.Unlock()
 		if found {
 			fleet.handleDigest(address, digest, now)
+		} else if digest.Node != fleet.node.settings.Node {
+			fleet.requestNewerRows(from, digest.Tables, now)
 		}
 	}
 	for _, report := range batch.HoldingsReports {
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -1,10 +1,15 @@
 package entrynode_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 
+	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/platform/emulator"
 )
 
@@ -83,3 +88,59 @@
 		return len(storeCallers(nodes, func() { changeConfiguration(t, store, nodes, version) })) <= 2
 	})
 }
+
+// testHub plays a peer of the node under test.
+type testHub struct {
+	hub     *peer.Hub
+	address string
+}
+
+// startHub starts a hub that hands each message it receives to a function.
+func startHub(t *testing.T, receive func(message any)) testHub {
+	t.Helper()
+	free, err := emulator.FreeAddresses("127.0.1.2", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hub, err := peer.New(peer.Settings{
+		Codec: gossip.Codec{}, Self: free[0], Listen: free[0], PingInterval: peer.DefaultPingInterval, QueueLength: 32,
+	}, logr.Discard(), func(_ string, message any) { receive(message) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go hub.Run(ctx)
+	return testHub{hub: hub, address: free[0]}
+}
+
+// TestHostRequestsRowsFromARelayThatItDoesNotKnow guards against a host that keeps serving
+// by an old configuration because the store stopped answering it before it knew of the
+// other hosts: in a large fleet it hears of them only through a relay that is not on its
+// list either.
+func TestHostRequestsRowsFromARelayThatItDoesNotKnow(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "a 200 answer", func() bool { return node.request("k1") == http.StatusOK })
+	node.entrance.SetUnresponsive(true)
+
+	requested := make(chan gossip.RowsRequest, 100)
+	relay := startHub(t, func(message any) {
+		if request, ok := message.(gossip.RowsRequest); ok && len(requested) < cap(requested) {
+			requested <- request
+		}
+	})
+	eventually(t, "a request for the rows of the configuration", func() bool {
+		relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{
+			{Node: "n3", Incarnation: 1, Tables: map[string]uint64{"op": 1000}},
+		}})
+		for len(requested) > 0 {
+			if request := <-requested; request.Table == "op" {
+				return true
+			}
+		}
+		return false
+	})
+}
