Send no orders to an engine that has asked for a pause

What callers would see: an engine that turns requests away and asks for a pause stays overloaded, as the owner of its service goes on asking for its report ten times a second while a model loads.

Cause: the pause was known to the choice of a target only. Orders and requests for reports went on, and their own answers' Retry-After was not read.

Change: an engine that has asked for a pause counts as occupied, and gets neither orders nor requests for its report until the pause is over. The wishes in the answers to orders and reports are recorded like those in answers to requests.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -91,8 +91,9 @@
 		}
 		return *deployment.Services[name].Engine, true
 	}
+	pausedUntil := func(engine mimosatide.Instance) time.Time { return node.tracker.PausedUntil(engine, time.Now()) }
 	settings := loading.Settings{Service: name, Holder: node.settings.Node}
-	controller := loading.New(settings, lease, node.engines, node.targets, engineClass, loader.publish, node.log)
+	controller := loading.New(settings, lease, node.engines, node.targets, engineClass, pausedUntil, loader.publish, node.log)
 	ctx := loader.ctx
 	go lease.Run(ctx, node.fleet.rank)
 	go controller.Run(ctx)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -95,17 +95,13 @@
 // metrics are served at metricsPort of the node's IP address.
 func New(settings platform.Settings, metricsPort string, log logr.Logger) (*Node, error) {
 	dialer := newDialer()
-	targets := registry.New(log)
 	node := &Node{
-		settings:    settings,
-		log:         log,
-		incarnation: uint64(time.Now().UnixNano()),
-		peerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.Listen.PeerPort)),
-		store:       platform.NewStore(settings.Store.Address, dialer),
-		engines: platform.NewEngines(&http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout,
-		}, func(engine mimosatide.Instance) { targets.MarkLeaving(engine, time.Now()) }),
-		targets:        targets,
+		settings:       settings,
+		log:            log,
+		incarnation:    uint64(time.Now().UnixNano()),
+		peerAddress:    net.JoinHostPort(settings.IP, strconv.Itoa(settings.Listen.PeerPort)),
+		store:          platform.NewStore(settings.Store.Address, dialer),
+		targets:        registry.New(log),
 		tracker:        balance.New(settings.Zone),
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
@@ -117,6 +113,9 @@
 		refuseWaiting:  make(chan struct{}),
 		metricsAddress: net.JoinHostPort(settings.IP, metricsPort),
 	}
+	node.engines = platform.NewEngines(&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout,
+	}, node.recordWishes)
 	hub, err := peer.New(peer.Settings{
 		Codec:        gossip.Codec{},
 		Self:         node.peerAddress,
@@ -233,6 +232,19 @@
 	}
 }
 
+// recordWishes records what an engine's answer to an order or to a request for its report
+// says about further ones.
+func (node *Node) recordWishes(engine mimosatide.Instance, wishes platform.Wishes) {
+	now := time.Now()
+	if wishes.Leaving {
+		node.targets.MarkLeaving(engine, now)
+	}
+	if wishes.Pause > 0 {
+		node.tracker.Pause(engine, now.Add(wishes.Pause), now)
+		node.log.Info("engine asks for a pause", "target", engine.ID, "service", engine.Service, "pause", wishes.Pause)
+	}
+}
+
 // ready reports whether the platform may send new connections to the node.
 func (node *Node) ready() bool {
 	return !node.draining.Load() && node.deployment.Load() != nil &&
--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -153,6 +153,7 @@
 	request.Host = "a.example"
 	request.Header.Set("Attempt-Id", "r-1")
 	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Model", "m0")
 	request.Header.Set("Deadline-Ms", "2000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -285,3 +286,50 @@
 	node.entrance.SetUnresponsive(false)
 	eventually(t, "a 200 answer after the store answers again", func() bool { return node.request("k1") == http.StatusOK })
 }
+
+// engineConfiguration returns a configuration document with one route to model engines and
+// one account.
+func engineConfiguration(key string) string {
+	return fmt.Sprintf(`{"version":1,"routes":[{"name":"look","host":"a.example","prefix":"/look/","kind":"idempotent",
+	 "timeoutMs":4000,"maxAttempts":2,"service":"llm"}],"services":[{"name":"llm","engine":{"slots":16,"kvCapacity":200000,
+	 "weightsSizeMb":215000,"hostMb":100000,"diskMb":900000,"adapterSlots":4,"loadsPerS":3,
+	 "models":[{"name":"m0","weightsSizeMb":70000,"loadS":2,"warmS":0.1,"diskS":0.1,"adapters":0}]}}],
+	 "limits":{"maxBodyBytes":1000},"tenants":[{"name":"school","apiKeys":[%q]}]}`, key)
+}
+
+// TestPausedEngineGetsNoOrdersAndReportRequests guards against an owner that goes on asking
+// an overloaded engine for its report, although the engine wants nothing for some time.
+func TestPausedEngineGetsNoOrdersAndReportRequests(t *testing.T) {
+	store, recorder := emulator.NewStore(), emulator.NewRecorder()
+	store.Put("op", "config", engineConfiguration("k1"))
+	engine, err := emulator.NewTarget(emulator.TargetSettings{
+		ID: "e-1", Service: "llm", Zone: "a", Slots: 16, MaxModels: 3, Events: 1,
+		LoadTime: 2 * time.Second, DiskLoadTime: 2 * time.Second,
+	}, store, recorder, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Crash)
+	engine.Announce()
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "readiness", node.ready)
+	eventually(t, "an order to load the model", func() bool {
+		_ = node.request("k1")
+		return recorder.Orders() > 0
+	})
+	engine.SetPause(3 * time.Second)
+	paused := func() int {
+		count := 0
+		for _, arrival := range recorder.Arrivals() {
+			if arrival.Pause > 0 {
+				count++
+			}
+		}
+		return count
+	}
+	eventually(t, "a rejected call", func() bool { return paused() > 0 })
+	time.Sleep(time.Second)
+	if count := paused(); count > 1 {
+		t.Errorf("calls to an engine that has asked for a pause: got %d, want only the one that it rejected", count)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -196,15 +196,15 @@
 
 // recordWishes records what an answer says about further requests: that its target
 // leaves, or that it wants none for some time.
-func (handler *requestHandler) recordWishes(head platform.AnswerHead) {
+func (handler *requestHandler) recordWishes(wishes platform.Wishes) {
 	now := time.Now()
-	if head.Leaving {
+	if wishes.Leaving {
 		handler.gateway.Targets.MarkLeaving(handler.instance, now)
 	}
-	if head.Pause > 0 {
-		handler.gateway.Tracker.Pause(handler.instance, now.Add(head.Pause), now)
+	if wishes.Pause > 0 {
+		handler.gateway.Tracker.Pause(handler.instance, now.Add(wishes.Pause), now)
 		handler.gateway.log.Info("target asks for a pause", "target", handler.instance.ID, "service", handler.service.Name,
-			"request", handler.request.ID, "pause", head.Pause)
+			"request", handler.request.ID, "pause", wishes.Pause)
 	}
 }
 
@@ -242,7 +242,7 @@
 // on a new connection: on another one it may belong to an earlier request.
 func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
 	head := platform.DecodeAnswerHead(reply.Response)
-	handler.recordWishes(head)
+	handler.recordWishes(head.Wishes)
 	if head.NotRun && (head.RequestID == handler.request.ID || head.RequestID == "" && !reply.Reused) {
 		reply.Discard()
 		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -42,10 +42,12 @@
 	targets  *registry.Registry
 	demand   *Demand
 	// class returns the current configuration of the engines, if there is one.
-	class   func() (mimosatide.EngineClass, bool)
-	publish func(mimosatide.Instance)
-	log     logr.Logger
-	wake    chan struct{}
+	class func() (mimosatide.EngineClass, bool)
+	// pausedUntil returns until when an engine has asked this node to send nothing.
+	pausedUntil func(mimosatide.Instance) time.Time
+	publish     func(mimosatide.Instance)
+	log         logr.Logger
+	wake        chan struct{}
 
 	lock sync.Mutex
 	// fencingToken is the one under which the workers and loads below were started.
@@ -65,25 +67,28 @@
 }
 
 // New returns a controller that sends no orders before Run is called. class returns the
-// current configuration of the engines, publish announces the state of an engine
-// to all nodes.
+// current configuration of the engines, pausedUntil until when an engine has asked this
+// node to send nothing, zero if it has not; publish announces the state of an engine to
+// all nodes.
 func New(
 	settings Settings, lease *Lease, engines Engines, targets *registry.Registry,
-	class func() (mimosatide.EngineClass, bool), publish func(mimosatide.Instance), log logr.Logger,
+	class func() (mimosatide.EngineClass, bool), pausedUntil func(mimosatide.Instance) time.Time,
+	publish func(mimosatide.Instance), log logr.Logger,
 ) *Controller {
 	return &Controller{
-		settings: settings,
-		lease:    lease,
-		engines:  engines,
-		targets:  targets,
-		demand:   NewDemand(),
-		class:    class,
-		publish:  publish,
-		log:      log,
-		wake:     make(chan struct{}, 1),
-		workers:  map[string]*worker{},
-		loading:  map[string]int{},
-		retryAt:  map[Need]time.Time{},
+		settings:    settings,
+		lease:       lease,
+		engines:     engines,
+		targets:     targets,
+		demand:      NewDemand(),
+		class:       class,
+		pausedUntil: pausedUntil,
+		publish:     publish,
+		log:         log,
+		wake:        make(chan struct{}, 1),
+		workers:     map[string]*worker{},
+		loading:     map[string]int{},
+		retryAt:     map[Need]time.Time{},
 	}
 }
 
@@ -200,6 +205,7 @@
 		holder:       controller.settings.Holder,
 		engines:      controller.engines,
 		fencingToken: controller.lease.FencingToken,
+		paused:       func() bool { return !controller.pausedUntil(instance).IsZero() },
 		publish:      controller.publish,
 		recordOrder:  controller.lease.RecordOrder,
 		log:          controller.log,
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -50,6 +50,9 @@
 // that this node does not know of.
 var errConflict = errors.New("the engine did not accept the order because of another order")
 
+// errPaused says that the engine has asked this node to send nothing for some time.
+var errPaused = errors.New("the engine has asked for a pause")
+
 // worker sends the orders to one incarnation of an engine, one at a time.
 type worker struct {
 	instance mimosatide.Instance
@@ -60,7 +63,9 @@
 	engines Engines
 	// fencingToken returns the fencing token if this node may send orders now.
 	fencingToken func() (mimosatide.FencingToken, bool)
-	publish      func(mimosatide.Instance)
+	// paused reports whether the engine has asked this node to send nothing now.
+	paused  func() bool
+	publish func(mimosatide.Instance)
 	// recordOrder is called before each order is sent.
 	recordOrder func()
 	log         logr.Logger
@@ -81,12 +86,13 @@
 }
 
 // view returns the known state of the engine, whether it is occupied or left out
-// after a failure, and placedAt.
+// after a failure or during a pause, and placedAt.
 func (worker *worker) view() (known mimosatide.Instance, occupied bool, placedAt time.Time) {
+	paused := worker.paused()
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	backingOff := time.Since(worker.backoffAt) < engineBackoff
-	return worker.known, worker.occupied || backingOff, worker.placedAt
+	return worker.known, worker.occupied || backingOff || paused, worker.placedAt
 }
 
 // claim marks the engine as occupied. It reports false if it already was.
@@ -305,6 +311,9 @@
 	if !held {
 		return errors.Trace(errNotHolder)
 	}
+	if worker.paused() {
+		return errors.Trace(errPaused)
+	}
 	order.Holder = worker.holder
 	order.FencingToken = fencingToken
 	order.After = worker.current().Orders
@@ -356,6 +365,9 @@
 }
 
 func (worker *worker) report(ctx context.Context) (mimosatide.InstanceReport, error) {
+	if worker.paused() {
+		return mimosatide.InstanceReport{}, errors.Trace(errPaused)
+	}
 	bounded, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	report, err := worker.engines.Report(bounded, worker.instance)
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -210,7 +210,8 @@
 		targets.SetHoldings(registry.ReportedHoldings{Instance: instance.ID, Orders: instance.Orders, Holdings: instance.Holdings})
 	}
 	controller := loading.New(loading.Settings{Service: "llm", Holder: holder}, lease, engines, targets,
-		func() (mimosatide.EngineClass, bool) { return engines.class, true }, publish, logr.Discard())
+		func() (mimosatide.EngineClass, bool) { return engines.class, true },
+		func(mimosatide.Instance) time.Time { return time.Time{} }, publish, logr.Discard())
 	go controller.Run(ctx)
 	return controller, targets
 }
