Check in the soak that pauses are kept

A target asks for pauses of 0.5 to 3 s for a while. By the callers' results the run knows which node sent a rejected request, and it is checked that this target gets at most two more requests from that node between half a second after its answer and the end of the pause.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -29,6 +29,13 @@
 	maxLateCrashes          = 3
 )
 
+// No more than maxPausedArrivals requests of a node may reach a target between pauseMargin
+// after it asked that node for a pause and the end of the pause.
+const (
+	pauseMargin       = 500 * time.Millisecond
+	maxPausedArrivals = 2
+)
+
 // notRun are the status codes which state that a request has not run.
 var notRun = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
@@ -58,6 +65,7 @@
 		violations = append(violations, "a target ran request "+id+", which no caller sent")
 	}
 	violations = append(violations, testbed.checkLeaving(results)...)
+	violations = append(violations, testbed.checkPauses(results)...)
 	violations = append(violations, testbed.checkDeadly(results)...)
 	return append(violations, testbed.checkQuota()...)
 }
@@ -110,6 +118,47 @@
 	return violations
 }
 
+// checkPauses describes the pauses in which a target that had asked a node for one got too
+// many requests from that node. A disruption or restart of the node or of the connections
+// to the target since then excuses them.
+func (testbed *testbed) checkPauses(results []result) []string {
+	nodeOf := map[string]*node{}
+	for _, result := range results {
+		nodeOf[result.id] = result.node
+	}
+	arrivals := testbed.recorder.Arrivals()
+	var violations []string
+	for index, rejected := range arrivals {
+		node := nodeOf[rejected.Request]
+		if rejected.Pause == 0 || node == nil {
+			continue
+		}
+		count, end := 0, rejected.At.Add(rejected.Pause)
+		for _, later := range arrivals[index+1:] {
+			if later.At.After(rejected.At.Add(pauseMargin)) && later.At.Before(end) &&
+				later.Incarnation == rejected.Incarnation && nodeOf[later.Request] == node {
+				count++
+			}
+		}
+		if count > maxPausedArrivals && !node.changedWithin(rejected.At, end) && !testbed.linkDisrupted(rejected.Incarnation, rejected.At, end) {
+			violations = append(violations, fmt.Sprintf("target %s got %d requests from node %s within %s although it had rejected %s with that pause, want at most %d",
+				rejected.Incarnation, count, node.name, rejected.Pause, rejected.Request, maxPausedArrivals))
+		}
+	}
+	return violations
+}
+
+// linkDisrupted reports whether the connections to a target were disrupted between two
+// times, or shortly before.
+func (testbed *testbed) linkDisrupted(incarnation string, from, to time.Time) bool {
+	for index, proxy := range testbed.targetProxies {
+		if strings.HasPrefix(incarnation, fmt.Sprintf("t-%d@", index)) {
+			return proxy.disruptedWithin(from.Add(-maxFaultDuration), to)
+		}
+	}
+	return false
+}
+
 // checkDeadly describes the requests with the deadly part that reached targets later than
 // quarantineTime after the fifth crash, if they are too many. Nodes that were disrupted or
 // started, or whose connections to their peers were disrupted, within that time are
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -72,6 +72,11 @@
 			target.Leave(testbed.random.IntN(2) == 0)
 			return func() { testbed.replaceLeaving(target) }
 		}},
+		{"let a target ask for pauses", func(testbed *testbed, _ string) func() {
+			target := testbed.targets[testbed.random.IntN(len(testbed.targets))]
+			target.SetPause(pauseMargin + time.Duration(testbed.random.Int64N(int64(maxFaultDuration))))
+			return func() { target.SetPause(0) }
+		}},
 		{"let a target lose answers, delay orders and fail requests", func(testbed *testbed, _ string) func() {
 			target := testbed.targets[testbed.random.IntN(len(testbed.targets))]
 			target.SetFailureRates(testbed.random.Float64()/2, testbed.random.Float64()/2, testbed.random.Float64()/2)
@@ -224,6 +229,7 @@
 	for index, target := range testbed.targets {
 		testbed.targetProxies[index].set(linkCondition{}, linkCondition{})
 		target.SetFailureRates(0, 0, 0)
+		target.SetPause(0)
 		testbed.replaceLeaving(target)
 	}
 }
