Release a part when a deeper one turns out to have its crashes too

Cause: a host that was cut with a sound request at the third crash knew that crash for the shared part only, and quarantined it by three crashes against two. The reports of the same crash came up to 200 ms later and made it three against three, by which nothing would have been quarantined; but the release asked only whether another part in quarantine explains the crashes, and none could get there any more, as the deadly requests have the shared part as well.

Change: a part with three crashes, too few to be sure, is released when another part that is suspected more turns out to be suspected of all of them.

Result: the new test fails without the change.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -190,8 +190,8 @@
 }
 
 // release ends the quarantine of the parts that would not be quarantined any more, because
-// another quarantined part explains their crashes. A node that knows only some of the
-// crashes may have quarantined a part that sound requests share.
+// another part explains their crashes. A node that knew only some of the crashes may have
+// quarantined a part that sound requests share.
 func (tracker *Tracker) release(now time.Time) {
 	_, parts := tracker.charges(now)
 	for feature := range tracker.quarantined {
@@ -201,8 +201,39 @@
 		}
 		rest := tracker.unexplained(part, parts)
 		if len(rest) < len(part.counted) && spaced(rest) < partCrashes {
-			tracker.log.Info("crashes explained by another part", "feature", feature, "crashes", len(part.counted), "left", len(rest))
-			tracker.acquit(feature, acquittal{at: now, own: true})
+			tracker.releasePart(feature, len(part.counted), "another part in quarantine", now)
+		} else if rival, found := likelierCause(part, parts); found {
+			tracker.releasePart(feature, len(part.counted), string(rival), now)
 		}
 	}
 }
+
+func (tracker *Tracker) releasePart(feature Feature, crashes int, cause string, now time.Time) {
+	tracker.log.Info("crashes explained by another part", "feature", feature, "crashes", crashes, "by", cause)
+	tracker.acquit(feature, acquittal{at: now, own: true})
+}
+
+// likelierCause returns a part that is suspected more than another one, and of all of its
+// crashes, if these are too few to quarantine one of the two.
+func likelierCause(part *charge, parts map[Feature]*charge) (Feature, bool) {
+	crashes := spaced(part.counted)
+	if crashes < partCrashes || crashes >= doubtfulCrashes {
+		return "", false
+	}
+	for feature, other := range parts {
+		if other != part && other.suspectedMore(part) && other.hasAll(part.counted) {
+			return feature, true
+		}
+	}
+	return "", false
+}
+
+// hasAll reports whether the feature is suspected of all of the crashes.
+func (charged *charge) hasAll(crashes map[uint64]time.Time) bool {
+	for crash := range crashes {
+		if _, known := charged.crashes[crash]; !known {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -96,6 +96,40 @@
 	}
 }
 
+// TestPartIsReleasedWhenADeeperOneTurnsOutToHaveItsCrashesToo guards against refusing sound
+// requests for minutes after a node judged by three crashes, of the last of which it knew
+// only by a sound request that was waiting there. No further crash follows, since the
+// deadly requests have the part too.
+func TestPartIsReleasedWhenADeeperOneTurnsOutToHaveItsCrashesToo(t *testing.T) {
+	early, peer := quarantine.New(logr.Discard()), quarantine.New(logr.Discard())
+	for crash := range uint64(2) {
+		now := at(float64(crash))
+		peer.Suspect(crash, request(crash, "common", "session", "deadly"), now)
+		early.Apply(peer.Report(now), now)
+	}
+	early.Suspect(2, request(100, "common", "other"), at(2))
+	if !held(early, at(2), "common") {
+		t.Fatal("three crashes under one part, two under the others: got not quarantined, want quarantined")
+	}
+	peer.Suspect(2, request(2, "common", "session", "deadly"), at(2))
+	peer.Apply(early.Report(at(2.1)), at(2.1))
+	early.Apply(peer.Report(at(2.2)), at(2.2))
+	peer.Apply(early.Report(at(2.4)), at(2.4))
+	for name, tracker := range map[string]*quarantine.Tracker{"early": early, "peer": peer} {
+		if held(tracker, at(2.5), "common", "other") {
+			t.Errorf("%s: three crashes under three parts: got the first part quarantined, want not", name)
+		}
+	}
+	peer.Suspect(3, request(3, "common", "session", "deadly"), at(3))
+	early.Apply(peer.Report(at(3.1)), at(3.1))
+	for name, tracker := range map[string]*quarantine.Tracker{"early": early, "peer": peer} {
+		if held(tracker, at(4), "common", "other") || !held(tracker, at(4), "deadly") {
+			t.Errorf("%s: after four crashes: got the first part quarantined %v and the deadly one %v, want only the deadly one",
+				name, held(tracker, at(4), "common", "other"), held(tracker, at(4), "deadly"))
+		}
+	}
+}
+
 // TestCrashesThatAreExplainedDoNotCountAgainstBystanders guards against refusing requests
 // that wait at the targets which others crash.
 func TestCrashesThatAreExplainedDoNotCountAgainstBystanders(t *testing.T) {
