Keep quarantines in the store over a restart of all nodes

Cause: a quarantine was known to processes only. Nodes that start learn of it from the digests of those that go on; when all have ended there is nobody to tell. The class is that of any state that has to outlast its process and lives nowhere else.

Change: nodes that cut requests at the crashes, or got an answer that ends a quarantine, save it as a row of a table of its own, or delete the row; a node reads the table once when it starts. The term goes on from the saved begin, and after it a single crash renews the quarantine, as without a restart. All other nodes hear of it by digests as before, so that a large fleet writes no more than a small one. Calls that fail are repeated with growing pauses; nothing waits for them.

Result: TestRestartedNodeRefusesWhatCrashedTargetsBefore fails without the archive (a request with the part is sent).

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -28,8 +28,9 @@
 
 // The tables that this system keeps in the platform's store.
 const (
-	hostTable  = "mimosatide-hosts"
-	leaseTable = "mimosatide-leases"
+	hostTable       = "mimosatide-hosts"
+	leaseTable      = "mimosatide-leases"
+	quarantineTable = "mimosatide-quarantines"
 )
 
 // Limits of callers' connections.
@@ -160,7 +161,8 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	background := []func(context.Context){node.hub.Run, node.fleet.run, node.loader.run, node.housekeep}
+	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable), node.log)
+	background := []func(context.Context){node.hub.Run, node.fleet.run, node.loader.run, node.housekeep, archive.Run}
 	for _, follower := range node.followers {
 		background = append(background, follower.Run)
 	}
--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -146,9 +147,19 @@
 
 // request sends a request with an API key and returns the HTTP status, or 0 without an answer.
 func (node *testNode) request(key string) int {
-	request, err := http.NewRequest(http.MethodGet, "http://"+node.callers+"/look/1", nil)
+	status, _ := node.requestWith(key, "/look/1", "")
+	return status
+}
+
+// requestWith sends a request with an API key, a path and prompt parts, and returns the
+// HTTP status, or 0 without an answer, and the answer's body.
+func (node *testNode) requestWith(key, path, parts string) (int, string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+node.callers+path, nil)
 	if err != nil {
-		return 0
+		return 0, ""
+	}
+	if parts != "" {
+		request.Header.Set("Prompt-Prefix", parts)
 	}
 	request.Host = "a.example"
 	request.Header.Set("Attempt-Id", "r-1")
@@ -157,10 +168,14 @@
 	request.Header.Set("Deadline-Ms", "2000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
+	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	return response.StatusCode
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
 }
 
 // configuration returns a configuration document with one route and one account.
@@ -297,6 +312,45 @@
 	 "limits":{"maxBodyBytes":1000},"tenants":[{"name":"school","apiKeys":[%q]}]}`, key)
 }
 
+// TestRestartedNodeRefusesWhatCrashedTargetsBefore guards against requests that crash as many
+// targets again after each restart of all nodes.
+func TestRestartedNodeRefusesWhatCrashedTargetsBefore(t *testing.T) {
+	store, recorder := emulator.NewStore(), emulator.NewRecorder()
+	store.Put("op", "config", engineConfiguration("k1"))
+	engine, err := emulator.NewTarget(emulator.TargetSettings{
+		ID: "e-1", Service: "llm", Zone: "a", Slots: 16, MaxModels: 3, Events: 1,
+		LoadTime: 10 * time.Millisecond, DiskLoadTime: 10 * time.Millisecond,
+	}, store, recorder, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Crash)
+	engine.Announce()
+	refused := func(node *testNode, request int) bool {
+		_, body := node.requestWith("k1", fmt.Sprintf("/look/deadly-%d", request), emulator.DeadlyPart+":5,own:5")
+		return strings.HasPrefix(body, "PoisonRequest")
+	}
+	before, request := startNode(t, "n1", "127.0.1.1", store), 0
+	eventually(t, "a refusal after some crashes", func() bool {
+		request++
+		return refused(before, request)
+	})
+	eventually(t, "a quarantine in the store", func() bool {
+		_, found := store.Row("mimosatide-quarantines", "part-"+emulator.DeadlyPart)
+		return found
+	})
+	before.stop()
+	<-before.ended
+
+	after := startNode(t, "n2", "127.0.1.2", store)
+	eventually(t, "readiness", after.ready)
+	eventually(t, "the model at the engine", func() bool { return after.request("k1") == http.StatusOK })
+	runs := len(recorder.Runs())
+	if !refused(after, 0) || len(recorder.Runs()) != runs {
+		t.Errorf("request with the part after the restart: got it sent %d times, want it refused", len(recorder.Runs())-runs)
+	}
+}
+
 // TestPausedEngineGetsNoOrdersAndReportRequests guards against an owner that goes on asking
 // an overloaded engine for its report, although the engine wants nothing for some time.
 func TestPausedEngineGetsNoOrdersAndReportRequests(t *testing.T) {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -84,6 +84,7 @@
 		}
 		tracker.quarantined[feature] = now
 		delete(tracker.ended, feature)
+		tracker.recordChange(feature)
 		tracker.log.Info("requests quarantined", "feature", feature, "crashes", crashes, "term", term)
 	}
 	tracker.release(now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,7 +11,8 @@
 // waiting at the target, are not taken for the cause. If one of them was quarantined
 // before the evidence was complete, it is released.
 //
-// Nodes exchange suspicions, acquittals and quarantines as reports.
+// Nodes exchange suspicions, acquittals and quarantines as reports. An Archive keeps the
+// quarantines in the store, for the case that all nodes restart.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 //	tracker.Suspect(crash, features, time.Now())
 //	tracker.Acquit(features, time.Now())
 //	peer.Apply(tracker.Report(time.Now()), time.Now())
+//	go quarantine.NewArchive(tracker, table, log).Run(ctx)
 package quarantine
 
 import (
@@ -90,6 +92,13 @@
 	// ended without an acquittal.
 	quarantined map[Feature]time.Time
 	ended       map[Feature]time.Time
+
+	// unsaved holds the features whose quarantine has begun or ended since it was saved,
+	// saved those that this node has saved as quarantined.
+	unsaved map[Feature]bool
+	saved   map[Feature]bool
+	// changed wakes the archive.
+	changed chan struct{}
 }
 
 // New returns a tracker that suspects nothing.
@@ -97,6 +106,7 @@
 	return &Tracker{
 		log: log, acquittals: map[Feature]acquittal{}, goodAnswers: map[Feature]time.Time{},
 		quarantined: map[Feature]time.Time{}, ended: map[Feature]time.Time{},
+		unsaved: map[Feature]bool{}, saved: map[Feature]bool{}, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -133,8 +143,11 @@
 	tracker.forgetGoodAnswers(now)
 	for _, feature := range features.all() {
 		tracker.goodAnswers[feature] = now
-		if tracker.isSuspected(feature) {
-			tracker.acquit(feature, acquittal{at: now, own: true})
+		if !tracker.isSuspected(feature) {
+			continue
+		}
+		if tracker.acquit(feature, acquittal{at: now, own: true}) {
+			tracker.markUnsaved(feature)
 		}
 	}
 }
@@ -167,15 +180,24 @@
 	return slices.ContainsFunc(tracker.suspicions, func(known Suspicion) bool { return known.Features.has(feature) })
 }
 
-func (tracker *Tracker) acquit(feature Feature, acquitted acquittal) {
+// acquit reports whether it ended a quarantine, or the time after one in which a single
+// crash renews it.
+func (tracker *Tracker) acquit(feature Feature, acquitted acquittal) bool {
 	if acquitted.at.After(tracker.acquittals[feature].at) {
 		tracker.acquittals[feature] = acquitted
 	}
+	_, ended := tracker.ended[feature]
 	delete(tracker.ended, feature)
-	if since, found := tracker.quarantined[feature]; found && acquitted.at.After(since) {
+	since, held := tracker.quarantined[feature]
+	lifted := held && acquitted.at.After(since)
+	if lifted {
 		delete(tracker.quarantined, feature)
 		tracker.log.Info("quarantine lifted", "feature", feature, "after", acquitted.at.Sub(since))
 	}
+	if ended || lifted {
+		tracker.recordChange(feature)
+	}
+	return ended || lifted
 }
 
 // add inserts a suspicion by its time, unless it is known.
@@ -213,6 +235,7 @@
 	for feature, at := range tracker.ended {
 		if now.Sub(at) > relapseTime {
 			delete(tracker.ended, feature)
+			tracker.recordChange(feature)
 		}
 	}
 }
