Name the quarantine that ends a request's retries

What operators saw: 'Overloaded' or 'TargetFailed' for a request that was not sent, or not sent again, because it crashes targets.

Cause: the quarantine was a reason of its own only where a target is chosen.

Change: a failed request that is in quarantine by then is refused as PoisonRequest, with what is known of its runs as before.

Result: the new test fails without the change (502 TargetFailed).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -555,6 +555,19 @@
 	}
 }
 
+// TestRefusalNamesTheQuarantineThatEndsARetry guards against logs that blame a target for a
+// request which is not sent again because it crashes targets.
+func TestRefusalNamesTheQuarantineThatEndsARetry(t *testing.T) {
+	fixture := newFixture(t)
+	for _, id := range []string{"d-1", "d-2", "d-3"} {
+		fixture.addCrashingTarget(id)
+	}
+	answer, body, _ := fixture.send(fixture.newRequest(http.MethodGet, "/lookup/"))
+	if answer.StatusCode != http.StatusBadGateway || !strings.HasPrefix(body, string(mimosatide.ReasonPoisonRequest)) {
+		t.Errorf("request that crashed two targets: got %d %q, want 502 PoisonRequest", answer.StatusCode, body)
+	}
+}
+
 // TestErrorOfAResumedStreamIsNotWrittenIntoIt guards against callers that find the text of
 // an error in the middle of their stream, or a stream that ends as if it were complete.
 func TestErrorOfAResumedStreamIsNotWrittenIntoIt(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -321,6 +321,8 @@
 		refusal.Reason = mimosatide.ReasonCallerGone
 	case ctx.Err() != nil:
 		refusal.Reason = mimosatide.ReasonWaitExpired
+	case handler.quarantined():
+		refusal = poisonRefusal().WithRun(refusal.Run)
 	case refusal.Run == mimosatide.NotRun:
 		refusal.Reason = mimosatide.ReasonOverloaded
 		refusal.RetryAfter = noCapacityRetryAfter
