--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 var (
 	firstSeed       = flag.Uint64("soak.seed", 1, "first seed")
 	seedCount       = flag.Int("soak.seeds", 3, "number of seeds")
+	nodeCount       = flag.Int("soak.nodes", 4, "number of nodes, 59 at most; relays are used from 22 on")
 	runKnownFailing = flag.Bool("soak.red", false, "also run the seeds that are listed in KNOWN-RED.txt")
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
