Pause between reads of a table whose history is always gone

What operators would see: a store that is called without a pause by every node, each time for a whole table, if it has no history or its answers are always too large.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -204,7 +204,7 @@
 
 // Run follows the table until ctx is cancelled.
 func (follower *Follower) Run(ctx context.Context) {
-	hasSnapshot := false
+	hasSnapshot, afterSnapshot := false, false
 	pause := retryDelay
 	for ctx.Err() == nil {
 		if follower.receivesFromRelay() {
@@ -216,6 +216,7 @@
 			sleep(ctx, standbyInterval)
 			continue
 		}
+		readsSnapshot := !hasSnapshot
 		interrupted, err := follower.pollOnce(ctx, &hasSnapshot)
 		if ctx.Err() != nil {
 			return
@@ -228,11 +229,18 @@
 			follower.log.Info("history gone", "table", follower.table, "version", follower.State().Version)
 			follower.recordOutcome(nil)
 			hasSnapshot = false
+			if afterSnapshot {
+				sleep(ctx, pause/2+rand.N(pause))
+				pause = min(2*pause, maxRetryDelay)
+			}
 			continue
 		}
 		follower.recordOutcome(err)
 		if err == nil {
-			pause = retryDelay
+			afterSnapshot = readsSnapshot
+			if !readsSnapshot {
+				pause = retryDelay
+			}
 			if follower.batched {
 				follower.batched = false
 				sleep(ctx, follower.batchDelay)
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// TestHistoryThatIsAlwaysGoneIsNotReadWithoutAPause guards against a node that reads the
+// whole table over and over, because no answer ever holds the changes since.
+func TestHistoryThatIsAlwaysGoneIsNotReadWithoutAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{}
+		for range 10_000 {
+			store.answers = append(store.answers,
+				answer{delay: time.Millisecond, batch: mimosatide.RowBatch{Version: 1, Complete: true}},
+				answer{delay: time.Millisecond, err: errors.Trace(mimosatide.ErrHistoryGone)})
+		}
+		follower, _ := newFollower(store)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		follower.Run(ctx)
+		if calls := len(store.called()); calls > 100 {
+			t.Errorf("calls in 10 s to a store whose history is always gone: got %d, want at most 100", calls)
+		}
+	})
+}
+
 func TestLostHistoryIsNotAStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &scriptedStore{answers: []answer{
