--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -312,20 +312,27 @@
 	 "limits":{"maxBodyBytes":1000},"tenants":[{"name":"school","apiKeys":[%q]}]}`, key)
 }
 
-// TestRestartedNodeRefusesWhatCrashedTargetsBefore guards against requests that crash as many
-// targets again after each restart of all nodes.
-func TestRestartedNodeRefusesWhatCrashedTargetsBefore(t *testing.T) {
+// startEngine starts a model engine and returns it with its store, which has a configuration
+// for the key k1, and the record of what it does.
+func startEngine(t *testing.T, loadTime time.Duration) (*emulator.Store, *emulator.Recorder, *emulator.Target) {
+	t.Helper()
 	store, recorder := emulator.NewStore(), emulator.NewRecorder()
 	store.Put("op", "config", engineConfiguration("k1"))
 	engine, err := emulator.NewTarget(emulator.TargetSettings{
-		ID: "e-1", Service: "llm", Zone: "a", Slots: 16, MaxModels: 3, Events: 1,
-		LoadTime: 10 * time.Millisecond, DiskLoadTime: 10 * time.Millisecond,
+		ID: "e-1", Service: "llm", Zone: "a", Slots: 16, MaxModels: 3, Events: 1, LoadTime: loadTime, DiskLoadTime: loadTime,
 	}, store, recorder, "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(engine.Crash)
 	engine.Announce()
+	return store, recorder, engine
+}
+
+// TestRestartedNodeRefusesWhatCrashedTargetsBefore guards against requests that crash as many
+// targets again after each restart of all nodes.
+func TestRestartedNodeRefusesWhatCrashedTargetsBefore(t *testing.T) {
+	store, recorder, _ := startEngine(t, 10*time.Millisecond)
 	refused := func(node *testNode, request int) bool {
 		_, body := node.requestWith("k1", fmt.Sprintf("/look/deadly-%d", request), emulator.DeadlyPart+":5,own:5")
 		return strings.HasPrefix(body, "PoisonRequest")
@@ -354,17 +361,7 @@
 // TestPausedEngineGetsNoOrdersAndReportRequests guards against an owner that goes on asking
 // an overloaded engine for its report, although the engine wants nothing for some time.
 func TestPausedEngineGetsNoOrdersAndReportRequests(t *testing.T) {
-	store, recorder := emulator.NewStore(), emulator.NewRecorder()
-	store.Put("op", "config", engineConfiguration("k1"))
-	engine, err := emulator.NewTarget(emulator.TargetSettings{
-		ID: "e-1", Service: "llm", Zone: "a", Slots: 16, MaxModels: 3, Events: 1,
-		LoadTime: 2 * time.Second, DiskLoadTime: 2 * time.Second,
-	}, store, recorder, "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(engine.Crash)
-	engine.Announce()
+	store, recorder, engine := startEngine(t, 2*time.Second)
 	node := startNode(t, "n1", "127.0.1.1", store)
 	eventually(t, "readiness", node.ready)
 	eventually(t, "an order to load the model", func() bool {
