Quarantine the parts that the requests of the crashes have in common

What callers would see: sound requests refused with 503 for minutes because a part that they share with deadly ones was taken for the cause (LOST), where the deadly part comes first, or where little else is asked for that has the shared part.

Cause: of several parts that all requests of the crashes had, the deepest was chosen. No evidence told them apart, and once the wrong one was refused, none could come.

Change: a quarantine holds the requests that have all parts which a request had at each of the crashes. Whatever lacks one of them is sent; its good answer acquits its parts, and a crash of another combination narrows them, by the next judgment. Three crashes suffice, unless a part of other requests is suspected of as many. What is in quarantine is judged again whenever reports come in, and replaced if all that is known explains its crashes otherwise; one that holds more requests than that is narrowed only if it was decided before all reports of its last crash can have been there. An early end is reported on its own (key 4), no longer as an acquittal, which made a part's evidence void.

--- a/internal/gossip/quarantine.go
+++ b/internal/gossip/quarantine.go
@@ -13,6 +13,8 @@
 	// quarantined.
 	AcquittedMillis   map[string]int64 `cbor:"2,keyasint,omitempty"`
 	QuarantinedMillis map[string]int64 `cbor:"3,keyasint,omitempty"`
+	// LiftedMillis holds the time since a quarantine was ended early.
+	LiftedMillis map[string]int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Suspicion is a request under which a target crashed.
@@ -32,6 +34,7 @@
 	message := &Quarantine{
 		AcquittedMillis:   encodeAges(report.Acquittals),
 		QuarantinedMillis: encodeAges(report.Quarantined),
+		LiftedMillis:      encodeAges(report.Lifted),
 	}
 	for _, suspicion := range report.Suspicions {
 		encoded := Suspicion{
@@ -50,6 +53,7 @@
 	report := quarantine.Report{
 		Acquittals:  decodeAges(message.AcquittedMillis),
 		Quarantined: decodeAges(message.QuarantinedMillis),
+		Lifted:      decodeAges(message.LiftedMillis),
 	}
 	for _, suspicion := range message.Suspicions {
 		decoded := quarantine.ReportedSuspicion{
--- a/internal/quarantine/feature.go
+++ b/internal/quarantine/feature.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,10 +13,12 @@
 	maxParts = 32
 	// maxFeatureLength is the length from which a part is named by a hash of its id.
 	maxFeatureLength = 32
+	// partSeparator stands between the parts of a feature. Ids of parts don't contain it.
+	partSeparator = ","
 )
 
-// Feature is something that several requests may have in common: a part of their prompts,
-// named by its id, or their whole content.
+// Feature is something that several requests may have in common: one or more parts of
+// their prompts, each named by its id, or their whole content.
 type Feature string
 
 // Features are the features of one request.
@@ -31,7 +34,7 @@
 func NewFeatures(content uint64, parts []string) Features {
 	features := Features{Content: Feature("content-" + strconv.FormatUint(content, 16))}
 	for _, id := range parts[:min(len(parts), maxParts)] {
-		if len(id) > maxFeatureLength {
+		if len(id) > maxFeatureLength || strings.Contains(id, partSeparator) {
 			id = "hash-" + strconv.FormatUint(xxhash.Sum64String(id), 16)
 		}
 		features.Parts = append(features.Parts, Feature("part-"+id))
@@ -39,13 +42,45 @@
 	return features
 }
 
+// join returns the feature of requests that have all of the parts.
+func join(parts []Feature) Feature {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, string(part))
+	}
+	slices.Sort(names)
+	return Feature(strings.Join(names, partSeparator))
+}
+
+// elements returns the parts of a feature, or the feature itself if it is a content.
+func (feature Feature) elements() []Feature {
+	var elements []Feature
+	for name := range strings.SplitSeq(string(feature), partSeparator) {
+		elements = append(elements, Feature(name))
+	}
+	return elements
+}
+
 // all returns the parts and the content.
 func (features Features) all() []Feature {
 	return append(slices.Clip(features.Parts), features.Content)
 }
 
+// has reports whether a request with these features has a feature.
 func (features Features) has(feature Feature) bool {
-	return feature == features.Content || slices.Contains(features.Parts, feature)
+	if feature == features.Content {
+		return true
+	}
+	return features.hasAll(feature.elements())
+}
+
+func (features Features) hasAll(parts []Feature) bool {
+	for _, part := range parts {
+		if !slices.Contains(features.Parts, part) {
+			return false
+		}
+	}
+	return true
 }
 
 func (features Features) equal(other Features) bool {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,10 +6,14 @@
 // been suspected of several crashes since its last acquittal is quarantined, over all
 // nodes, and after the end of its quarantine as soon as it is suspected again.
 //
-// Crashes that a quarantined part explains don't count against parts that are suspected
-// less, so that the parts that sound requests have too, and those of requests that were
-// waiting at the target, are not taken for the cause. If one of them was quarantined
-// before the evidence was complete, it is released.
+// If the requests of the crashes have several parts in common, which of them is the cause
+// is not known, and only requests with all of these are refused. An acquittal or a crash
+// of a request that lacks some of them shows which it is.
+//
+// Crashes that a quarantine explains don't count against other parts, so that those of
+// requests that were waiting at the target are not taken for the cause. What is in
+// quarantine is judged again as reports come in: a node may have known a part of the
+// crashes only.
 //
 // Nodes exchange suspicions, acquittals and quarantines as reports. An Archive keeps the
 // quarantines in the store, for the case that all nodes restart.
@@ -38,6 +42,9 @@
 	suspicionTTL = 2 * time.Minute
 	// term is how long a quarantine lasts.
 	term = 5 * time.Minute
+	// reconsiderTime is how long after its begin a quarantine may be narrowed, as reports of
+	// the same crashes come in.
+	reconsiderTime = 10 * time.Second
 	// relapseTime is how long after the end of a quarantine a single crash renews it.
 	relapseTime = time.Hour
 	// reportTime is how long a suspicion or an acquittal is reported: several digests.
@@ -48,8 +55,8 @@
 	// partCrashes the same for a prompt part.
 	contentCrashes = 2
 	partCrashes    = 3
-	// doubtfulCrashes is that number for a part while another one is suspected of as many
-	// crashes, and for what was answered well shortly before it was suspected.
+	// doubtfulCrashes is that number for a part while one of other requests is suspected of as
+	// many crashes, and for what was answered well shortly before it was suspected.
 	doubtfulCrashes = 4
 	// goodMemory is how long before a suspicion a good answer raises a doubt.
 	goodMemory = 15 * time.Second
@@ -77,6 +84,15 @@
 	own bool
 }
 
+// lifting is the early end of a quarantine.
+type lifting struct {
+	at time.Time
+	// own says that this node has decided it.
+	own bool
+	// reportUntil is until when it is reported: longer while a peer does not know of it.
+	reportUntil time.Time
+}
+
 // Tracker keeps what is suspected and what is quarantined. It is safe for concurrent use.
 type Tracker struct {
 	log logr.Logger
@@ -92,6 +108,8 @@
 	// ended without an acquittal.
 	quarantined map[Feature]time.Time
 	ended       map[Feature]time.Time
+	// lifted holds when a quarantine was last ended early.
+	lifted map[Feature]lifting
 
 	// unsaved holds the features whose quarantine has begun or ended since it was saved,
 	// saved those that this node has saved as quarantined.
@@ -105,7 +123,7 @@
 func New(log logr.Logger) *Tracker {
 	return &Tracker{
 		log: log, acquittals: map[Feature]acquittal{}, goodAnswers: map[Feature]time.Time{},
-		quarantined: map[Feature]time.Time{}, ended: map[Feature]time.Time{},
+		quarantined: map[Feature]time.Time{}, ended: map[Feature]time.Time{}, lifted: map[Feature]lifting{},
 		unsaved: map[Feature]bool{}, saved: map[Feature]bool{}, changed: make(chan struct{}, 1),
 	}
 }
@@ -118,13 +136,12 @@
 }
 
 func (tracker *Tracker) holds(features Features, now time.Time) bool {
-	if len(tracker.quarantined) == 0 {
-		return false
+	for feature, since := range tracker.quarantined {
+		if now.Sub(since) < term && features.has(feature) {
+			return true
+		}
 	}
-	return slices.ContainsFunc(features.all(), func(feature Feature) bool {
-		since, found := tracker.quarantined[feature]
-		return found && now.Sub(since) < term
-	})
+	return false
 }
 
 // Suspect records that a target crashed while it was about to answer a request. Two
@@ -141,15 +158,20 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	tracker.forgetGoodAnswers(now)
+	narrows := false
 	for _, feature := range features.all() {
 		tracker.goodAnswers[feature] = now
-		if !tracker.isSuspected(feature) {
-			continue
-		}
-		if tracker.acquit(feature, acquittal{at: now, own: true}) {
-			tracker.markUnsaved(feature)
+		if tracker.isSuspected(feature) {
+			tracker.acquittals[feature] = acquittal{at: now, own: true}
+			narrows = narrows || tracker.isQuarantined(feature)
 		}
 	}
+	for _, feature := range tracker.liftAcquitted(now, true) {
+		tracker.markUnsaved(feature)
+	}
+	if narrows {
+		tracker.judge(now)
+	}
 }
 
 // forgetGoodAnswers makes room for those of another request.
@@ -170,34 +192,61 @@
 	}
 }
 
+// isSuspected reports whether a part or a content is suspected of a crash, or is an element
+// of what is or was in quarantine.
 func (tracker *Tracker) isSuspected(feature Feature) bool {
-	if _, found := tracker.quarantined[feature]; found {
-		return true
-	}
-	if _, found := tracker.ended[feature]; found {
-		return true
+	return tracker.isQuarantined(feature) ||
+		slices.ContainsFunc(tracker.suspicions, func(known Suspicion) bool { return known.Features.has(feature) })
+}
+
+// isQuarantined reports whether a part or a content is an element of what is in quarantine
+// or would be after one more crash.
+func (tracker *Tracker) isQuarantined(feature Feature) bool {
+	for _, features := range []map[Feature]time.Time{tracker.quarantined, tracker.ended} {
+		for quarantined := range features {
+			if slices.Contains(quarantined.elements(), feature) {
+				return true
+			}
+		}
 	}
-	return slices.ContainsFunc(tracker.suspicions, func(known Suspicion) bool { return known.Features.has(feature) })
+	return false
 }
 
-// acquit reports whether it ended a quarantine, or the time after one in which a single
-// crash renews it.
-func (tracker *Tracker) acquit(feature Feature, acquitted acquittal) bool {
-	if acquitted.at.After(tracker.acquittals[feature].at) {
-		tracker.acquittals[feature] = acquitted
+// liftAcquitted ends the quarantines of which every element was acquitted since, and
+// returns their features.
+func (tracker *Tracker) liftAcquitted(now time.Time, own bool) []Feature {
+	var lifted []Feature
+	for _, features := range []map[Feature]time.Time{tracker.quarantined, tracker.ended} {
+		for feature, since := range features {
+			if tracker.acquittedSince(feature, since) {
+				lifted = append(lifted, feature)
+			}
+		}
 	}
-	_, ended := tracker.ended[feature]
-	delete(tracker.ended, feature)
-	since, held := tracker.quarantined[feature]
-	lifted := held && acquitted.at.After(since)
-	if lifted {
-		delete(tracker.quarantined, feature)
-		tracker.log.Info("quarantine lifted", "feature", feature, "after", acquitted.at.Sub(since))
+	for _, feature := range lifted {
+		tracker.lift(feature, now, own)
 	}
-	if ended || lifted {
-		tracker.recordChange(feature)
+	return lifted
+}
+
+func (tracker *Tracker) acquittedSince(feature Feature, since time.Time) bool {
+	for _, element := range feature.elements() {
+		if !tracker.acquittals[element].at.After(since) {
+			return false
+		}
 	}
-	return ended || lifted
+	return true
+}
+
+// lift ends a quarantine, or the time after one in which a single crash renews it.
+func (tracker *Tracker) lift(feature Feature, at time.Time, own bool) {
+	if since, held := tracker.quarantined[feature]; held {
+		tracker.log.Info("quarantine lifted", "feature", feature, "after", at.Sub(since), "byPeer", !own)
+	}
+	delete(tracker.quarantined, feature)
+	delete(tracker.ended, feature)
+	tracker.lifted[feature] = lifting{at: at, own: own, reportUntil: at.Add(reportTime)}
+	tracker.recordChange(feature)
 }
 
 // add inserts a suspicion by its time, unless it is known.
@@ -226,6 +275,11 @@
 			delete(tracker.acquittals, feature)
 		}
 	}
+	for feature, known := range tracker.lifted {
+		if now.Sub(known.at) > term {
+			delete(tracker.lifted, feature)
+		}
+	}
 	for feature, since := range tracker.quarantined {
 		if now.Sub(since) >= term {
 			delete(tracker.quarantined, feature)
--- a/internal/quarantine/saved.go
+++ b/internal/quarantine/saved.go
@@ -86,7 +86,7 @@
 		tracker.markUnsaved(feature)
 		return
 	}
-	if !tracker.begin(feature).IsZero() || !since.After(tracker.acquittals[feature].at) {
+	if !tracker.begin(feature).IsZero() || !since.After(tracker.lifted[feature].at) || tracker.acquittedSince(feature, since) {
 		return
 	}
 	tracker.quarantined[feature] = since
