Save a quarantine that a peer has decided

Cause: nodes that cut requests at the crashes save a quarantine when they decide it. The one that had all reports first, and narrowed the quarantine, had cut none; the others adopted its decision, which did not count as a change to be saved, and only deleted the row of what had been in quarantine before.

Evidence: in a play with logs 'quarantines saved' has the deletions by three nodes at 5.84 to 5.93 s, and after the restart at 8 s nothing was restored.

Change: an adopted quarantine is saved by nodes that took part, too.

--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -166,3 +166,15 @@
 		t.Errorf("peer that cut no request: got %d writes, want none", others.commits)
 	}
 }
+
+// TestQuarantineThatAPeerDecidedIsSaved guards against a quarantine that is lost with the
+// next restart of all nodes, because the node that decided it cut no request itself.
+func TestQuarantineThatAPeerDecidedIsSaved(t *testing.T) {
+	table := newMemoryTable()
+	tookPart, decider := startArchived(t, table), quarantine.New(logr.Discard())
+	tookPart.Suspect(1, request(1, "deadly"), time.Now())
+	report := quarantine.Report{Quarantined: map[quarantine.Feature]time.Duration{"part-deadly": 0}}
+	decider.Apply(report, time.Now())
+	tookPart.Apply(decider.Report(time.Now()), time.Now())
+	eventually(t, "the row of the part", func() bool { return table.has("part-deadly") })
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -93,6 +93,7 @@
 		return false
 	}
 	tracker.quarantined[feature] = since
+	tracker.recordChange(feature)
 	tracker.log.Info("requests quarantined", "feature", feature, "byPeer", true, "age", age)
 	return true
 }
