--- a/internal/load/demo.go
+++ b/internal/load/demo.go
@@ -32,8 +32,8 @@
 	status int
 	reason string
 	check  func(answer client.Answer) error
-	// pending is a reason with which the request may be refused for up to pendingTimeout;
-	// it is sent again after that.
+	// pending is a reason on which the request is sent again for up to pendingTimeout; empty
+	// if it is sent once.
 	pending string
 }
 
