Keep the soak's client from sending a lookup twice

Traced: n2 logged c0-28 twice, served by t-4 at 39.114 s and refused as OverRate a millisecond later, 'sends=0'. The connections of its callers had been reset in between. The standard library's client repeats a GET without a body by itself when a kept connection ends before the answer, under the same id; the node refused the repetition truthfully. The comment at that place said that the client must not do that, and relied on requests with bodies.

Change: the body of a lookup is one that the client can't know to be empty, so that it does not repeat it. No check changes.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -66,9 +66,10 @@
 		outcome.err = err
 		return outcome
 	}
-	// The HTTP client must not send a request again under the same id by itself; without
-	// GetBody it cannot repeat a body.
+	// The HTTP client must not send a request again under the same id by itself. Without
+	// GetBody it cannot repeat a body, and it does not know that this one may be empty.
 	request.GetBody = nil
+	request.Body = io.NopCloser(strings.NewReader(body))
 	request.Host = "a.example"
 	request.Header.Set("Attempt-Id", outcome.id)
 	request.Header.Set("Authorization", "Bearer "+outcome.key)
