Release what was quarantined in haste unless all reports confirm it

Cause: at the third crash a node knew a part that had waited at all three targets for three crashes and the deadly part for two, as the report of the third had not come, and quarantined it. With all reports it was three against three, by which nothing is quarantined; but a quarantine was released only if the verdicts explained its crashes, and there was no verdict. All nodes were then killed, and restored it without the evidence.

Evidence: 'target crashed under a request' has part-shared-1 and part-deadly suspected at the three crashes from 40:03.5 to 40:04.8, 'requests quarantined' part-deadly at 04.805 s and part-shared-1 at 04.807 s by another node, and no release.

Change: what was decided so soon after a crash that not all reports can have been there is released if all reports together don't lead to it again. The log line is called 'quarantine not confirmed' now.

--- a/internal/quarantine/feature.go
+++ b/internal/quarantine/feature.go
@@ -15,6 +15,7 @@
 	maxFeatureLength = 32
 	// partSeparator stands between the parts of a feature. Ids of parts don't contain it.
 	partSeparator = ","
+	contentPrefix = "content-"
 )
 
 // Feature is something that several requests may have in common: one or more parts of
@@ -32,7 +33,7 @@
 // NewFeatures returns the features of a request with the digest of its content and the ids
 // of the prompt parts that other requests may share.
 func NewFeatures(content uint64, parts []string) Features {
-	features := Features{Content: Feature("content-" + strconv.FormatUint(content, 16))}
+	features := Features{Content: Feature(contentPrefix + strconv.FormatUint(content, 16))}
 	for _, id := range parts[:min(len(parts), maxParts)] {
 		if len(id) > maxFeatureLength || strings.Contains(id, partSeparator) {
 			id = "hash-" + strconv.FormatUint(xxhash.Sum64String(id), 16)
@@ -52,6 +53,11 @@
 	return Feature(strings.Join(names, partSeparator))
 }
 
+// isContent reports whether the feature is a whole content, not parts of prompts.
+func (feature Feature) isContent() bool {
+	return strings.HasPrefix(string(feature), contentPrefix)
+}
+
 // elements returns the parts of a feature, or the feature itself if it is a content.
 func (feature Feature) elements() []Feature {
 	var elements []Feature
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -282,23 +282,24 @@
 	return false
 }
 
-// release ends the quarantines whose crashes the verdicts explain otherwise. One that holds
-// more requests than a verdict does is narrowed only if it was decided so soon after a crash
-// that not all reports of it can have been there, and only for reconsiderTime: later, some
-// of the crashes that spoke for it are forgotten.
+// release ends the quarantines that the verdicts don't confirm, if they were decided so
+// soon after a crash that not all reports of it can have been there; and those whose
+// crashes the verdicts explain otherwise, but not by a part of the same requests: some of
+// the crashes that spoke against that may be forgotten by now.
 func (tracker *Tracker) release(verdicts []verdict, explained map[uint64]bool, now time.Time) {
 	for feature, since := range tracker.quarantined {
 		crashes := tracker.crashesUnder(feature)
-		if spaced(crashes) < partCrashes || !allExplained(crashes, explained) {
+		if feature.isContent() || spaced(crashes) < partCrashes {
 			continue
 		}
 		hasty := now.Sub(since) <= reconsiderTime && since.Sub(latest(crashes)) < reportTime
-		confirmed := slices.ContainsFunc(verdicts, func(found verdict) bool {
-			narrower := Features{Parts: found.feature.elements()}.has(feature)
-			return found.feature == feature || narrower && !hasty
-		})
-		if !confirmed {
-			tracker.log.Info("crashes explained by other parts", "feature", feature, "crashes", len(crashes))
+		confirmed, narrowed := false, false
+		for _, found := range verdicts {
+			confirmed = confirmed || found.feature == feature
+			narrowed = narrowed || Features{Parts: found.feature.elements()}.has(feature)
+		}
+		if !confirmed && (hasty || allExplained(crashes, explained) && !narrowed) {
+			tracker.log.Info("quarantine not confirmed", "feature", feature, "crashes", len(crashes), "hasty", hasty)
 			tracker.lift(feature, now, true)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -135,6 +135,37 @@
 	}
 }
 
+// TestHastyQuarantineIsReleasedWhenAllReportsMakeItDoubtful guards against refusing sound
+// requests for minutes after a node judged before the report came that another part has as
+// many crashes.
+func TestHastyQuarantineIsReleasedWhenAllReportsMakeItDoubtful(t *testing.T) {
+	early, peer := quarantine.New(logr.Discard()), quarantine.New(logr.Discard())
+	for crash := range uint64(2) {
+		now := at(float64(crash))
+		peer.Suspect(crash, request(crash, "deadly"), now)
+		early.Apply(peer.Report(now), now)
+		early.Suspect(crash, request(100+crash, "waiting"), now)
+	}
+	early.Suspect(2, request(102, "waiting"), at(2))
+	if !held(early, at(2), "waiting") {
+		t.Fatal("three crashes under one part, two under another: got not quarantined, want quarantined")
+	}
+	peer.Suspect(2, request(2, "deadly"), at(2))
+	early.Apply(peer.Report(at(2.2)), at(2.2))
+	peer.Apply(early.Report(at(2.3)), at(2.3))
+	if held(early, at(2.5), "waiting") || held(peer, at(2.5), "waiting") {
+		t.Error("three crashes under either of two parts: got a bystander's part quarantined, want not, here and at the peer")
+	}
+	peer.Suspect(3, request(3, "deadly"), at(3))
+	early.Apply(peer.Report(at(3.1)), at(3.1))
+	for name, tracker := range map[string]*quarantine.Tracker{"early": early, "peer": peer} {
+		if held(tracker, at(4), "waiting") || !held(tracker, at(4), "deadly") {
+			t.Errorf("%s: after a fourth crash: got the bystander's part quarantined %v and the deadly one %v, want only the deadly one",
+				name, held(tracker, at(4), "waiting"), held(tracker, at(4), "deadly"))
+		}
+	}
+}
+
 // TestCrashesThatAreExplainedDoNotCountAgainstBystanders guards against refusing requests
 // that wait at the targets which others crash.
 func TestCrashesThatAreExplainedDoNotCountAgainstBystanders(t *testing.T) {
