--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -13,10 +13,13 @@
 )
 
 const (
-	// engineTimeout bounds an order to an engine and a request for its report.
+	// engineTimeout bounds the sends of an order to an engine, and a request for its report.
 	engineTimeout = 600 * time.Millisecond
 	// reportInterval is how often an engine with an order under way is asked for its report.
 	reportInterval = 100 * time.Millisecond
+	// maxReportLag is how long an engine's report may lag behind the end of an order: an
+	// engine that stays idle for longer without the order's effect carried out another one.
+	maxReportLag = time.Second
 	// adapterLoadTime is the expected time of loading an adapter.
 	adapterLoadTime = 8 * time.Millisecond
 	// unloadTimeout bounds the wait for the running requests of a model that is evicted.
@@ -209,13 +212,24 @@
 // await asks the engine for its report until the last accepted order is done or the
 // timeout has passed.
 func (worker *worker) await(ctx context.Context, timeout time.Duration, done func(mimosatide.InstanceReport) bool) error {
+	var idleSince time.Time
 	for begun := time.Now(); time.Since(begun) < timeout && ctx.Err() == nil; sleep(ctx, reportInterval) {
 		report, err := worker.report(ctx)
 		if err != nil {
 			continue
 		}
 		known, _, _ := worker.view()
-		if report.Orders < known.Orders || report.Busy || !done(report) {
+		if report.Orders < known.Orders || report.Busy {
+			idleSince = time.Time{}
+			continue
+		}
+		if !done(report) {
+			if idleSince.IsZero() {
+				idleSince = time.Now()
+			}
+			if time.Since(idleSince) > maxReportLag {
+				break
+			}
 			continue
 		}
 		worker.applyReport(report)
@@ -302,47 +316,6 @@
 	return candidates[0], idle(candidates[0]) > adapterInUse
 }
 
-// order sends one order on the condition that the engine has accepted no order that
-// this node does not know of. It returns nil only if the engine has accepted the
-// order. An order without an answer may be sent again with the same condition, so
-// that at most one of the two is carried out.
-func (worker *worker) order(ctx context.Context, order mimosatide.ModelOrder) error {
-	fencingToken, held := worker.fencingToken()
-	if !held {
-		return errors.Trace(errNotHolder)
-	}
-	if worker.paused() {
-		return errors.Trace(errPaused)
-	}
-	order.Holder = worker.holder
-	order.FencingToken = fencingToken
-	order.After = worker.current().Orders
-	worker.recordOrder()
-	bounded, cancel := context.WithTimeout(ctx, engineTimeout)
-	outcome, err := worker.engines.Order(bounded, worker.instance, order)
-	cancel()
-	worker.log.Info("order", "target", worker.instance.ID, "kind", order.Kind, "model", order.Model, "adapter", order.Adapter,
-		"after", order.After, "term", order.FencingToken, "outcome", outcome, "reason", errorText(err))
-	switch outcome {
-	case mimosatide.OrderAccepted, mimosatide.OrderHolds:
-		worker.update(func(known mimosatide.Instance) mimosatide.Instance {
-			known.Orders = order.After + 1
-			return known
-		})
-		return nil
-	case mimosatide.OrderUnknown:
-		worker.markUnsynced()
-		worker.backOff()
-		return errors.Trace(err)
-	case mimosatide.OrderConflict:
-		worker.markUnsynced()
-		return errors.Annotate(errConflict, worker.instance.ID)
-	default:
-		worker.markUnsynced()
-		return errors.Errorf("engine %s refused the order: %s", worker.instance.ID, outcome)
-	}
-}
-
 // sync asks the engine for its report if its known state may be out of date. It
 // returns errBusy while an earlier order is under way.
 func (worker *worker) sync(ctx context.Context) error {
