Learn the loads at once of weight stores that serve more than eight

Cause: the limit was capped at 8 and raised by one at a time, fitted to sites whose store serves 2 to 4.

--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -59,9 +59,10 @@
 	loading map[string]int
 	// remoteLoads counts the loads from the weight store under way, which are bounded
 	// by remoteLimit and by a token bucket that fills at remoteRateFraction of the store's
-	// load rate.
+	// load rate, loadsPerSecond.
 	remoteLoads    int
 	remoteLimit    remoteLoadLimit
+	loadsPerSecond float64
 	remoteTokens   float64
 	remoteTokensAt time.Time
 	// retryAt is the earliest time of the next attempt to load an adapter.
@@ -225,6 +226,7 @@
 		controller.remoteTokens = min(controller.remoteTokens, remoteBurst)
 	}
 	controller.remoteTokensAt = now
+	controller.loadsPerSecond = class.LoadsPerSecond
 	return min(int(controller.remoteTokens), controller.remoteLimit.current-controller.remoteLoads)
 }
 
@@ -294,7 +296,7 @@
 	if step.notSent {
 		controller.remoteTokens++
 	}
-	if before := controller.remoteLimit.current; step.loadDuration > 0 && controller.remoteLimit.observe(step, time.Now()) {
+	if before := controller.remoteLimit.current; step.loadDuration > 0 && controller.remoteLimit.observe(step, controller.loadsPerSecond, time.Now()) {
 		controller.log.Info("loads at once", "service", controller.settings.Service, "before", before, "limit", controller.remoteLimit.current,
 			"model", step.Model, "took", step.loadDuration, "expected", step.LoadTime)
 	}
