Plan only while the lease is held

Cause: the controller of every node woke up 20 times a second, and each time found that another node holds the lease. Change: a node's controller waits for its lease to be taken or renewed.

--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -118,6 +118,17 @@
 
 // Run plans and starts steps while this node holds the lease, until ctx is cancelled.
 func (controller *Controller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-controller.lease.Renewed():
+			controller.runHolder(ctx)
+		}
+	}
+}
+
+// runHolder plans and starts steps until this node no longer holds the lease.
+func (controller *Controller) runHolder(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
@@ -127,6 +138,9 @@
 		case <-ticker.C:
 		case <-controller.wake:
 		}
+		if _, _, held := controller.lease.Held(); !held {
+			return
+		}
 		fencingToken, held := controller.lease.FencingToken()
 		class, known := controller.class()
 		if held && known {
--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -88,6 +88,8 @@
 	holderSeen   bool
 	// released says that Release was called: this node takes the lease no more.
 	released bool
+	// held receives a value after this node has taken or renewed the lease.
+	held chan struct{}
 }
 
 // NewLease returns a lease that this node does not hold yet. handoverDelay is the
@@ -95,7 +97,7 @@
 // next. holder must be unique to this machine: a machine that replaces another one
 // under the same name needs a different holder.
 func NewLease(key, holder string, handoverDelay time.Duration, table LeaseTable, clock Clock, log logr.Logger) *Lease {
-	return &Lease{key: key, holder: holder, handoverDelay: handoverDelay, table: table, clock: clock, log: log}
+	return &Lease{key: key, holder: holder, handoverDelay: handoverDelay, table: table, clock: clock, log: log, held: make(chan struct{}, 1)}
 }
 
 // FencingToken returns the fencing token if this node may send orders now.
@@ -117,6 +119,19 @@
 	return lease.term, lease.row, lease.term != 0 && lease.clock.Now() < lease.expiresAt
 }
 
+// Renewed returns a channel that receives a value after this node has taken or renewed the lease.
+func (lease *Lease) Renewed() <-chan struct{} {
+	return lease.held
+}
+
+// signalHeld wakes the receiver of Renewed.
+func (lease *Lease) signalHeld() {
+	select {
+	case lease.held <- struct{}{}:
+	default:
+	}
+}
+
 // ObserveHolder records another node's message that it holds the lease.
 func (lease *Lease) ObserveHolder(row mimosatide.RowVersion) {
 	lease.lock.Lock()
@@ -212,6 +227,7 @@
 		lease.failedRenewals = 0
 		lease.row = version
 		lease.expiresAt = begun + leaseDuration
+		lease.signalHeld()
 	case mimosatide.CommitConflict:
 		// Either another node took the lease, or the answer to an earlier renewal was
 		// lost and this node wrote the row itself.
@@ -302,6 +318,7 @@
 			lease.ordersFrom -= min(lease.givenUpIdle, lease.handoverDelay)
 		}
 	}
+	lease.signalHeld()
 	lease.log.Info("lease taken", "lease", lease.key, "term", lease.term, "row", row, "before", before.Holder,
 		"released", before.Released, "ordersIn", lease.ordersFrom-lease.clock.Now())
 	return lease.released
