--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -232,6 +232,7 @@
 
 // applyTargets applies changes of the targets' rows; a row that can't be decoded removes its target.
 func (node *Node) applyTargets(update feed.Update) {
+	var instances []mimosatide.Instance
 	for _, change := range update.Rows {
 		if change.Deleted {
 			node.targets.Delete(change.Key, change.Version, update.Recovering, time.Now())
@@ -243,8 +244,9 @@
 			node.targets.Delete(change.Key, change.Version, false, time.Now())
 			continue
 		}
-		node.targets.Put(instance)
+		instances = append(instances, instance)
 	}
+	node.targets.PutAll(instances)
 }
 
 // recordWishes records what an engine's answer to an order or to a request for its report
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -35,6 +35,9 @@
 // recovered from an outage.
 const removalDelay = 2500 * time.Millisecond
 
+// maxLoggedTargets is how many targets of one change of the table are logged one by one.
+const maxLoggedTargets = 8
+
 // refutationTTL is how long a refutation overrides the target's row and its owner's
 // report: the owner has queried the target by then.
 const refutationTTL = time.Second
@@ -145,8 +148,28 @@
 
 // Put adds or updates a target as its own row describes it.
 func (registry *Registry) Put(instance mimosatide.Instance) {
+	registry.PutAll([]mimosatide.Instance{instance})
+}
+
+// PutAll adds or updates targets as their own rows describe them. Of many new ones it logs
+// the number, and each of them as a detail.
+func (registry *Registry) PutAll(instances []mimosatide.Instance) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
+	log := registry.log
+	if len(instances) > maxLoggedTargets {
+		registry.log.Info("targets known", "rows", len(instances), "before", len(registry.instances))
+		log = log.V(1)
+	}
+	for _, instance := range instances {
+		registry.putLocked(instance, log)
+	}
+	if len(instances) > 0 {
+		registry.markChanged()
+	}
+}
+
+func (registry *Registry) putLocked(instance mimosatide.Instance, log logr.Logger) {
 	before, found := registry.instances[instance.ID]
 	delete(registry.removals, instance.ID)
 	registry.instances[instance.ID] = instance
@@ -160,10 +183,9 @@
 		delete(registry.reported, instance.ID)
 	}
 	if !found || before.Leaving != instance.Leaving || !before.Born.Equal(instance.Born) || before.Address != instance.Address {
-		registry.log.Info("target known", "target", instance.ID, "service", instance.Service,
+		log.Info("target known", "target", instance.ID, "service", instance.Service,
 			"address", instance.Address, "zone", instance.Zone, "leaving", instance.Leaving)
 	}
-	registry.markChanged()
 }
 
 // Delete removes a target whose row was deleted. If the store is recovering from an
