Send other zones a summary instead of the digests of a zone's hosts

Cause: in a fleet with relays each host received the digests of all others, 2.5 to 5 a second of each, so that control grew with the square of the fleet.

Change: every host sums up the digests of its own zone (package zone); the relay sends the other zones' relays one summary in their place: totals of spent tokens, loads by target, versions and ages of tables, silent hosts. What no summary holds (leases, hand-overs, quarantines, limits, leaving targets) is still forwarded as it came. Accounts are debited by zone, from one source at a time; what is refunded now reaches the peers, and late digests of an earlier process count no more. Hosts of versions without summaries don't hear of other zones while a fleet is replaced.

With the digests forwarded as before TestHostGetsSummariesOfOtherZones fails.

--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -3,14 +3,15 @@
 //
 // Every node keeps a token bucket per account and debits it with what the node
 // itself spends and with what its peers report. Peers report running totals in
-// periodic digests, so a lost message is made up for by the next one. The node
+// periodic digests, so a lost message is made up for by the next one. In a large fleet
+// the hosts of another availability zone report their totals together. The node
 // leaves an equal share of the rate to each unreachable peer: when the fleet is
 // partitioned, the sides together still stay within the rate.
 //
 // # Usage
 //
 //	ledger := allowance.New(true)
-//	ledger.SetPeers([]string{"10.1.0.2:7600"}, 200*time.Millisecond)
+//	ledger.SetPeers([]string{"10.1.0.2:7600"}, map[string]int{"zone-b": 40}, 200*time.Millisecond)
 //	verdict := ledger.Spend("schools", limit, 1200, now)
 package allowance
 
@@ -84,6 +85,19 @@
 	spent       map[string]float64
 }
 
+// apply takes running totals and returns by how much each has changed. Totals fall when
+// tokens are returned.
+func (known *peer) apply(spent map[string]float64) map[string]float64 {
+	changes := map[string]float64{}
+	for account, total := range spent {
+		if change := total - known.spent[account]; change != 0 {
+			changes[account] = change
+		}
+		known.spent[account] = total
+	}
+	return changes
+}
+
 // Ledger holds one node's token buckets. It is safe for concurrent use.
 type Ledger struct {
 	lock      sync.Mutex
@@ -93,6 +107,7 @@
 	buckets        map[string]*bucket
 	spent          map[string]float64
 	peers          map[string]*peer
+	zones          map[string]*zonePeer
 }
 
 // New returns a ledger without peers. startFull makes new buckets start full; set
@@ -105,12 +120,14 @@
 		buckets:        map[string]*bucket{},
 		spent:          map[string]float64{},
 		peers:          map[string]*peer{},
+		zones:          map[string]*zonePeer{},
 	}
 }
 
-// SetPeers sets the other nodes of the fleet and the interval between digests. A
-// new peer counts as unreachable until its first message.
-func (ledger *Ledger) SetPeers(names []string, digestInterval time.Duration) {
+// SetPeers sets the other nodes that report for themselves, the number of the nodes of
+// each zone that report together, and the interval between digests. A new peer counts as
+// unreachable until its first message.
+func (ledger *Ledger) SetPeers(names []string, zones map[string]int, digestInterval time.Duration) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	ledger.digestInterval = digestInterval
@@ -123,15 +140,17 @@
 		peers[name] = known
 	}
 	ledger.peers = peers
+	ledger.setZones(zones)
 }
 
 // ApplyPeerTotals debits what a peer has spent since its last report. spent holds the
-// peer's running totals in tokens by account. Messages from unknown peers are ignored.
+// peer's running totals in tokens by account. Messages from unknown peers and from earlier
+// processes of a peer are ignored.
 func (ledger *Ledger) ApplyPeerTotals(name string, incarnation uint64, spent map[string]float64, now time.Time) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	known, found := ledger.peers[name]
-	if !found {
+	if !found || incarnation < known.incarnation {
 		return
 	}
 	if known.incarnation != incarnation {
@@ -142,10 +161,16 @@
 	covered := known.unreachable
 	known.unreachable = false
 	known.lastSeen = now
-	for account, total := range spent {
-		more := total - known.spent[account]
-		known.spent[account] = total
-		if held, found := ledger.buckets[account]; found && more > 0 && !covered {
+	changes := known.apply(spent)
+	if !covered {
+		ledger.debit(changes)
+	}
+}
+
+// debit takes what peers have spent from the buckets.
+func (ledger *Ledger) debit(spent map[string]float64) {
+	for account, more := range spent {
+		if held, found := ledger.buckets[account]; found {
 			held.level -= more
 			held.fleet += more
 		}
@@ -223,7 +248,7 @@
 	if ledger.digestInterval < digestBudgetFrom {
 		return math.Inf(1)
 	}
-	share := 1 / float64(len(ledger.peers)+1)
+	share := 1 / float64(ledger.size())
 	if held.fleet > 0 {
 		share = max(share, digestBudgetFactor*held.own/held.fleet)
 	}
@@ -272,5 +297,8 @@
 			reachable++
 		}
 	}
-	return float64(reachable) / float64(len(ledger.peers)+1)
+	for _, known := range ledger.zones {
+		reachable += known.reachable(now, peerTimeoutDigests*ledger.digestInterval)
+	}
+	return float64(reachable) / float64(ledger.size())
 }
--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -1,6 +1,7 @@
 package allowance_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -36,7 +37,7 @@
 
 func TestPeerSpendingIsDebitedOnce(t *testing.T) {
 	ledger := allowance.New(true)
-	ledger.SetPeers([]string{"b"}, 200*time.Millisecond)
+	ledger.SetPeers([]string{"b"}, nil, 200*time.Millisecond)
 	ledger.ApplyPeerTotals("b", 1, nil, start)
 	ledger.Spend("a", limit, 0, start)
 	for range 3 {
@@ -86,7 +87,7 @@
 					peers = append(peers, name)
 				}
 			}
-			ledgers[index].SetPeers(peers, digest*step)
+			ledgers[index].SetPeers(peers, nil, digest*step)
 		}
 		group := make([]int, nodes)
 		spent := make([]float64, steps)
@@ -149,7 +150,7 @@
 	}
 	for index := range ledgers {
 		ledgers[index] = allowance.New(true)
-		ledgers[index].SetPeers(append(append([]string{}, names[:index]...), names[index+1:]...), digest*step)
+		ledgers[index].SetPeers(append(append([]string{}, names[:index]...), names[index+1:]...), nil, digest*step)
 	}
 	spent := make([]float64, steps)
 	sum := 0.0
@@ -190,7 +191,7 @@
 func TestIdleAccountAccruesTokensSinceItWasConfigured(t *testing.T) {
 	for _, seconds := range []int{1, 30} {
 		ledger := allowance.New(false)
-		ledger.SetPeers([]string{"b"}, 200*time.Millisecond)
+		ledger.SetPeers([]string{"b"}, nil, 200*time.Millisecond)
 		ledger.SetAccounts(map[string]allowance.Limit{"a": limit}, start)
 		now, spent := start, 0.0
 		for range 10 * seconds {
@@ -213,3 +214,50 @@
 		t.Errorf("got level %v, want 0, since peers may have spent the tokens", verdict.Level)
 	}
 }
+
+// TestZoneTotalsAreDebitedOncePerSource has two sources report the spending of one zone, as
+// when two of its hosts take themselves for its relay, and the first fall silent.
+func TestZoneTotalsAreDebitedOncePerSource(t *testing.T) {
+	ledger := allowance.New(true)
+	ledger.SetPeers(nil, map[string]int{"b": 3}, 300*time.Millisecond)
+	level := func(now time.Time) float64 {
+		return ledger.Spend("a", allowance.Limit{Rate: 1e-9, Burst: 500}, 0, now).Level
+	}
+	first, second := allowance.Source{Node: "n1", Incarnation: 1}, allowance.Source{Node: "n2", Incarnation: 1}
+	ledger.ApplyZoneTotals("b", first, 3, map[string]float64{"a": 1000}, start)
+	ledger.ApplyZoneTotals("b", second, 3, map[string]float64{"a": 7}, start.Add(time.Millisecond))
+	if got := level(start); got != 500 {
+		t.Errorf("first totals of both sources: got level %v, want 500, since they hold what was spent before", got)
+	}
+	ledger.ApplyZoneTotals("b", first, 3, map[string]float64{"a": 1100}, start.Add(2*time.Millisecond))
+	ledger.ApplyZoneTotals("b", second, 3, map[string]float64{"a": 107}, start.Add(3*time.Millisecond))
+	if got := level(start); got != 400 {
+		t.Errorf("100 tokens by both sources: got level %v, want 400", got)
+	}
+	later := start.Add(time.Second)
+	ledger.ApplyZoneTotals("b", second, 3, map[string]float64{"a": 157}, later)
+	if got := math.Round(level(later)); got != 350 {
+		t.Errorf("50 tokens by the second source after the first fell silent: got level %v, want 350", got)
+	}
+}
+
+// TestSilentZoneKeepsItsShare checks that the share of a zone that is not heard is left to it.
+func TestSilentZoneKeepsItsShare(t *testing.T) {
+	ledger := allowance.New(true)
+	ledger.SetPeers([]string{"n2"}, map[string]int{"b": 6}, 300*time.Millisecond)
+	source := allowance.Source{Node: "n1", Incarnation: 1}
+	fraction := func(now time.Time) float64 {
+		ledger.ApplyPeerTotals("n2", 1, nil, now)
+		return ledger.Spend("a", limit, 0, now).Fraction
+	}
+	if got := fraction(start); got != 0.25 {
+		t.Errorf("zone not heard yet: got fraction %v, want 0.25 for 2 of 8 nodes", got)
+	}
+	ledger.ApplyZoneTotals("b", source, 4, nil, start)
+	if got := fraction(start); got != 0.75 {
+		t.Errorf("4 of the zone's 6 nodes report: got fraction %v, want 0.75", got)
+	}
+	if got := fraction(start.Add(2 * time.Second)); got != 0.25 {
+		t.Errorf("zone silent for 2s: got fraction %v, want 0.25", got)
+	}
+}
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -15,6 +15,7 @@
 	"mimosatide.example/mimosatide/internal/feed"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/relay"
+	"mimosatide.example/mimosatide/internal/zone"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -25,6 +26,8 @@
 	idleDigestFactor = 2
 	// loadLifetimeDigests is the number of digest intervals for which a host's reported loads count.
 	loadLifetimeDigests = 4
+	// loadLifetime is that time in a fleet with relays.
+	loadLifetime = loadLifetimeDigests * (digestInterval + relayBatchDelay)
 	// joinInterval is the time between two attempts to join the list of hosts.
 	joinInterval = 500 * time.Millisecond
 	// hostTimeout is how long a host may send no digest before it is taken off the list.
@@ -32,6 +35,8 @@
 	storeTimeout = 1500 * time.Millisecond
 	// rowsRequestInterval is the least time between two requests for rows, of any table from any peer.
 	rowsRequestInterval = 300 * time.Millisecond
+	// maxLoggedHosts is how many hosts of one change of the list are logged one by one.
+	maxLoggedHosts = 8
 	// maxCPUShare bounds the CPU share of a host, in cores.
 	maxCPUShare = 1024
 )
@@ -92,14 +97,21 @@
 	// not answered a request for a permit.
 	silentUntil map[string]time.Time
 
+	// tally sums up the digests of this node's zone, zones holds the last summaries of the
+	// other zones.
+	tally *zone.Tally
+	zones map[string]zoneState
+
 	chooser *relay.Chooser
 	// relayAddress is the peer address of the zone's relay as last chosen.
 	relayAddress string
 	// zoneBatch and remoteBatch are what this node as a relay has collected for its
 	// own zone and for the other zones; flushScheduled is true if a timer will send them.
+	// summaryDue is true if the state of the zone has changed since.
 	zoneBatch      gossip.Batch
 	remoteBatch    gossip.Batch
 	flushScheduled bool
+	summaryDue     bool
 }
 
 func newFleet(node *Node) *fleet {
@@ -108,6 +120,8 @@
 		members:     map[string]*member{},
 		lastSpent:   map[string]float64{},
 		silentUntil: map[string]time.Time{},
+		tally:       zone.New(platform.ConfigurationTable, loadLifetime),
+		zones:       map[string]zoneState{},
 		chooser:     relay.New(node.peerAddress),
 	}
 }
@@ -116,12 +130,17 @@
 func (fleet *fleet) applyHosts(update feed.Update) {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
+	log := fleet.node.log
+	if len(update.Rows) > maxLoggedHosts {
+		log.Info("hosts known", "rows", len(update.Rows), "before", len(fleet.members))
+		log = log.V(1)
+	}
 	for _, change := range update.Rows {
 		own := change.Key == fleet.node.settings.Node
 		if change.Deleted {
 			delete(fleet.members, change.Key)
 			fleet.joined = fleet.joined && !own
-			fleet.node.log.Info("host left", "host", change.Key, "row", change.Version)
+			log.Info("host left", "host", change.Key, "row", change.Version)
 			continue
 		}
 		var row hostRow
@@ -141,13 +160,10 @@
 			name: change.Key, address: row.Address, zone: row.Zone, cpuShare: row.CPUShare, version: change.Version,
 			timeoutStart: time.Now(),
 		}
-		fleet.node.log.Info("host known", "host", change.Key, "address", row.Address, "row", change.Version)
+		log.Info("host known", "host", change.Key, "address", row.Address, "row", change.Version)
 	}
-	names := make([]string, 0, len(fleet.members))
-	for name := range fleet.members {
-		names = append(names, name)
-	}
-	fleet.node.ledger.SetPeers(names, maxDigestAge(len(names)))
+	names, zones := fleet.reportersLocked()
+	fleet.node.ledger.SetPeers(names, zones, maxDigestAge(len(fleet.members)))
 	fleet.chooser.SetHosts(fleet.hostsLocked())
 }
 
@@ -172,7 +188,7 @@
 	own := fleet.node.settings
 	for name, member := range fleet.members {
 		before := member.cpuShare > own.Limits.CPUShare || member.cpuShare == own.Limits.CPUShare && name < own.Node
-		if before && time.Since(member.lastDigest) < loadLifetimeDigests*maxDigestAge(len(fleet.members)) {
+		if before && time.Since(fleet.lastHeardLocked(member)) < loadLifetimeDigests*maxDigestAge(len(fleet.members)) {
 			rank++
 		}
 	}
@@ -195,6 +211,7 @@
 				go fleet.join(ctx)
 			}
 			digest, active := fleet.digest()
+			fleet.tally.Add(digest, now)
 			if active || now.Sub(sentAt) >= idleDigestFactor*digestInterval {
 				sentAt = now
 				fleet.node.ledger.MarkReported()
@@ -273,7 +290,7 @@
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	for name, member := range fleet.members {
-		silentSince := member.lastDigest
+		silentSince := fleet.lastHeardLocked(member)
 		if member.timeoutStart.After(silentSince) {
 			silentSince = member.timeoutStart
 		}
@@ -352,15 +369,10 @@
 		}
 	}
 	fleet.lock.Unlock()
-	node.ledger.ApplyPeerTotals(digest.Node, digest.Incarnation, digest.Spent, now)
-	loads := make(map[string]balance.Load, len(digest.Loads))
-	for id, load := range digest.Loads {
-		loads[id] = balance.Load{
-			Running: load.Running, Prefill: time.Duration(load.PrefillMillis) * time.Millisecond,
-			LongPrefills: load.LongPrefills, Deferred: load.Deferred,
-		}
+	if !digest.Partial {
+		node.ledger.ApplyPeerTotals(digest.Node, digest.Incarnation, digest.Spent, now)
+		node.tracker.SetPeerLoads(digest.Node, decodeLoads(digest.Loads), now.Add(loadLifetimeDigests*fleet.maxDigestAge()))
 	}
-	node.tracker.SetPeerLoads(digest.Node, loads, now.Add(loadLifetimeDigests*fleet.maxDigestAge()))
 	node.loader.handleOwnerships(from, digest.Ownerships, now)
 	node.loader.handleHandovers(digest.Handovers)
 	if digest.Quarantine != nil {
@@ -384,6 +396,17 @@
 	fleet.requestNewerRows(from, digest.Tables, now)
 }
 
+func decodeLoads(encoded map[string]gossip.Load) map[string]balance.Load {
+	loads := make(map[string]balance.Load, len(encoded))
+	for id, load := range encoded {
+		loads[id] = balance.Load{
+			Running: load.Running, Prefill: time.Duration(load.PrefillMillis) * time.Millisecond,
+			LongPrefills: load.LongPrefills, Deferred: load.Deferred,
+		}
+	}
+	return loads
+}
+
 // steady reports whether this node reads all tables from the store itself, without
 // a recent outage.
 func (fleet *fleet) steady() bool {
--- a/internal/entrynode/permits.go
+++ b/internal/entrynode/permits.go
@@ -28,7 +28,7 @@
 	defer fleet.lock.Unlock()
 	address, highest := fleet.node.peerAddress, xxhash.Sum64String(target+"@"+fleet.node.settings.Node)
 	for name, member := range fleet.members {
-		heard := member.lastDigest
+		heard := fleet.lastHeardLocked(member)
 		if member.timeoutStart.After(heard) {
 			heard = member.timeoutStart
 		}
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -108,7 +108,7 @@
 	fleet.lock.Lock()
 	fleet.zoneBatch = fleet.zoneBatch.With(batch)
 	if reach == gossip.ReachAll {
-		fleet.remoteBatch = fleet.remoteBatch.With(batch)
+		fleet.remoteBatch = fleet.remoteBatch.With(fleet.summarizeLocked(batch))
 	}
 	urgent := len(batch.HoldingsReports) > 0
 	schedule := !urgent && !fleet.flushScheduled
@@ -131,7 +131,11 @@
 func (fleet *fleet) flush() {
 	fleet.lock.Lock()
 	zoneBatch, remoteBatch := fleet.zoneBatch, fleet.remoteBatch
-	fleet.zoneBatch, fleet.remoteBatch = gossip.Batch{}, gossip.Batch{}
+	now := time.Now()
+	if fleet.summaryDue {
+		remoteBatch.Summaries = []gossip.Summary{fleet.summaryLocked(now)}
+	}
+	fleet.zoneBatch, fleet.remoteBatch, fleet.summaryDue = gossip.Batch{}, gossip.Batch{}, false
 	fleet.lock.Unlock()
 	if !zoneBatch.Empty() {
 		zoneBatch.Reach = gossip.ReachSelf
@@ -141,7 +145,6 @@
 		return
 	}
 	remoteBatch.Reach = gossip.ReachZone
-	now := time.Now()
 	var relays []string
 	for _, zone := range fleet.chooser.Zones() {
 		if zone == fleet.node.settings.Zone {
@@ -177,17 +180,24 @@
 			address = known.address
 		}
 		fleet.lock.Unlock()
+		if fleet.isOfZone(known, batch.Reach) && !digest.Partial {
+			fleet.tally.Add(digest, now)
+		}
 		if found {
 			fleet.handleDigest(address, digest, now)
 		} else if digest.Node != fleet.node.settings.Node {
 			fleet.requestNewerRows(from, digest.Tables, now)
 		}
 	}
+	for _, summary := range batch.Summaries {
+		fleet.handleSummary(from, summary, now)
+	}
 	for _, report := range batch.HoldingsReports {
 		fleet.node.loader.handleHoldingsReport(report)
 	}
-	if batch.Reach != gossip.ReachSelf {
-		fleet.addToBatch(gossip.Batch{Digests: batch.Digests, HoldingsReports: batch.HoldingsReports}, batch.Reach)
+	if reach := batch.Reach; reach != gossip.ReachSelf {
+		batch.Reach = gossip.ReachSelf
+		fleet.addToBatch(batch, reach)
 	}
 }
 
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -212,6 +212,39 @@
 	store.Put("mimosatide-hosts", name, string(row))
 }
 
+// TestHostGetsSummariesOfOtherZones plays a host of zone a in a fleet whose other zone has
+// most of the hosts: it must get that zone's state in summaries, and no digest of its hosts but
+// those with news that a summary doesn't hold. Otherwise its cost grows with all zones.
+func TestHostGetsSummariesOfOtherZones(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	var summaries, digests atomic.Int64
+	host := startHub(t, func(message any) {
+		batch, _ := message.(gossip.Batch)
+		for _, digest := range batch.Digests {
+			if strings.HasPrefix(digest.Node, "b-") && !digest.Partial {
+				digests.Add(1)
+			}
+		}
+		for _, summary := range batch.Summaries {
+			if summary.Zone == "b" && summary.Hosts >= fleetSize/2 {
+				summaries.Add(1)
+			}
+		}
+	})
+	putHost(t, store, "a-99", host.address)
+	nodes := startFleet(t, store)
+	changeConfiguration(t, store, nodes, 2)
+	eventually(t, "summaries of the other zone", func() bool { return summaries.Load() > 10 })
+	digests.Store(0)
+	before := summaries.Load()
+	eventually(t, "more summaries of the other zone", func() bool { return summaries.Load() > before+20 })
+	if got := digests.Load(); got > 0 {
+		t.Errorf("got %d digests of hosts of the other zone beside its summaries, want none", got)
+	}
+}
+
 // countingCodec counts the bytes of the changes of the configuration that it decodes.
 type countingCodec struct {
 	gossip.Codec
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -14,6 +14,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -54,6 +55,19 @@
 	Quarantine *Quarantine `cbor:"14,keyasint,omitempty"`
 	// Limits holds the limits that targets have recently named to the node, by target.
 	Limits map[string]RateLimit `cbor:"15,keyasint,omitempty"`
+	// Partial says that the rest of the digest is part of a Summary.
+	Partial bool `cbor:"16,keyasint,omitempty"`
+}
+
+// Events returns the part of the digest that no Summary of the node's zone holds, and whether
+// there is any.
+func (digest Digest) Events() (Digest, bool) {
+	event := Digest{
+		Node: digest.Node, Incarnation: digest.Incarnation, Ownerships: digest.Ownerships, Handovers: digest.Handovers,
+		StoreOutage: digest.StoreOutage, Leaving: digest.Leaving, Quarantine: digest.Quarantine, Limits: digest.Limits, Partial: true,
+	}
+	lists := len(event.Ownerships) + len(event.Handovers) + len(event.Leaving) + len(event.Limits)
+	return event, lists > 0 || event.StoreOutage || event.Quarantine != nil
 }
 
 // Load is the load that a node puts on a target.
@@ -68,6 +82,14 @@
 	Deferred int `cbor:"4,keyasint,omitempty"`
 }
 
+// Plus returns the sum of two loads.
+func (load Load) Plus(more Load) Load {
+	return Load{
+		Running: load.Running + more.Running, PrefillMillis: load.PrefillMillis + more.PrefillMillis,
+		LongPrefills: load.LongPrefills + more.LongPrefills, Deferred: load.Deferred + more.Deferred,
+	}
+}
+
 // Ownership is a lease on the orders to a service's targets.
 type Ownership struct {
 	Service string `cbor:"1,keyasint"`
@@ -158,17 +180,24 @@
 	Reach           Reach            `cbor:"1,keyasint,omitempty"`
 	Digests         []Digest         `cbor:"2,keyasint,omitempty"`
 	HoldingsReports []HoldingsReport `cbor:"3,keyasint,omitempty"`
+	// Summaries holds the states of other availability zones, at most one of each relay.
+	Summaries []Summary `cbor:"4,keyasint,omitempty"`
 }
 
 // Empty reports whether the batch holds no messages.
 func (batch Batch) Empty() bool {
-	return len(batch.Digests) == 0 && len(batch.HoldingsReports) == 0
+	return len(batch.Digests) == 0 && len(batch.HoldingsReports) == 0 && len(batch.Summaries) == 0
 }
 
 // With returns a batch that also holds the messages of another one.
 func (batch Batch) With(more Batch) Batch {
 	batch.Digests = append(batch.Digests, more.Digests...)
 	batch.HoldingsReports = append(batch.HoldingsReports, more.HoldingsReports...)
+	batch.Summaries = slices.Clone(batch.Summaries)
+	for _, summary := range more.Summaries {
+		earlier := func(known Summary) bool { return known.Relay == summary.Relay }
+		batch.Summaries = append(slices.DeleteFunc(batch.Summaries, earlier), summary)
+	}
 	return batch
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -144,6 +144,22 @@
 	chooser.lastDigest[address] = now
 }
 
+// SummaryReceived records that digests of the hosts of a zone were received by its relay, but
+// for those of the silent hosts. Only of excluded hosts it matters when that was.
+func (chooser *Chooser) SummaryReceived(zone string, silent map[string]int64, now time.Time) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	if len(chooser.excludedAt) == 0 {
+		return
+	}
+	for _, host := range chooser.ranked[zone] {
+		_, excluded := chooser.excludedAt[host.Address]
+		if _, isSilent := silent[host.Name]; excluded && !isSilent {
+			chooser.lastDigest[host.Address] = now
+		}
+	}
+}
+
 // LastDigest returns when a digest of the node at address was last received, or the zero time.
 func (chooser *Chooser) LastDigest(address string) time.Time {
 	chooser.lock.Lock()
