Close connections to peers that are no longer used

Cause: a connection over which a message was once sent, to one of the first twenty hosts known at a start, to a former relay or to a host that was asked for rows, was pinged every second on both sides for as long as both processes lived. Change: a connection is closed after three seconds without a message and dialled again when there is one; the number of open ones is a gauge.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -173,7 +173,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable), node.log)
-	background := []func(context.Context){node.hub.Run, node.fleet.run, node.loader.run, node.housekeep, archive.Run}
+	background := []func(context.Context){node.hub.Run, node.fleet.run, node.fleet.watchRelay, node.loader.run, node.housekeep, archive.Run}
 	for _, follower := range node.followers {
 		background = append(background, follower.Run)
 	}
@@ -324,6 +324,7 @@
 	node.meter.SetGauge("peer_messages_failed", float64(counts.Failed))
 	node.meter.SetGauge("peer_messages_dropped", float64(counts.Dropped))
 	node.meter.SetGauge("peer_bytes_sent", float64(counts.SentBytes))
+	node.meter.SetGauge("peer_connections_open", float64(counts.Open))
 }
 
 // handleMessage dispatches a message to its handler; from is the sender's peer address.
--- a/internal/peer/bulk_test.go
+++ b/internal/peer/bulk_test.go
@@ -123,3 +123,30 @@
 		}
 	}
 }
+
+// TestUnusedConnectionIsClosed guards against connections that are pinged every second for as
+// long as the process lives, because a message was once sent to each of many peers.
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	received := make(chan string, 10)
+	_, to := startTextHub(t, func(message string) { received <- message })
+	hub, _ := startTextHub(t, func(string) {})
+	for _, message := range []string{"first", "second"} {
+		for arrived := false; !arrived; {
+			// A hub discards messages until it runs.
+			hub.Send(to, message)
+			select {
+			case got := <-received:
+				arrived = got == message
+			case <-time.After(time.Second):
+			}
+		}
+		if got := hub.Counts().Open; got != 1 {
+			t.Errorf("after a message: got %d open connections, want 1", got)
+		}
+		for begun := time.Now(); hub.Counts().Open > 0; time.Sleep(10 * time.Millisecond) {
+			if time.Since(begun) > 20*time.Second {
+				t.Fatal("the connection is still open 20 s after its last message")
+			}
+		}
+	}
+}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -32,6 +32,10 @@
 	// idleTimeout is the time without a message after which the receiving side closes a
 	// connection, and after which a sender without a connection is removed.
 	idleTimeout = time.Minute
+	// unusedFactor times the bound of a write is the time without a message after which the
+	// sending side closes a connection: a peer that is sent messages regularly gets several a
+	// second, and each open connection costs both sides a ping a second.
+	unusedFactor = 3
 )
 
 // Codec encodes and decodes the messages of a hub. It must be safe for concurrent use.
@@ -94,6 +98,7 @@
 	sentBytes atomic.Uint64
 	failed    atomic.Uint64
 	received  atomic.Uint64
+	open      atomic.Int64
 }
 
 // Counts are numbers of messages since a hub was made.
@@ -107,6 +112,8 @@
 	Received uint64
 	// Dropped are the messages that full queues dropped.
 	Dropped uint64
+	// Open is the number of connections that are now open for sending.
+	Open int64
 }
 
 // destination is a peer address and whether its bulk messages are meant, or the others.
@@ -165,7 +172,7 @@
 func (hub *Hub) Counts() Counts {
 	return Counts{
 		Sent: hub.sent.Load(), SentBytes: hub.sentBytes.Load(), Failed: hub.failed.Load(),
-		Received: hub.received.Load(), Dropped: hub.dropped.Load(),
+		Received: hub.received.Load(), Dropped: hub.dropped.Load(), Open: hub.open.Load(),
 	}
 }
 
@@ -267,8 +274,8 @@
 	return true
 }
 
-// dialAndSend dials the peer and writes messages until the connection ends. A message
-// whose write fails is lost, also the first one if the dial fails.
+// dialAndSend dials the peer and writes messages until the connection fails or is no longer
+// used. A message whose write fails is lost, also the first one if the dial fails.
 func (hub *Hub) dialAndSend(ctx context.Context, peer *sender, first []byte) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -276,6 +283,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	hub.open.Add(1)
+	defer hub.open.Add(-1)
 	defer func() { _ = connection.CloseNow() }()
 	// The peer sends no messages on this connection, but pongs and the close frame must be read.
 	ctx = connection.CloseRead(ctx)
@@ -287,12 +296,17 @@
 	if err := hub.write(ctx, connection, first, limit); err != nil {
 		return errors.Trace(err)
 	}
+	unused := time.NewTimer(unusedFactor * limit)
+	defer unused.Stop()
 	for {
 		select {
 		case message := <-peer.queue:
 			if err := hub.write(ctx, connection, message, limit); err != nil {
 				return errors.Trace(err)
 			}
+			unused.Reset(unusedFactor * limit)
+		case <-unused.C:
+			return nil
 		case <-ctx.Done():
 			return errors.Trace(ctx.Err())
 		}
