Check once for all tables whether the relay still forwards changes

Cause: the follower of each of three tables woke up every 150 ms and chose the relay anew. Change: one check for all of them, at the same interval; the followers wait for a change.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -105,6 +105,8 @@
 	chooser *relay.Chooser
 	// relayAddress is the peer address of the zone's relay as last chosen.
 	relayAddress string
+	// relayChanged is closed when the relay starts or stops forwarding changes to this node.
+	relayChanged chan struct{}
 	// zoneBatch and remoteBatch are what this node as a relay has collected for its
 	// own zone and for the other zones; flushScheduled is true if a timer will send them.
 	// summaryDue is true if the state of the zone has changed since.
@@ -122,7 +124,9 @@
 		silentUntil: map[string]time.Time{},
 		tally:       zone.New(platform.ConfigurationTable, loadLifetime),
 		zones:       map[string]zoneState{},
-		chooser:     relay.New(node.peerAddress),
+
+		relayChanged: make(chan struct{}),
+		chooser:      relay.New(node.peerAddress),
 	}
 }
 
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"context"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -24,6 +25,8 @@
 	// and some slack. A zone whose relay has lost the store then calls the store itself
 	// within two of the three seconds in which a configuration has to be in force.
 	relayMaxStaleness = 2*relayPollWait + 300*time.Millisecond
+	// relayWatchInterval is how often a node checks whether its relay still forwards changes.
+	relayWatchInterval = 150 * time.Millisecond
 	// storeOutageAfter is how long the store may leave a relay without an answer before
 	// another host is chosen; a call whose answer was lost is retried within it.
 	storeOutageAfter = 1500 * time.Millisecond
@@ -298,6 +301,37 @@
 	return found && known.relaysTables
 }
 
+// watchRelay checks whether the relay of this node's zone forwards changes to it, until ctx is
+// cancelled: a relay that falls silent or ends tells nobody.
+func (fleet *fleet) watchRelay(ctx context.Context) {
+	ticker := time.NewTicker(relayWatchInterval)
+	defer ticker.Stop()
+	before := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		receives := fleet.ReceivesFromRelay(platform.ConfigurationTable)
+		if receives == before {
+			continue
+		}
+		before = receives
+		fleet.lock.Lock()
+		close(fleet.relayChanged)
+		fleet.relayChanged = make(chan struct{})
+		fleet.lock.Unlock()
+	}
+}
+
+// RelayChanged implements feed.Peers.
+func (fleet *fleet) RelayChanged() <-chan struct{} {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	return fleet.relayChanged
+}
+
 // Forward sends changes of a table to the nodes of the zone if this node is its relay.
 // It implements feed.Peers.
 func (fleet *fleet) Forward(
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -112,6 +112,9 @@
 type Peers interface {
 	// ReceivesFromRelay reports whether the relay forwards the changes of a table to this node.
 	ReceivesFromRelay(table string) bool
+	// RelayChanged returns a channel that is closed when ReceivesFromRelay may return
+	// something else.
+	RelayChanged() <-chan struct{}
 	// PollWaitLimit returns the longest PollWait of a table while other nodes depend on this
 	// one to notice that the store has stopped answering; zero means PollWait.
 	PollWaitLimit(table string) time.Duration
@@ -228,9 +231,12 @@
 	hasSnapshot, afterSnapshot := false, false
 	pause := retryDelay
 	for ctx.Err() == nil {
-		if follower.receivesFromRelay() {
+		if relayChanged, relayed := follower.receivesFromRelay(); relayed {
 			follower.probeGate.withdraw(follower)
-			sleep(ctx, standbyInterval)
+			select {
+			case <-ctx.Done():
+			case <-relayChanged:
+			}
 			continue
 		}
 		if follower.probeGate.blocks(follower) {
@@ -310,17 +316,19 @@
 	return follower.state.Synced && behind >= 2*silentPollDelay
 }
 
-// receivesFromRelay reports whether another node forwards the changes, and logs when that starts or stops.
-func (follower *Follower) receivesFromRelay() bool {
+// receivesFromRelay reports whether another node forwards the changes, and logs when that
+// starts or stops. The channel is closed when that may have changed since.
+func (follower *Follower) receivesFromRelay() (<-chan struct{}, bool) {
 	if follower.peers == nil {
-		return false
+		return nil, false
 	}
+	changed := follower.peers.RelayChanged()
 	relayed := follower.State().Synced && follower.peers.ReceivesFromRelay(follower.table)
 	if relayed != follower.relayed {
 		follower.relayed = relayed
 		follower.log.Info("changes of a table", "table", follower.table, "throughRelay", relayed, "version", follower.State().Version)
 	}
-	return relayed
+	return changed, relayed
 }
 
 // markCurrent records that the copy was current at a clock reading.
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -269,6 +269,7 @@
 type fakePeers struct {
 	lock           sync.Mutex
 	receives       bool
+	changed        chan struct{}
 	forwardedAfter []mimosatide.RowVersion
 }
 
@@ -278,6 +279,15 @@
 	return peers.receives
 }
 
+func (peers *fakePeers) RelayChanged() <-chan struct{} {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	if peers.changed == nil {
+		peers.changed = make(chan struct{})
+	}
+	return peers.changed
+}
+
 func (peers *fakePeers) PollWaitLimit(string) time.Duration { return 0 }
 
 func (peers *fakePeers) Forward(
@@ -298,6 +308,10 @@
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
 	peers.receives = receives
+	if peers.changed != nil {
+		close(peers.changed)
+		peers.changed = nil
+	}
 }
 
 func newFollowerWithPeers(store mimosatide.RowFeed, peers feed.Peers) (*feed.Follower, collector) {
