Log rows of many targets only if they say something new

Cause: a line for each batch of more than eight rows, although most rows are heartbeats. Change: new targets are counted, not rows. Measured: TestManyNewTargetsAreLoggedInOneLine.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -35,7 +35,7 @@
 // recovered from an outage.
 const removalDelay = 2500 * time.Millisecond
 
-// maxLoggedTargets is how many targets of one change of the table are logged one by one.
+// maxLoggedTargets is how many new targets of one change of the table are logged one by one.
 const maxLoggedTargets = 8
 
 // refutationTTL is how long a refutation overrides the target's row and its owner's
@@ -154,22 +154,32 @@
 // PutAll adds or updates targets as their own rows describe them. Of many new ones it logs
 // the number, and each of them as a detail.
 func (registry *Registry) PutAll(instances []mimosatide.Instance) {
+	if len(instances) == 0 {
+		return
+	}
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
+	var known []mimosatide.Instance
+	for _, instance := range instances {
+		if registry.putLocked(instance) {
+			known = append(known, instance)
+		}
+	}
+	registry.markChanged()
 	log := registry.log
-	if len(instances) > maxLoggedTargets {
-		registry.log.Info("targets known", "rows", len(instances), "before", len(registry.instances))
+	if len(known) > maxLoggedTargets {
+		log.Info("targets known", "count", len(known), "all", len(registry.instances))
 		log = log.V(1)
 	}
-	for _, instance := range instances {
-		registry.putLocked(instance, log)
-	}
-	if len(instances) > 0 {
-		registry.markChanged()
+	for _, instance := range known {
+		log.Info("target known", "target", instance.ID, "service", instance.Service,
+			"address", instance.Address, "zone", instance.Zone, "leaving", instance.Leaving)
 	}
 }
 
-func (registry *Registry) putLocked(instance mimosatide.Instance, log logr.Logger) {
+// putLocked adds or updates a target and reports whether it is new, or a new incarnation, or
+// has a new address or state.
+func (registry *Registry) putLocked(instance mimosatide.Instance) bool {
 	before, found := registry.instances[instance.ID]
 	delete(registry.removals, instance.ID)
 	registry.instances[instance.ID] = instance
@@ -182,10 +192,7 @@
 	if time.Since(registry.reported[instance.ID].at) > reportTTL {
 		delete(registry.reported, instance.ID)
 	}
-	if !found || before.Leaving != instance.Leaving || !before.Born.Equal(instance.Born) || before.Address != instance.Address {
-		log.Info("target known", "target", instance.ID, "service", instance.Service,
-			"address", instance.Address, "zone", instance.Zone, "leaving", instance.Leaving)
-	}
+	return !found || before.Leaving != instance.Leaving || !before.Born.Equal(instance.Born) || before.Address != instance.Address
 }
 
 // Delete removes a target whose row was deleted. If the store is recovering from an
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,10 +1,12 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/registry"
@@ -214,3 +216,27 @@
 		t.Errorf("a minute later: got %v reported, want none", told)
 	}
 }
+
+// TestManyNewTargetsAreLoggedInOneLine guards against a start of hundreds of nodes that logs a
+// line for each node and target, and against lines for rows that say nothing new.
+func TestManyNewTargetsAreLoggedInOneLine(t *testing.T) {
+	lines := 0
+	targets := registry.New(funcr.New(func(string, string) { lines++ }, funcr.Options{}))
+	var instances []mimosatide.Instance
+	for index := range 160 {
+		instances = append(instances, mimosatide.Instance{ID: fmt.Sprintf("i-%d", index), Service: "llm", Born: time.UnixMilli(7)})
+	}
+	targets.PutAll(instances)
+	if lines != 1 {
+		t.Errorf("160 new targets: got %d lines, want 1", lines)
+	}
+	targets.PutAll(instances)
+	if lines != 1 {
+		t.Errorf("the same rows again: got %d lines more, want none", lines-1)
+	}
+	instances[3].Leaving = true
+	targets.PutAll(instances)
+	if lines != 2 {
+		t.Errorf("one target that leaves: got %d lines more, want 1", lines-1)
+	}
+}
