Let idle digests wait for the relay's own, and watch the store a second after the start

Cause: the relay sent its zone a batch every 100 ms, most of them with nothing but idle hosts' digests. And at a start of the fleet each node took itself for the first one, which polls the configuration twice a second, until it heard of others. Change: an idle digest is sent on with the relay's next one, within 200 ms; a node watches the store from a second after its start on, and polls as often as a watching node only then.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -80,6 +80,8 @@
 // fleet keeps the list of the other hosts and exchanges digests with them.
 type fleet struct {
 	node *Node
+	// startedAt is when the process started.
+	startedAt time.Time
 
 	lock    sync.Mutex
 	members map[string]*member
@@ -108,17 +110,21 @@
 	// relayChanged is closed when the relay starts or stops forwarding changes to this node.
 	relayChanged chan struct{}
 	// zoneBatch and remoteBatch are what this node as a relay has collected for its
-	// own zone and for the other zones; flushScheduled is true if a timer will send them.
-	// summaryDue is true if the state of the zone has changed since.
-	zoneBatch      gossip.Batch
-	remoteBatch    gossip.Batch
-	flushScheduled bool
-	summaryDue     bool
+	// own zone and for the other zones; flushTimer, if there is one, will send them at flushAt.
+	// summaryDue is true if there were digests of the zone since, summaryActive if one of them
+	// was not idle.
+	zoneBatch     gossip.Batch
+	remoteBatch   gossip.Batch
+	flushTimer    *time.Timer
+	flushAt       time.Time
+	summaryDue    bool
+	summaryActive bool
 }
 
 func newFleet(node *Node) *fleet {
 	return &fleet{
 		node:        node,
+		startedAt:   time.Now(),
 		members:     map[string]*member{},
 		lastSpent:   map[string]float64{},
 		silentUntil: map[string]time.Time{},
@@ -309,9 +315,8 @@
 	}
 }
 
-// digest returns this node's digest for the other hosts, and whether it is active:
-// it reports loads, new spending or the state of a relay, so that it can't wait for
-// the interval of an idle node.
+// digest returns this node's digest for the other hosts, and whether it can't wait for the
+// interval of an idle node: it has news, or this node is a relay.
 func (fleet *fleet) digest() (gossip.Digest, bool) {
 	node := fleet.node
 	digest := gossip.Digest{
@@ -346,18 +351,20 @@
 	if configuration.CurrentAt > 0 {
 		digest.ConfigurationAgeMillis = max((bootClock{}.Now() - configuration.CurrentAt).Milliseconds(), 1)
 	}
-	active := len(digest.Loads) > 0 || digest.Limits != nil || digest.Quarantine != nil || digest.RelaysTables || digest.StoreOutage
+	news := len(digest.Loads) > 0 || digest.Limits != nil || digest.Quarantine != nil || digest.StoreOutage || digest.Leaving != nil
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	for account, total := range spent {
 		if total != fleet.lastSpent[account] {
-			active = true
+			news = true
 		}
 	}
 	digest.Spent = spent
 	fleet.lastSpent = spent
-	return digest, active
+	digest.Idle = !news
+	// The hosts of a zone take a relay that is silent for longer for a dead one.
+	return digest, news || digest.RelaysTables
 }
 
 // handleDigest applies another host's digest; from is its peer address.
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -21,6 +21,9 @@
 	// watchPollWait is how long the store may hold a poll of the configuration open at the
 	// node that watches the store for a small fleet.
 	watchPollWait = 500 * time.Millisecond
+	// watchStartDelay is how long a node that has started doesn't take itself for the first
+	// one: it has heard of no other one yet, and at a start of the fleet nor have they.
+	watchStartDelay = time.Second
 	// relayMaxStaleness is how old a relay's copy of the configuration may be: two polls
 	// and some slack. A zone whose relay has lost the store then calls the store itself
 	// within two of the three seconds in which a configuration has to be in force.
@@ -87,7 +90,7 @@
 	}
 	host, self := fleet.zoneRelay(time.Now())
 	if self {
-		fleet.addToBatch(batch, gossip.ReachAll)
+		fleet.addToBatch(batch, gossip.ReachAll, relayBatchDelay)
 		return
 	}
 	batch.Reach = gossip.ReachAll
@@ -105,28 +108,30 @@
 	}
 }
 
-// addToBatch adds messages to the next batch. Holdings reports are sent immediately, with
-// all that has been collected, because requests wait for what targets hold.
-func (fleet *fleet) addToBatch(batch gossip.Batch, reach gossip.Reach) {
+// addToBatch adds messages to the next batch, which is sent within delay. Holdings reports
+// are sent immediately, with all that has been collected, because requests wait for what
+// targets hold.
+func (fleet *fleet) addToBatch(batch gossip.Batch, reach gossip.Reach, delay time.Duration) {
 	fleet.lock.Lock()
 	fleet.zoneBatch = fleet.zoneBatch.With(batch)
 	if reach == gossip.ReachAll {
 		fleet.remoteBatch = fleet.remoteBatch.With(fleet.summarizeLocked(batch))
 	}
 	urgent := len(batch.HoldingsReports) > 0
-	schedule := !urgent && !fleet.flushScheduled
-	fleet.flushScheduled = fleet.flushScheduled || schedule
+	if flushAt := time.Now().Add(delay); !urgent && (fleet.flushTimer == nil || flushAt.Before(fleet.flushAt)) {
+		fleet.stopFlushTimerLocked()
+		fleet.flushTimer, fleet.flushAt = time.AfterFunc(delay, fleet.flush), flushAt
+	}
 	fleet.lock.Unlock()
 	if urgent {
 		fleet.flush()
 	}
-	if schedule {
-		time.AfterFunc(relayBatchDelay, func() {
-			fleet.lock.Lock()
-			fleet.flushScheduled = false
-			fleet.lock.Unlock()
-			fleet.flush()
-		})
+}
+
+func (fleet *fleet) stopFlushTimerLocked() {
+	if fleet.flushTimer != nil {
+		fleet.flushTimer.Stop()
+		fleet.flushTimer = nil
 	}
 }
 
@@ -138,7 +143,8 @@
 	if fleet.summaryDue {
 		remoteBatch.Summaries = []gossip.Summary{fleet.summaryLocked(now)}
 	}
-	fleet.zoneBatch, fleet.remoteBatch, fleet.summaryDue = gossip.Batch{}, gossip.Batch{}, false
+	fleet.zoneBatch, fleet.remoteBatch, fleet.summaryDue, fleet.summaryActive = gossip.Batch{}, gossip.Batch{}, false, false
+	fleet.stopFlushTimerLocked()
 	fleet.lock.Unlock()
 	if !zoneBatch.Empty() {
 		zoneBatch.Reach = gossip.ReachSelf
@@ -200,7 +206,12 @@
 	}
 	if reach := batch.Reach; reach != gossip.ReachSelf {
 		batch.Reach = gossip.ReachSelf
-		fleet.addToBatch(batch, reach)
+		delay := relayBatchDelay
+		if batch.Idle() {
+			// This node's own digest comes as soon, and takes them along.
+			delay = digestInterval
+		}
+		fleet.addToBatch(batch, reach, delay)
 	}
 }
 
@@ -227,7 +238,9 @@
 		}
 		return 0
 	}
-	if table == platform.ConfigurationTable && fleet.rank() == 0 {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	if table == platform.ConfigurationTable && fleet.watching {
 		return watchPollWait
 	}
 	return 0
@@ -236,7 +249,7 @@
 // updateWatch replaces the open poll of the configuration when this node begins to watch
 // the store for the fleet.
 func (fleet *fleet) updateWatch() {
-	watching := !fleet.usesRelays() && fleet.rank() == 0
+	watching := time.Since(fleet.startedAt) > watchStartDelay && !fleet.usesRelays() && fleet.rank() == 0
 	fleet.lock.Lock()
 	begins := watching && !fleet.watching
 	changed := watching != fleet.watching
--- a/internal/entrynode/summary.go
+++ b/internal/entrynode/summary.go
@@ -70,6 +70,7 @@
 	digests := batch.Digests
 	batch.Digests = nil
 	for _, digest := range digests {
+		fleet.summaryActive = fleet.summaryActive || !digest.Idle
 		if events, found := digest.Events(); found {
 			batch.Digests = append(batch.Digests, events)
 		}
@@ -83,6 +84,7 @@
 	own := fleet.node.settings
 	summary := fleet.tally.Summary(now)
 	summary.Zone, summary.Relay, summary.Incarnation = own.Zone, own.Node, fleet.node.incarnation
+	summary.Idle = !fleet.summaryActive
 	for name, member := range fleet.members {
 		if member.zone != own.Zone {
 			continue
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -57,6 +57,8 @@
 	Limits map[string]RateLimit `cbor:"15,keyasint,omitempty"`
 	// Partial says that the rest of the digest is part of a Summary.
 	Partial bool `cbor:"16,keyasint,omitempty"`
+	// Idle says that the digest holds nothing that other nodes wait for.
+	Idle bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Events returns the part of the digest that no Summary of the node's zone holds, and whether
@@ -184,6 +186,21 @@
 	Summaries []Summary `cbor:"4,keyasint,omitempty"`
 }
 
+// Idle reports whether the batch holds nothing that other nodes wait for.
+func (batch Batch) Idle() bool {
+	for _, digest := range batch.Digests {
+		if !digest.Idle {
+			return false
+		}
+	}
+	for _, summary := range batch.Summaries {
+		if !summary.Idle {
+			return false
+		}
+	}
+	return len(batch.HoldingsReports) == 0
+}
+
 // Empty reports whether the batch holds no messages.
 func (batch Batch) Empty() bool {
 	return len(batch.Digests) == 0 && len(batch.HoldingsReports) == 0 && len(batch.Summaries) == 0
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -25,4 +25,6 @@
 	// ConfigurationAgeMillis holds, by version, the time since the store last confirmed to one
 	// of the hosts that this is the current configuration.
 	ConfigurationAgeMillis map[uint64]int64 `cbor:"10,keyasint,omitempty"`
+	// Idle says that all digests since the last summary were idle.
+	Idle bool `cbor:"11,keyasint,omitempty"`
 }
