Spare the polls of a node that has just started and expects a relay

Change: for at most two seconds after its start a node of a large fleet waits for its relay instead; before it knows the others it waits 0.65 s, but follows the list of hosts. The new test fails without.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -325,7 +325,7 @@
 		Loads:        map[string]gossip.Load{},
 		Spent:        map[string]float64{},
 		Tables:       map[string]uint64{},
-		Ownerships:   node.loader.ownerships(),
+		Ownerships:   node.loader.ownerships(time.Now()),
 		Handovers:    node.loader.handovers(),
 		Quarantine:   gossip.EncodeQuarantine(node.quarantine.Report(time.Now())),
 		RelaysTables: fleet.relaysTables(),
--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -23,6 +23,9 @@
 	ownerAddress string
 	ownerTerm    uint64
 	ownerSeenAt  time.Time
+	// expected is when models are expected to be loaded, as the owner said at expectedAt.
+	expected   map[string]time.Time
+	expectedAt time.Time
 	// prefillSeconds are this node's running totals of prefill time by model.
 	prefillSeconds map[string]float64
 	// usedAdapters and usedModels are those used since the last usage report.
@@ -277,18 +280,78 @@
 		service.ownerTerm = ownership.Term
 		service.ownerSeenAt = now
 		service.controller.Lease().ObserveHolder(mimosatide.RowVersion(ownership.Row))
+		progress := decodeProgress(ownership)
+		service.controller.ObserveProgress(progress, now)
+		service.setExpected(progress, now)
 	}
 }
 
-// ownerships returns the leases that this node holds.
-func (loader *loader) ownerships() []gossip.Ownership {
+// setExpected replaces when models are expected to be loaded.
+func (service *serviceState) setExpected(progress loading.Progress, now time.Time) {
+	service.expectedAt = now
+	service.expected = make(map[string]time.Time, len(progress.Expected))
+	for model, wait := range progress.Expected {
+		service.expected[model] = now.Add(wait)
+	}
+}
+
+// ExpectedLoad returns when a model is expected to be loaded according to the service's owner,
+// and whether the owner has said so recently.
+func (loader *loader) ExpectedLoad(serviceName, model string) (time.Time, bool) {
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	service, found := loader.services[serviceName]
+	if !found {
+		return time.Time{}, false
+	}
+	at, expected := service.expected[model]
+	return at, expected && time.Since(service.expectedAt) < ownerTimeout
+}
+
+// decodeProgress returns what an owner says of its loads.
+func decodeProgress(ownership gossip.Ownership) loading.Progress {
+	progress := loading.Progress{RemoteLimit: ownership.RemoteLimit, Expected: map[string]time.Duration{}}
+	for _, load := range ownership.Loads {
+		progress.Loads = append(progress.Loads, loading.LoadUnderWay{
+			Instance: load.Instance, Model: load.Model, Remaining: time.Duration(load.RemainingMillis) * time.Millisecond,
+		})
+	}
+	for model, wait := range ownership.ExpectedMillis {
+		progress.Expected[model] = time.Duration(wait) * time.Millisecond
+	}
+	return progress
+}
+
+// encodeProgress adds what an owner knows of its loads to its message.
+func encodeProgress(ownership gossip.Ownership, progress loading.Progress) gossip.Ownership {
+	ownership.RemoteLimit = progress.RemoteLimit
+	for _, load := range progress.Loads {
+		ownership.Loads = append(ownership.Loads, gossip.LoadUnderWay{
+			Instance: load.Instance, Model: load.Model, RemainingMillis: load.Remaining.Milliseconds(),
+		})
+	}
+	if len(progress.Expected) > 0 {
+		ownership.ExpectedMillis = make(map[string]int64, len(progress.Expected))
+	}
+	for model, wait := range progress.Expected {
+		ownership.ExpectedMillis[model] = wait.Milliseconds()
+	}
+	return ownership
+}
+
+// ownerships returns the leases that this node holds, with the loads under them.
+func (loader *loader) ownerships(now time.Time) []gossip.Ownership {
 	loader.lock.Lock()
 	defer loader.lock.Unlock()
 	var ownerships []gossip.Ownership
 	for name, service := range loader.services {
-		if term, row, held := service.controller.Lease().Held(); held {
-			ownerships = append(ownerships, gossip.Ownership{Service: name, Term: term, Row: uint64(row)})
+		term, row, held := service.controller.Lease().Held()
+		if !held {
+			continue
 		}
+		progress := service.controller.Progress(now)
+		service.setExpected(progress, now)
+		ownerships = append(ownerships, encodeProgress(gossip.Ownership{Service: name, Term: term, Row: uint64(row)}, progress))
 	}
 	return ownerships
 }
@@ -320,7 +383,14 @@
 }
 
 func (loader *loader) holdsAnyLease() bool {
-	return len(loader.ownerships()) > 0
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	for _, service := range loader.services {
+		if _, _, held := service.controller.Lease().Held(); held {
+			return true
+		}
+	}
+	return false
 }
 
 // releaseAll releases all leases that this node holds.
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -28,6 +28,9 @@
 	// and some slack. A zone whose relay has lost the store then calls the store itself
 	// within two of the three seconds in which a configuration has to be in force.
 	relayMaxStaleness = 2*relayPollWait + 300*time.Millisecond
+	// relayExpectTime is how long after its start a node relies on a relay that it has not
+	// heard: the relay may have started at the same time.
+	relayExpectTime = 2 * time.Second
 	// relayWatchInterval is how often a node checks whether its relay still forwards changes.
 	relayWatchInterval = 150 * time.Millisecond
 	// storeOutageAfter is how long the store may leave a relay without an answer before
@@ -314,6 +317,20 @@
 	return found && known.relaysTables
 }
 
+// ExpectsRelay reports whether this node has started so recently that it has not heard of its
+// relay yet, or may not know the other hosts. These it learns from the list of hosts, which it
+// follows until it is a large fleet. It implements feed.Peers.
+func (fleet *fleet) ExpectsRelay(table string) bool {
+	age := time.Since(fleet.startedAt)
+	if fleet.node.settings.Bounds.StopWhenStale || age > relayExpectTime {
+		return false
+	}
+	if fleet.usesRelays() {
+		return !fleet.IsRelay()
+	}
+	return table != hostTable && age < hostBatchDelay+relayWatchInterval
+}
+
 // watchRelay checks whether the relay of this node's zone forwards changes to it, until ctx is
 // cancelled: a relay that falls silent or ends tells nobody.
 func (fleet *fleet) watchRelay(ctx context.Context) {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -115,6 +115,9 @@
 	// RelayChanged returns a channel that is closed when ReceivesFromRelay may return
 	// something else.
 	RelayChanged() <-chan struct{}
+	// ExpectsRelay reports whether the relay will probably begin to forward the changes of a
+	// table soon, because this node has only just started.
+	ExpectsRelay(table string) bool
 	// PollWaitLimit returns the longest PollWait of a table while other nodes depend on this
 	// one to notice that the store has stopped answering; zero means PollWait.
 	PollWaitLimit(table string) time.Duration
@@ -239,7 +242,7 @@
 			}
 			continue
 		}
-		if follower.probeGate.blocks(follower) {
+		if follower.probeGate.blocks(follower) || hasSnapshot && follower.expectsRelay() {
 			sleep(ctx, standbyInterval)
 			continue
 		}
@@ -331,6 +334,12 @@
 	return changed, relayed
 }
 
+// expectsRelay reports whether a poll can be spared because the relay will soon forward the
+// changes.
+func (follower *Follower) expectsRelay() bool {
+	return follower.peers != nil && follower.peers.ExpectsRelay(follower.table)
+}
+
 // markCurrent records that the copy was current at a clock reading.
 func (follower *Follower) markCurrent(at time.Duration) {
 	follower.lock.Lock()
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -269,6 +269,7 @@
 type fakePeers struct {
 	lock           sync.Mutex
 	receives       bool
+	expects        bool
 	changed        chan struct{}
 	forwardedAfter []mimosatide.RowVersion
 }
@@ -279,6 +280,12 @@
 	return peers.receives
 }
 
+func (peers *fakePeers) ExpectsRelay(string) bool {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	return peers.expects
+}
+
 func (peers *fakePeers) RelayChanged() <-chan struct{} {
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
@@ -322,6 +329,36 @@
 	return follower, collected
 }
 
+// TestFollowerThatExpectsARelaySparesItsPoll guards against a start of hundreds of hosts each of
+// which polls every table once before its relay takes over, and is charged for it.
+func TestFollowerThatExpectsARelaySparesItsPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{answers: []answer{
+			{batch: mimosatide.RowBatch{Rows: []mimosatide.RowChange{row("a", 1)}, Version: 4, Complete: true}},
+		}}
+		peers := &fakePeers{expects: true}
+		follower, collected := newFollowerWithPeers(store, peers)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go follower.Run(ctx)
+		<-collected.updates
+		time.Sleep(time.Second)
+		if calls := store.called(); len(calls) != 1 {
+			t.Errorf("got calls %v while a relay is expected, want the first one only", calls)
+		}
+		peers.lock.Lock()
+		peers.expects = false
+		peers.lock.Unlock()
+		time.Sleep(time.Second)
+		if calls := store.called(); len(calls) < 2 {
+			t.Errorf("got calls %v once no relay is expected, want a poll", calls)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 func TestFollowerCallsTheStoreOnlyWithoutARelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &scriptedStore{answers: []answer{
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -58,6 +58,8 @@
 	lock   sync.Mutex
 	needs  []loading.Need
 	onNeed func(need loading.Need)
+	// expected is when models are expected to be loaded.
+	expected map[string]time.Time
 }
 
 func (loader *fakeLoader) AddNeed(need loading.Need) {
@@ -69,6 +71,13 @@
 	}
 }
 
+func (loader *fakeLoader) ExpectedLoad(_, model string) (time.Time, bool) {
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	at, known := loader.expected[model]
+	return at, known
+}
+
 func (loader *fakeLoader) RecordUsage(string, string, time.Duration) {}
 
 func (loader *fakeLoader) UseAdapter(string, loading.AdapterAt) func() { return func() {} }
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -146,9 +146,9 @@
 	}
 }
 
-// refuseUnloadable refuses a request whose model can't be loaded before its
-// deadline. The load is assumed to have begun when the request began to wait, and
-// to come from the fastest cache tier of any candidate.
+// refuseUnloadable refuses a request whose model can't be loaded before its deadline, as
+// the owner of the targets expects. If it has not said so, the load is assumed to have begun
+// when the request began to wait, and to come from the fastest cache tier of any candidate.
 func (handler *requestHandler) refuseUnloadable(candidates []mimosatide.Instance) mimosatide.Refusal {
 	model, known := handler.service.Engine.Models[handler.request.Model]
 	if !known {
@@ -165,6 +165,15 @@
 	if handler.waitingSince.IsZero() {
 		handler.waitingSince = time.Now()
 	}
+	if expected, known := handler.gateway.Loader.ExpectedLoad(handler.service.Name, model.Name); known {
+		if !handler.deadline.Before(expected) {
+			return mimosatide.Refusal{}
+		}
+		// The load is requested anyway, as below.
+		handler.requestLoad(loading.Need{Service: handler.service.Name, Model: handler.request.Model})
+		detail := "other models are loaded before this one, which is expected in " + time.Until(expected).Round(time.Millisecond).String()
+		return mimosatide.Refuse(mimosatide.ReasonNoCapacity, detail).WithRetryAfter(time.Until(expected))
+	}
 	remaining := least + loadOverhead - time.Since(handler.waitingSince)
 	if time.Until(handler.deadline) >= remaining {
 		return mimosatide.Refusal{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// AddNeed requests a model or an adapter. It returns at once; a waiting request
 	// repeats the call.
 	AddNeed(need loading.Need)
+	// ExpectedLoad returns when a model is expected to be loaded, and whether that is known:
+	// only of models that are being loaded or wait for the weight store.
+	ExpectedLoad(service, model string) (time.Time, bool)
 	// RecordUsage records a request for a model whose prompt takes prefill to read.
 	RecordUsage(service, model string, prefill time.Duration)
 	// UseAdapter marks an adapter at a target as in use until the returned function is called.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -515,6 +515,33 @@
 	}
 }
 
+// The weight store loads other models first. A request whose turn comes after its deadline must
+// be refused as soon as that is known, also while it waits, and not be held to its end.
+func TestRequestIsRefusedOnceItsModelIsExpectedAfterItsDeadline(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		fixture := newFixture(t)
+		fixture.addTarget("e-1", "llm", respondEvents(1, 1, true))
+		expect := func() {
+			fixture.loader.lock.Lock()
+			defer fixture.loader.lock.Unlock()
+			fixture.loader.expected = map[string]time.Time{"m": time.Now().Add(time.Hour)}
+		}
+		if known {
+			expect()
+		} else {
+			fixture.loader.onNeed = func(loading.Need) { expect() }
+		}
+		response, body, _ := fixture.send(newChatRequest(fixture, "/chat/", "m"))
+		if response == nil || response.StatusCode != http.StatusServiceUnavailable || !strings.HasPrefix(body, "NoCapacity: other models") {
+			t.Errorf("known when the request came %t: got response %v and body %q, want status 503 and NoCapacity", known, response, body)
+			continue
+		}
+		if response.Header.Get("Retry-After") == "" {
+			t.Errorf("known when the request came %t: got no Retry-After, want one", known)
+		}
+	}
+}
+
 // A request that still waits for its model when the node's process exits would get no
 // answer at all.
 func TestWaitingRequestIsRefusedWhenItsNodeDrains(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -99,6 +99,20 @@
 	Term uint64 `cbor:"2,keyasint"`
 	// Row is the version of the lease's row.
 	Row uint64 `cbor:"3,keyasint"`
+	// Loads are the loads under way at the service's targets.
+	Loads []LoadUnderWay `cbor:"4,keyasint,omitempty"`
+	// RemoteLimit is the learned limit on concurrent loads from the weight store; zero if unknown.
+	RemoteLimit int `cbor:"5,keyasint,omitempty"`
+	// ExpectedMillis holds the expected time until a model is loaded, for those that wait for the
+	// weight store or are being loaded.
+	ExpectedMillis map[string]int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// LoadUnderWay is a load that a target carries out.
+type LoadUnderWay struct {
+	Instance        string `cbor:"1,keyasint"`
+	Model           string `cbor:"2,keyasint"`
+	RemainingMillis int64  `cbor:"3,keyasint,omitempty"`
 }
 
 // Handover is a lease that its holder gave up before it expired.
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -55,8 +55,14 @@
 	// fencingToken is the one under which the workers and loads below were started.
 	fencingToken mimosatide.FencingToken
 	workers      map[string]*worker
-	// loading counts the loads under way by model.
-	loading map[string]int
+	// loading counts the loads under way by model, underWay holds them by engine.
+	loading  map[string]int
+	underWay map[string]loadUnderWay
+	// busyUntil holds, by engine, when loads of the holder before were expected to end.
+	busyUntil map[string]time.Time
+	// observed is the progress that another holder of the lease last reported, at observedAt.
+	observed   Progress
+	observedAt time.Time
 	// remoteLoads counts the loads from the weight store under way, which are bounded
 	// by remoteLimit and by a token bucket that fills at remoteRateFraction of the store's
 	// load rate, loadsPerSecond.
@@ -92,6 +98,8 @@
 		wake:        make(chan struct{}, 1),
 		workers:     map[string]*worker{},
 		loading:     map[string]int{},
+		underWay:    map[string]loadUnderWay{},
+		busyUntil:   map[string]time.Time{},
 		retryAt:     map[Need]time.Time{},
 	}
 }
@@ -180,7 +188,8 @@
 // worker of an engine that is gone or leaving stops at once, so that a model that
 // it was loading can be loaded elsewhere.
 func (controller *Controller) syncWorkers(ctx context.Context, fencingToken mimosatide.FencingToken) {
-	if fencingToken != controller.fencingToken {
+	taken := fencingToken != controller.fencingToken
+	if taken {
 		// Another node may have sent orders in the meantime.
 		controller.fencingToken = fencingToken
 		for _, existing := range controller.workers {
@@ -188,6 +197,8 @@
 		}
 		controller.workers = map[string]*worker{}
 		controller.loading = map[string]int{}
+		controller.underWay = map[string]loadUnderWay{}
+		controller.busyUntil = map[string]time.Time{}
 		controller.remoteLoads = 0
 		controller.remoteLimit = newRemoteLoadLimit()
 		controller.remoteTokens = 0
@@ -210,6 +221,9 @@
 			delete(controller.workers, id)
 		}
 	}
+	if taken {
+		controller.adoptProgress(time.Now())
+	}
 }
 
 func (controller *Controller) newWorker(ctx context.Context, instance mimosatide.Instance) *worker {
@@ -241,7 +255,14 @@
 	}
 	controller.remoteTokensAt = now
 	controller.loadsPerSecond = class.LoadsPerSecond
-	return min(int(controller.remoteTokens), controller.remoteLimit.current-controller.remoteLoads)
+	// The engines that carry out orders of an earlier holder may load from the weight store.
+	underWay := controller.remoteLoads
+	for _, worker := range controller.workers {
+		if worker.isBusy() {
+			underWay++
+		}
+	}
+	return min(int(controller.remoteTokens), controller.remoteLimit.current-underWay)
 }
 
 // start carries out a step in the background, unless its engine is gone or occupied.
@@ -252,6 +273,7 @@
 	}
 	fencingToken := controller.fencingToken
 	controller.loading[step.Model]++
+	controller.underWay[step.Instance] = loadUnderWay{Step: step, begun: time.Now()}
 	remote := step.Tier == mimosatide.TierRemote
 	atLimit := false
 	if remote {
@@ -274,6 +296,12 @@
 	}()
 }
 
+// loadUnderWay is a step under way.
+type loadUnderWay struct {
+	Step
+	begun time.Time
+}
+
 // finishedStep is a step that is no longer under way.
 type finishedStep struct {
 	Step
@@ -297,6 +325,7 @@
 	if controller.fencingToken != fencingToken {
 		return
 	}
+	delete(controller.underWay, step.Instance)
 	if controller.loading[step.Model] > 0 {
 		controller.loading[step.Model]--
 	}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -139,7 +139,9 @@
 	return min(replicaThresholdBase+replicaThresholdSpread/float64(max(len(planner.Engines), 1)), replicaThresholdMax)
 }
 
-// missing returns the models that requests wait for and that have no replica.
+// missing returns the models that requests wait for and that have no replica, the one that
+// has been waited for longest first: another order keeps some models from ever being loaded
+// while the weight store is busy.
 func (planner *planner) missing() []string {
 	var models []string
 	for name, demand := range planner.Demand {
@@ -147,7 +149,13 @@
 			models = append(models, name)
 		}
 	}
-	sort.Strings(models)
+	sort.Slice(models, func(i, j int) bool {
+		first, second := planner.Demand[models[i]].Waited, planner.Demand[models[j]].Waited
+		if first != second {
+			return first > second
+		}
+		return models[i] < models[j]
+	})
 	return models
 }
 
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -86,6 +86,8 @@
 	placedAt time.Time
 	// backoffAt is when the engine last did not answer or was found busy.
 	backoffAt time.Time
+	// busy says that the engine carries out an order that this worker did not send.
+	busy bool
 }
 
 // view returns the known state of the engine, whether it is occupied or left out
@@ -95,7 +97,37 @@
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	backingOff := time.Since(worker.backoffAt) < engineBackoff
-	return worker.known, worker.occupied || backingOff || paused, worker.placedAt
+	return worker.known, worker.occupied || worker.busy || backingOff || paused, worker.placedAt
+}
+
+// isBusy reports whether the engine carries out an order that this worker did not send.
+func (worker *worker) isBusy() bool {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	return worker.busy
+}
+
+// awaitIdle leaves the engine out of plans until its report says that it carries out no
+// order. It returns at once.
+func (worker *worker) awaitIdle() {
+	worker.lock.Lock()
+	waiting := worker.busy
+	worker.busy = true
+	worker.lock.Unlock()
+	if waiting {
+		return
+	}
+	go func() {
+		for sleep(worker.ctx, engineBackoff); worker.ctx.Err() == nil; sleep(worker.ctx, engineBackoff) {
+			report, err := worker.report(worker.ctx)
+			if err == nil && !report.Busy {
+				break
+			}
+		}
+		worker.lock.Lock()
+		defer worker.lock.Unlock()
+		worker.busy, worker.synced = false, false
+	}()
 }
 
 // claim marks the engine as occupied. It reports false if it already was.
@@ -329,7 +361,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if report.Busy || report.Orders < worker.current().Orders {
+	if report.Busy {
+		worker.awaitIdle()
+		return errors.Annotate(errBusy, worker.instance.ID)
+	}
+	if report.Orders < worker.current().Orders {
 		worker.backOff()
 		return errors.Annotate(errBusy, worker.instance.ID)
 	}
