--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// TestLongestWaitingModelIsLoadedFirst guards against models that are never loaded while the
+// weight store is busy, because of their names.
+func TestLongestWaitingModelIsLoadedFirst(t *testing.T) {
+	engines := []loading.Engine{engine("e0"), engine("e1")}
+	demand := map[string]loading.ModelDemand{
+		"m0": {Waiting: true, Waited: 100 * time.Millisecond},
+		"m3": {Waiting: true, Waited: 900 * time.Millisecond},
+	}
+	if steps := loading.Plan(snapshot(engines, demand)); len(steps) != 1 || steps[0].Model != "m3" {
+		t.Errorf("got steps %+v, want one that loads m3", steps)
+	}
+}
+
 func TestPlanStartsNoMoreRemoteLoadsThanAllowed(t *testing.T) {
 	engines := []loading.Engine{engine("e0"), engine("e1"), engine("e2")}
 	demand := map[string]loading.ModelDemand{"m0": waiting, "m1": waiting, "m2": waiting}
