Begin with two loads at once, and time relays' polls by the time a configuration may take

Loads at once: with three, a store that serves two needed 12 s for each instead of 8, longer than most callers wait; the limit rises within two loads where the store serves more.

Polls: the interval of 0.5 s and the staleness of 1.3 s were fitted to a bound of three seconds; they now follow from the setting, so that a deployment with relays and a bound of two seconds is kept too.

--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -16,18 +16,17 @@
 	maxDirectHosts = 20
 	// relayBatchDelay is how long a relay collects digests before it forwards them.
 	relayBatchDelay = 100 * time.Millisecond
-	// relayPollWait is how long the store may hold a relay's poll open.
-	relayPollWait = 500 * time.Millisecond
+	// relayPollsPerSpread is how many polls of a relay fit into the time in which a
+	// configuration has to be in force.
+	relayPollsPerSpread = 6
 	// watchPollWait is how long the store may hold a poll of the configuration open at the
 	// node that watches the store for a small fleet.
 	watchPollWait = 500 * time.Millisecond
 	// watchStartDelay is how long a node that has started doesn't take itself for the first
 	// one: it has heard of no other one yet, and at a start of the fleet nor have they.
 	watchStartDelay = time.Second
-	// relayMaxStaleness is how old a relay's copy of the configuration may be: two polls
-	// and some slack. A zone whose relay has lost the store then calls the store itself
-	// within two of the three seconds in which a configuration has to be in force.
-	relayMaxStaleness = 2*relayPollWait + 300*time.Millisecond
+	// relayForwardTime is how long an answer of the store takes through a relay, with slack.
+	relayForwardTime = 300 * time.Millisecond
 	// relayExpectTime is how long after its start a node relies on a relay that it has not
 	// heard: the relay may have started at the same time.
 	relayExpectTime = 2 * time.Second
@@ -38,6 +37,18 @@
 	storeOutageAfter = 1500 * time.Millisecond
 )
 
+// relayPollWait returns how long the store may hold a relay's poll open.
+func (fleet *fleet) relayPollWait() time.Duration {
+	return fleet.node.settings.Bounds.ConfigurationSpread / relayPollsPerSpread
+}
+
+// relayMaxStaleness returns how old a relay's copy of the configuration may be: two polls and
+// their way. A zone whose relay has lost the store then calls the store itself within half of
+// the time in which a configuration has to be in force.
+func (fleet *fleet) relayMaxStaleness() time.Duration {
+	return 2*fleet.relayPollWait() + relayForwardTime
+}
+
 // usesRelays reports whether the fleet is large enough to send digests and changes through relays.
 func (fleet *fleet) usesRelays() bool {
 	fleet.lock.Lock()
@@ -237,7 +248,7 @@
 	}
 	if fleet.usesRelays() {
 		if fleet.IsRelay() {
-			return relayPollWait
+			return fleet.relayPollWait()
 		}
 		return 0
 	}
@@ -272,7 +283,7 @@
 		return false
 	}
 	configuration := fleet.node.followers[platform.ConfigurationTable].State()
-	if (bootClock{}).Now()-configuration.CurrentAt > relayMaxStaleness {
+	if (bootClock{}).Now()-configuration.CurrentAt > fleet.relayMaxStaleness() {
 		return false
 	}
 	for _, follower := range fleet.node.followers {
--- a/internal/loading/remote_load_limit.go
+++ b/internal/loading/remote_load_limit.go
@@ -8,7 +8,7 @@
 // The weight store serves a number of concurrent loads at full speed that it does
 // not publish; beyond that number all loads slow down in proportion.
 const (
-	initialRemoteLoads = 3
+	initialRemoteLoads = 2
 	// A load that takes more than slowLoadRatio times its expected time shows that the
 	// store had too many loads at once; one that takes less than normalLoadRatio times
 	// its expected time shows that it did not.
