Send holdings reports together, and only the totals that have changed

Each digest of a neighbour held the totals of all 40 accounts and cost three to four readings of the clock that counts suspension, which is a system call.

Change: batches that reports cause are 25 ms apart at least; a digest names the totals that changed in the last four, and all of them every fifteenth time; versions that a copy has cost no further check, and the clock is read once for a batch. A peer that was out of reach starts anew, so that what it spent meanwhile stays covered by the share left to it.

TestChangeCostsNoMoreThanItsSize failed once beside other tests: its relay read the first change with the table (row 27 in its first line), so that there was none to forward; the test now waits until the relay serves the version before.

--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -83,18 +83,23 @@
 	// incarnation changes when the peer restarts; its totals then start again from zero.
 	incarnation uint64
 	spent       map[string]float64
+	// complete says that an account without a total in spent has spent nothing. Otherwise its
+	// first total holds what was spent before this node heard of the peer.
+	complete bool
 }
 
-// apply takes running totals and returns by how much each has changed. Totals fall when
-// tokens are returned.
-func (known *peer) apply(spent map[string]float64) map[string]float64 {
+// apply takes running totals, of all accounts if complete is set, and returns by how much
+// each has changed. Totals fall when tokens are returned.
+func (known *peer) apply(spent map[string]float64, complete bool) map[string]float64 {
 	changes := map[string]float64{}
 	for account, total := range spent {
-		if change := total - known.spent[account]; change != 0 {
+		before, found := known.spent[account]
+		if change := total - before; change != 0 && (found || known.complete) {
 			changes[account] = change
 		}
 		known.spent[account] = total
 	}
+	known.complete = known.complete || complete
 	return changes
 }
 
@@ -144,9 +149,10 @@
 }
 
 // ApplyPeerTotals debits what a peer has spent since its last report. spent holds the
-// peer's running totals in tokens by account. Messages from unknown peers and from earlier
+// peer's running totals in tokens by account, of all accounts if complete is set, otherwise
+// at least of those that have changed. Messages from unknown peers and from earlier
 // processes of a peer are ignored.
-func (ledger *Ledger) ApplyPeerTotals(name string, incarnation uint64, spent map[string]float64, now time.Time) {
+func (ledger *Ledger) ApplyPeerTotals(name string, incarnation uint64, spent map[string]float64, complete bool, now time.Time) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	known, found := ledger.peers[name]
@@ -154,14 +160,20 @@
 		return
 	}
 	if known.incarnation != incarnation {
+		// The totals of a process that this node has seen the last one of start from zero.
+		known.complete = known.incarnation != 0
 		known.incarnation = incarnation
 		known.spent = map[string]float64{}
 	}
-	// What a peer spent while it was unreachable came out of the share left to it.
+	// What a peer spent while it was unreachable came out of the share left to it, also of
+	// accounts that this report leaves out.
 	covered := known.unreachable
+	if covered {
+		known.spent, known.complete = map[string]float64{}, false
+	}
 	known.unreachable = false
 	known.lastSeen = now
-	changes := known.apply(spent)
+	changes := known.apply(spent, complete)
 	if !covered {
 		ledger.debit(changes)
 	}
--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -38,15 +38,15 @@
 func TestPeerSpendingIsDebitedOnce(t *testing.T) {
 	ledger := allowance.New(true)
 	ledger.SetPeers([]string{"b"}, nil, 200*time.Millisecond)
-	ledger.ApplyPeerTotals("b", 1, nil, start)
+	ledger.ApplyPeerTotals("b", 1, nil, true, start)
 	ledger.Spend("a", limit, 0, start)
 	for range 3 {
-		ledger.ApplyPeerTotals("b", 1, map[string]float64{"a": 400}, start)
+		ledger.ApplyPeerTotals("b", 1, map[string]float64{"a": 400}, true, start)
 	}
 	if verdict := ledger.Spend("a", limit, 0, start); verdict.Level != 100 {
 		t.Errorf("got level %v after a peer reported 400 of 500 tokens three times, want 100", verdict.Level)
 	}
-	ledger.ApplyPeerTotals("b", 2, map[string]float64{"a": 50}, start)
+	ledger.ApplyPeerTotals("b", 2, map[string]float64{"a": 50}, true, start)
 	if verdict := ledger.Spend("a", limit, 0, start); verdict.Level != 50 {
 		t.Errorf("got level %v after the restarted peer reported 50 tokens, want 50", verdict.Level)
 	}
@@ -102,7 +102,7 @@
 				for from, ledger := range ledgers {
 					for to, other := range ledgers {
 						if from != to && group[from] == group[to] {
-							other.ApplyPeerTotals(names[from], 1, ledger.Spent(), at)
+							other.ApplyPeerTotals(names[from], 1, ledger.Spent(), true, at)
 						}
 					}
 				}
@@ -162,7 +162,7 @@
 			}
 			for to, other := range ledgers {
 				if to != from {
-					other.ApplyPeerTotals(names[from], 1, ledger.Spent(), at)
+					other.ApplyPeerTotals(names[from], 1, ledger.Spent(), true, at)
 				}
 			}
 			ledger.MarkReported()
@@ -195,11 +195,11 @@
 		ledger.SetAccounts(map[string]allowance.Limit{"a": limit}, start)
 		now, spent := start, 0.0
 		for range 10 * seconds {
-			ledger.ApplyPeerTotals("b", 1, map[string]float64{"a": spent}, now)
+			ledger.ApplyPeerTotals("b", 1, map[string]float64{"a": spent}, true, now)
 			now = now.Add(100 * time.Millisecond)
 			spent += 80
 		}
-		ledger.ApplyPeerTotals("b", 1, map[string]float64{"a": spent}, now)
+		ledger.ApplyPeerTotals("b", 1, map[string]float64{"a": spent}, true, now)
 		verdict := ledger.Spend("a", limit, 0, now)
 		if want := min(200*float64(seconds), limit.Burst); verdict.Level < want-1 || verdict.Level > want+1 {
 			t.Errorf("got level %v after %d s at 1000 tokens/s of which a peer spent 800, want 200 per second up to the burst", verdict.Level, seconds)
@@ -247,7 +247,7 @@
 	ledger.SetPeers([]string{"n2"}, map[string]int{"b": 6}, 300*time.Millisecond)
 	source := allowance.Source{Node: "n1", Incarnation: 1}
 	fraction := func(now time.Time) float64 {
-		ledger.ApplyPeerTotals("n2", 1, nil, now)
+		ledger.ApplyPeerTotals("n2", 1, nil, true, now)
 		return ledger.Spend("a", limit, 0, now).Fraction
 	}
 	if got := fraction(start); got != 0.25 {
@@ -261,3 +261,38 @@
 		t.Errorf("zone silent for 2s: got fraction %v, want 0.25", got)
 	}
 }
+
+// TestTotalsThatAreLeftOutAreDebitedOnce has a peer leave out totals that have not changed
+// recently, before this node has its complete ones, after them, and after a time out of reach.
+func TestTotalsThatAreLeftOutAreDebitedOnce(t *testing.T) {
+	ledger := allowance.New(true)
+	ledger.SetPeers([]string{"b"}, nil, 200*time.Millisecond)
+	level := func(now time.Time) float64 {
+		return math.Round(ledger.Spend("a", allowance.Limit{Rate: 1e-9, Burst: 500}, 0, now).Level)
+	}
+	now := start
+	for index, step := range []struct {
+		spent    map[string]float64
+		complete bool
+		pause    time.Duration
+		want     float64
+	}{
+		{spent: nil, want: 500},
+		{spent: map[string]float64{"a": 9000}, want: 500}, // Most of it before this node heard of the peer.
+		{spent: map[string]float64{"a": 9020}, want: 480},
+		{spent: nil, complete: true, want: 480},
+		{spent: map[string]float64{"a": 9050}, want: 450},
+		{spent: nil, pause: 5 * time.Second, want: 250}, // Half of the burst is left to the peer.
+		{spent: map[string]float64{"a": 9400}, want: 250},
+		{spent: map[string]float64{"a": 9410}, complete: true, want: 240},
+	} {
+		now = now.Add(100*time.Millisecond + step.pause)
+		if step.pause > 0 {
+			level(now)
+		}
+		ledger.ApplyPeerTotals("b", 1, step.spent, step.complete, now)
+		if got := level(now); got != step.want {
+			t.Errorf("step %d: got level %v, want %v", index, got, step.want)
+		}
+	}
+}
--- a/internal/allowance/zone.go
+++ b/internal/allowance/zone.go
@@ -62,14 +62,14 @@
 	reported, found := known.sources[source]
 	if !found {
 		reported = &zoneSource{peer: peer{spent: map[string]float64{}}, basedAt: now}
-		reported.apply(spent)
+		reported.apply(spent, true)
 		known.sources[source] = reported
 	}
 	followed := known.sources[known.followed]
 	if followed != nil && followed != reported {
 		// What the followed source has reported since is debited already.
 		if !followed.lastSeen.Before(reported.basedAt) {
-			reported.apply(spent)
+			reported.apply(spent, true)
 			reported.basedAt = now
 		}
 		if now.Sub(followed.lastSeen) < sourceTimeout {
@@ -82,7 +82,7 @@
 	covered := known.unreachable
 	known.unreachable = false
 	reported.lastSeen = now
-	if changes := reported.apply(spent); !covered {
+	if changes := reported.apply(spent, true); !covered {
 		ledger.debit(changes)
 	}
 	for other, last := range known.sources {
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -26,6 +26,10 @@
 	idleDigestFactor = 2
 	// loadLifetimeDigests is the number of digest intervals for which a host's reported loads count.
 	loadLifetimeDigests = 4
+	// recentSpentDigests is how many digests name a total that has changed, as some may be
+	// lost; each of completeSpentDigests names all totals.
+	recentSpentDigests   = 4
+	completeSpentDigests = 15
 	// loadLifetime is that time in a fleet with relays.
 	loadLifetime = loadLifetimeDigests * (digestInterval + relayBatchDelay)
 	// joinInterval is the time between two attempts to join the list of hosts.
@@ -88,8 +92,11 @@
 	// joined is true while this node's own row is on the list.
 	joined          bool
 	rowsRequestedAt time.Time
-	// lastSpent holds the totals of spent tokens in this node's last digest.
+	// lastSpent holds the totals of spent tokens at this node's last digest, spentAt the
+	// number of the digest with which each last changed; digests counts the digests.
 	lastSpent map[string]float64
+	spentAt   map[string]int
+	digests   int
 
 	// watching is true while this node's polls of the configuration are kept short for the
 	// whole fleet.
@@ -110,13 +117,15 @@
 	// relayChanged is closed when the relay starts or stops forwarding changes to this node.
 	relayChanged chan struct{}
 	// zoneBatch and remoteBatch are what this node as a relay has collected for its
-	// own zone and for the other zones; flushTimer, if there is one, will send them at flushAt.
+	// own zone and for the other zones; flushTimer, if there is one, will send them at
+	// flushAt; flushedAt is when the last ones were sent.
 	// summaryDue is true if there were digests of the zone since, summaryActive if one of them
 	// was not idle.
 	zoneBatch     gossip.Batch
 	remoteBatch   gossip.Batch
 	flushTimer    *time.Timer
 	flushAt       time.Time
+	flushedAt     time.Time
 	summaryDue    bool
 	summaryActive bool
 }
@@ -127,6 +136,7 @@
 		startedAt:   time.Now(),
 		members:     map[string]*member{},
 		lastSpent:   map[string]float64{},
+		spentAt:     map[string]int{},
 		silentUntil: map[string]time.Time{},
 		tally:       zone.New(platform.ConfigurationTable, loadLifetime),
 		zones:       map[string]zoneState{},
@@ -355,20 +365,38 @@
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
+	fleet.digests++
 	for account, total := range spent {
 		if total != fleet.lastSpent[account] {
 			news = true
+			fleet.spentAt[account] = fleet.digests
 		}
 	}
-	digest.Spent = spent
 	fleet.lastSpent = spent
+	digest.Spent, digest.RecentSpent = fleet.recentSpentLocked(spent)
 	digest.Idle = !news
 	// The hosts of a zone take a relay that is silent for longer for a dead one.
 	return digest, news || digest.RelaysTables
 }
 
-// handleDigest applies another host's digest; from is its peer address.
-func (fleet *fleet) handleDigest(from string, digest gossip.Digest, now time.Time) {
+// recentSpentLocked leaves out the totals that have not changed in the last recentSpentDigests
+// digests, but for each of completeSpentDigests. It reports whether it did.
+func (fleet *fleet) recentSpentLocked(spent map[string]float64) (map[string]float64, bool) {
+	if fleet.digests%completeSpentDigests == 1 {
+		return spent, false
+	}
+	recent := map[string]float64{}
+	for account, total := range spent {
+		if fleet.digests-fleet.spentAt[account] < recentSpentDigests {
+			recent[account] = total
+		}
+	}
+	return recent, true
+}
+
+// handleDigest applies another host's digest; from is its peer address, now and clock are the
+// time and the reading of the node's clock at which it arrived.
+func (fleet *fleet) handleDigest(from string, digest gossip.Digest, now time.Time, clock time.Duration) {
 	node := fleet.node
 	fleet.lock.Lock()
 	if known, found := fleet.members[digest.Node]; found {
@@ -381,7 +409,7 @@
 	}
 	fleet.lock.Unlock()
 	if !digest.Partial {
-		node.ledger.ApplyPeerTotals(digest.Node, digest.Incarnation, digest.Spent, now)
+		node.ledger.ApplyPeerTotals(digest.Node, digest.Incarnation, digest.Spent, !digest.RecentSpent, now)
 		node.tracker.SetPeerLoads(digest.Node, decodeLoads(digest.Loads), now.Add(loadLifetimeDigests*fleet.maxDigestAge()))
 	}
 	node.loader.handleOwnerships(from, digest.Ownerships, now)
@@ -390,7 +418,7 @@
 		node.quarantine.Apply(digest.Quarantine.Report(), now)
 	}
 	if digest.ConfigurationAgeMillis > 0 {
-		confirmedAt := bootClock{}.Now() - time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond
+		confirmedAt := clock - time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond
 		node.followers[platform.ConfigurationTable].Confirm(
 			mimosatide.RowVersion(digest.Tables[platform.ConfigurationTable]), confirmedAt)
 	}
@@ -433,19 +461,20 @@
 // not answer this node, its answers don't bring the changes that the peer knows, or the
 // peer is the relay that forwards changes to this node.
 func (fleet *fleet) requestNewerRows(from string, tables map[string]uint64, now time.Time) {
-	// Use the relay as last chosen: choosing again for each of hundreds of digests costs too much.
-	fleet.lock.Lock()
-	relayAddress := fleet.relayAddress
-	fleet.lock.Unlock()
 	for table, changed := range tables {
 		follower, found := fleet.node.followers[table]
-		if !found {
+		if !found || follower.Knows(mimosatide.RowVersion(changed)) {
+			// Nearly all digests name known versions: they cost no further check.
 			continue
 		}
 		behind := follower.ObserveVersion(from, mimosatide.RowVersion(changed))
 		state := follower.State()
+		// Use the relay as last chosen: choosing again for each of hundreds of digests costs too much.
+		fleet.lock.Lock()
+		relayAddress := fleet.relayAddress
+		fleet.lock.Unlock()
 		relayed := relayAddress == from && fleet.ReceivesFromRelay(table)
-		if state.Healthy && !relayed && !behind || uint64(state.LastChange) >= changed {
+		if state.Healthy && !relayed && !behind {
 			continue
 		}
 		fleet.lock.Lock()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -333,7 +333,7 @@
 	node.fleet.chooser.MessageReceived(from, now)
 	switch message := message.(type) {
 	case gossip.Digest:
-		node.fleet.handleDigest(from, message, now)
+		node.fleet.handleDigest(from, message, now, bootClock{}.Now())
 	case gossip.Usage:
 		node.loader.handleUsage(message, now)
 	case gossip.Need:
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -16,6 +16,9 @@
 	maxDirectHosts = 20
 	// relayBatchDelay is how long a relay collects digests before it forwards them.
 	relayBatchDelay = 100 * time.Millisecond
+	// reportSpacing is the least time between two batches of a relay that holdings reports
+	// cause: a busy owner publishes hundreds a second, and each batch wakes every host.
+	reportSpacing = 25 * time.Millisecond
 	// relayPollsPerSpread is how many polls of a relay fit into the time in which a
 	// configuration has to be in force.
 	relayPollsPerSpread = 6
@@ -123,16 +126,20 @@
 }
 
 // addToBatch adds messages to the next batch, which is sent within delay. Holdings reports
-// are sent immediately, with all that has been collected, because requests wait for what
-// targets hold.
+// are sent with all that has been collected as soon as reportSpacing allows, because requests
+// wait for what targets hold.
 func (fleet *fleet) addToBatch(batch gossip.Batch, reach gossip.Reach, delay time.Duration) {
 	fleet.lock.Lock()
 	fleet.zoneBatch = fleet.zoneBatch.With(batch)
 	if reach == gossip.ReachAll {
 		fleet.remoteBatch = fleet.remoteBatch.With(fleet.summarizeLocked(batch))
 	}
-	urgent := len(batch.HoldingsReports) > 0
-	if flushAt := time.Now().Add(delay); !urgent && (fleet.flushTimer == nil || flushAt.Before(fleet.flushAt)) {
+	now := time.Now()
+	if len(batch.HoldingsReports) > 0 {
+		delay = min(delay, max(fleet.flushedAt.Add(reportSpacing).Sub(now), 0))
+	}
+	urgent := delay == 0
+	if flushAt := now.Add(delay); !urgent && (fleet.flushTimer == nil || flushAt.Before(fleet.flushAt)) {
 		fleet.stopFlushTimerLocked()
 		fleet.flushTimer, fleet.flushAt = time.AfterFunc(delay, fleet.flush), flushAt
 	}
@@ -159,6 +166,7 @@
 	}
 	fleet.zoneBatch, fleet.remoteBatch, fleet.summaryDue, fleet.summaryActive = gossip.Batch{}, gossip.Batch{}, false, false
 	fleet.stopFlushTimerLocked()
+	fleet.flushedAt = now
 	fleet.lock.Unlock()
 	if !zoneBatch.Empty() {
 		zoneBatch.Reach = gossip.ReachSelf
@@ -195,6 +203,7 @@
 // from is the peer address of the relay. Of a host that is not on the list only the
 // versions of its tables count: this node's own list may be the one that is out of date.
 func (fleet *fleet) handleBatch(from string, batch gossip.Batch, now time.Time) {
+	clock := bootClock{}.Now()
 	for _, digest := range batch.Digests {
 		fleet.lock.Lock()
 		known, found := fleet.members[digest.Node]
@@ -207,7 +216,7 @@
 			fleet.tally.Add(digest, now)
 		}
 		if found {
-			fleet.handleDigest(address, digest, now)
+			fleet.handleDigest(address, digest, now, clock)
 		} else if digest.Node != fleet.node.settings.Node {
 			fleet.requestNewerRows(from, digest.Tables, now)
 		}
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -245,6 +245,44 @@
 	}
 }
 
+// TestRelaySendsReportsOfABusyOwnerTogether guards against a relay that wakes every host of its
+// zone for each of hundreds of holdings reports a second.
+func TestRelaySendsReportsOfABusyOwnerTogether(t *testing.T) {
+	const reports = 300
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	var batches, received atomic.Int64
+	host := startHub(t, func(message any) {
+		batch, _ := message.(gossip.Batch)
+		batches.Add(1)
+		received.Add(int64(len(batch.HoldingsReports)))
+	})
+	putHost(t, store, "a-09", host.address)
+	for index := range fleetSize {
+		// Nothing listens at the addresses of the other hosts.
+		putHost(t, store, fmt.Sprintf("a-%02d", index+10), fmt.Sprintf("127.0.2.%d:1", index+1))
+	}
+	relay := startNodeIn(t, "a", "a-00", "127.0.1.1", store)
+	eventually(t, "a 200 answer", func() bool { return relay.request("k1") == http.StatusOK })
+	owner := startHub(t, func(any) {})
+	report := gossip.HoldingsReport{Instance: "e-1", Born: 1}
+	eventually(t, "a report at the host", func() bool {
+		owner.hub.Send(relay.peers, gossip.Batch{Reach: gossip.ReachAll, HoldingsReports: []gossip.HoldingsReport{report}})
+		return received.Load() > 0
+	})
+	batches.Store(0)
+	received.Store(0)
+	for range reports {
+		owner.hub.Send(relay.peers, gossip.Batch{Reach: gossip.ReachAll, HoldingsReports: []gossip.HoldingsReport{report}})
+		time.Sleep(2 * time.Millisecond)
+	}
+	eventually(t, "all reports at the host", func() bool { return received.Load() >= reports })
+	if got := batches.Load(); got > reports/2 {
+		t.Errorf("got %d batches with %d reports, want at most half as many", got, reports)
+	}
+}
+
 // countingCodec counts the bytes of the changes of the configuration that it decodes.
 type countingCodec struct {
 	gossip.Codec
@@ -285,6 +323,8 @@
 		putHost(t, store, fmt.Sprintf("a-%02d", index+10), fmt.Sprintf("127.0.2.%d:1", index+1))
 	}
 	relay := startNodeIn(t, "a", "a-00", "127.0.1.1", store)
+	// Otherwise the relay may read the first change with the table, and has none to forward.
+	eventually(t, "version 1", func() bool { return relay.request("k1") == http.StatusOK })
 	version := 1
 	change := func(routes int) int64 {
 		version++
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -290,6 +290,13 @@
 	return follower.state.Healthy && time.Since(follower.recoveredAt) > steadyAfter
 }
 
+// Knows reports whether the copy has the change with the given version.
+func (follower *Follower) Knows(version mimosatide.RowVersion) bool {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	return version <= follower.state.LastChange
+}
+
 // ObserveVersion takes the version of the newest change that a peer knows. A poll that has
 // not returned such a change within silentPollDelay is replaced. ObserveVersion returns
 // true if the copy still lacks the change after twice that time: the caller should then
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -26,7 +26,8 @@
 	Node string `cbor:"1,keyasint"`
 	// Incarnation distinguishes the node's process from earlier ones of the same name.
 	Incarnation uint64 `cbor:"2,keyasint"`
-	// Spent holds the node's running totals of spent tokens by account.
+	// Spent holds the node's running totals of spent tokens by account, of all accounts unless
+	// RecentSpent is set.
 	Spent map[string]float64 `cbor:"3,keyasint,omitempty"`
 	// Loads holds the node's load by target.
 	Loads map[string]Load `cbor:"4,keyasint,omitempty"`
@@ -59,6 +60,8 @@
 	Partial bool `cbor:"16,keyasint,omitempty"`
 	// Idle says that the digest holds nothing that other nodes wait for.
 	Idle bool `cbor:"17,keyasint,omitempty"`
+	// RecentSpent says that Spent holds only the totals that have changed in the last digests.
+	RecentSpent bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Events returns the part of the digest that no Summary of the node's zone holds, and whether
--- a/internal/zone/tally.go
+++ b/internal/zone/tally.go
@@ -26,6 +26,10 @@
 type report struct {
 	digest gossip.Digest
 	at     time.Time
+	// spent holds the host's totals by account. An account without one has spent nothing if
+	// complete is set; otherwise its first total holds what was spent before this tally.
+	spent    map[string]float64
+	complete bool
 }
 
 // Tally holds the last digests of a zone's hosts and the zone's running totals. It is
@@ -53,22 +57,23 @@
 func (tally *Tally) Add(digest gossip.Digest, now time.Time) {
 	tally.lock.Lock()
 	defer tally.lock.Unlock()
-	before, known := tally.reports[digest.Node]
-	if known && digest.Incarnation < before.digest.Incarnation {
+	last, known := tally.reports[digest.Node]
+	if known && digest.Incarnation < last.digest.Incarnation {
 		return
 	}
-	tally.reports[digest.Node] = report{digest: digest, at: now}
-	if !known {
-		// What the host spent before is part of no total of this tally.
-		return
+	if !known || digest.Incarnation != last.digest.Incarnation {
+		// Of a restarted host the last process is known, so that all totals start from zero.
+		last = report{spent: map[string]float64{}, complete: known}
 	}
-	restarted := digest.Incarnation != before.digest.Incarnation
 	for account, total := range digest.Spent {
-		if !restarted {
-			total -= before.digest.Spent[account]
+		before, found := last.spent[account]
+		if found || last.complete {
+			tally.spent[account] += total - before
 		}
-		tally.spent[account] += total
+		last.spent[account] = total
 	}
+	last.digest, last.at, last.complete = digest, now, last.complete || !digest.RecentSpent
+	tally.reports[digest.Node] = last
 }
 
 // Summary returns the state of the zone. The caller sets who makes it.
--- a/internal/zone/tally_test.go
+++ b/internal/zone/tally_test.go
@@ -121,3 +121,20 @@
 		}
 	}
 }
+
+// TestTotalsThatAreLeftOutCountOnce has a host leave out totals that have not changed recently,
+// before this tally has its complete ones and after.
+func TestTotalsThatAreLeftOutCountOnce(t *testing.T) {
+	tally := zone.New("configurations", lifetime)
+	recent := func(spent map[string]float64) gossip.Digest {
+		return gossip.Digest{Node: "n1", Incarnation: 1, Spent: spent, RecentSpent: true}
+	}
+	tally.Add(recent(nil), start)
+	tally.Add(recent(map[string]float64{"a": 500}), start)
+	tally.Add(recent(map[string]float64{"a": 520}), start)
+	tally.Add(digest("n1", 1, 520), start)
+	tally.Add(recent(map[string]float64{"b": 30}), start)
+	if got := tally.Summary(start).Spent; got["a"] != 20 || got["b"] != 30 {
+		t.Errorf("got totals %v, want 20 of a, whose 500 were spent before, and 30 of b", got)
+	}
+}
