Keep the sums of the peers' loads

Cause: a choice of a target added up the loads that all peers report, for each candidate: with the 294 peers of the large site a choice among 160 engines took 2 ms, on machines with a fifth of a core.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -72,6 +72,12 @@
 	}
 }
 
+func (load Load) minus(less Load) Load {
+	return load.plus(Load{
+		Running: -less.Running, Prefill: -less.Prefill, LongPrefills: -less.LongPrefills, Deferred: -less.Deferred,
+	})
+}
+
 // targetState is what this node knows of one target from its own requests.
 type targetState struct {
 	load Load
@@ -100,6 +106,11 @@
 	lock    sync.Mutex
 	targets map[string]*targetState
 	peers   map[string]peerLoad
+	// peerSums holds the loads of all peers together by target, so that a choice among hundreds
+	// of targets doesn't add up those of hundreds of peers; expiry is when the first of them
+	// is to be left out.
+	peerSums map[string]Load
+	expiry   time.Time
 	// pauses holds, by target, how long it wants no requests from this node.
 	pauses map[string]pause
 	// exhausted holds, by target, how long its limit allows this node no requests.
@@ -108,7 +119,7 @@
 
 // New returns a tracker for a node in the given zone.
 func New(zone string) *Tracker {
-	return &Tracker{zone: zone, targets: map[string]*targetState{}, peers: map[string]peerLoad{}, pauses: map[string]pause{}, exhausted: map[string]pause{}}
+	return &Tracker{zone: zone, targets: map[string]*targetState{}, peers: map[string]peerLoad{}, peerSums: map[string]Load{}, pauses: map[string]pause{}, exhausted: map[string]pause{}}
 }
 
 // SetPeerLoads replaces the loads reported by another node, by target id. They are
@@ -116,7 +127,42 @@
 func (tracker *Tracker) SetPeerLoads(node string, loads map[string]Load, until time.Time) {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
+	tracker.removePeer(node)
 	tracker.peers[node] = peerLoad{until: until, loads: loads}
+	for id, load := range loads {
+		tracker.peerSums[id] = tracker.peerSums[id].plus(load)
+	}
+	if tracker.expiry.IsZero() || until.Before(tracker.expiry) {
+		tracker.expiry = until
+	}
+}
+
+// removePeer leaves a peer's loads out of the sums.
+func (tracker *Tracker) removePeer(node string) {
+	for id, load := range tracker.peers[node].loads {
+		if left := tracker.peerSums[id].minus(load); left != (Load{}) {
+			tracker.peerSums[id] = left
+		} else {
+			delete(tracker.peerSums, id)
+		}
+	}
+	delete(tracker.peers, node)
+}
+
+// expirePeers leaves out the loads that count no longer.
+func (tracker *Tracker) expirePeers(now time.Time) {
+	if tracker.expiry.IsZero() || !now.After(tracker.expiry) {
+		return
+	}
+	tracker.expiry = time.Time{}
+	for node, peer := range tracker.peers {
+		switch {
+		case now.After(peer.until):
+			tracker.removePeer(node)
+		case tracker.expiry.IsZero() || peer.until.Before(tracker.expiry):
+			tracker.expiry = peer.until
+		}
+	}
 }
 
 // Loads returns the load of this node by target id, without idle targets.
@@ -156,13 +202,8 @@
 	if state, found := tracker.targets[id]; found {
 		sum = state.load
 	}
-	for _, peer := range tracker.peers {
-		if now.After(peer.until) {
-			continue
-		}
-		sum = sum.plus(peer.loads[id])
-	}
-	return sum
+	tracker.expirePeers(now)
+	return sum.plus(tracker.peerSums[id])
 }
 
 func (tracker *Tracker) state(id string) *targetState {
