Revert the choice among a sample of targets

The busiest models there have 9 to 12 replicas on engines that they share with other busy models, so that the placement binds, not old loads.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -80,17 +80,8 @@
 	return full
 }
 
-// sampleSize is how many targets a choice compares in a fleet of more than maxComparingHosts.
-// The loads that a node knows of are as old as the digests. If all of hundreds of nodes took
-// the least loaded of all targets, they would take the same one until the next digests.
-const (
-	sampleSize        = 2
-	maxComparingHosts = 20
-)
-
 // Choose returns the candidate with the lowest cost, and that cost. Targets in
-// Query.Tried are skipped while there are others. In a large fleet only the preferred target
-// and a random sample are compared, unless these fail.
+// Query.Tried are skipped while there are others.
 // The last result is false if there is no candidate.
 func (tracker *Tracker) Choose(
 	query Query, candidates []mimosatide.Instance, now time.Time,
@@ -99,29 +90,16 @@
 	defer tracker.lock.Unlock()
 	preferred := rendezvousTarget(query.affinityKey(), candidates)
 	untried := slices.ContainsFunc(candidates, func(candidate mimosatide.Instance) bool { return !query.Tried[candidate.ID] })
-	considered := func(candidate mimosatide.Instance) bool { return !untried || !query.Tried[candidate.ID] }
 	best, least := -1, time.Duration(0)
-	consider := func(index int) {
-		if !considered(candidates[index]) {
-			return
+	for index, candidate := range candidates {
+		if untried && query.Tried[candidate.ID] {
+			continue
 		}
-		if cost := tracker.cost(query, candidates[index], candidates[index].ID == preferred, now); best < 0 || cost < least {
+		cost := tracker.cost(query, candidate, candidate.ID == preferred, now)
+		if best < 0 || cost < least {
 			best, least = index, cost
 		}
 	}
-	if query.Engine && tracker.hosts > maxComparingHosts && len(candidates) > sampleSize {
-		for range sampleSize {
-			consider(tracker.random(len(candidates)))
-		}
-		if index := slices.IndexFunc(candidates, func(candidate mimosatide.Instance) bool { return candidate.ID == preferred }); index >= 0 {
-			consider(index)
-		}
-	}
-	if best < 0 || least >= failureCost {
-		for index := range candidates {
-			consider(index)
-		}
-	}
 	if best < 0 {
 		return mimosatide.Instance{}, 0, false
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -16,7 +16,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -112,10 +111,6 @@
 	// is to be left out.
 	peerSums map[string]Load
 	expiry   time.Time
-	// hosts is the number of nodes that choose among the same targets.
-	hosts int
-	// random returns a random number below its argument.
-	random func(limit int) int
 	// pauses holds, by target, how long it wants no requests from this node.
 	pauses map[string]pause
 	// exhausted holds, by target, how long its limit allows this node no requests.
@@ -124,17 +119,7 @@
 
 // New returns a tracker for a node in the given zone.
 func New(zone string) *Tracker {
-	return &Tracker{
-		zone: zone, random: rand.IntN, targets: map[string]*targetState{}, peers: map[string]peerLoad{},
-		peerSums: map[string]Load{}, pauses: map[string]pause{}, exhausted: map[string]pause{},
-	}
-}
-
-// SetHosts sets the number of nodes that choose among the same targets.
-func (tracker *Tracker) SetHosts(hosts int) {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	tracker.hosts = hosts
+	return &Tracker{zone: zone, targets: map[string]*targetState{}, peers: map[string]peerLoad{}, peerSums: map[string]Load{}, pauses: map[string]pause{}, exhausted: map[string]pause{}}
 }
 
 // SetPeerLoads replaces the loads reported by another node, by target id. They are
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -184,7 +184,6 @@
 	}
 	names, zones := fleet.reportersLocked()
 	fleet.node.ledger.SetPeers(names, zones, maxDigestAge(len(fleet.members)))
-	fleet.node.tracker.SetHosts(len(fleet.members) + 1)
 	fleet.chooser.SetHosts(fleet.hostsLocked())
 }
 
