Tell followers of a relay that came and went, and hear processes whose clock was set back

A follower that saw a relay between two checks of it waited for a change that no check noticed, without polling the store. TestProcessWhoseClockWasSetBackIsHeard; the first has no test of its own.

--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -35,6 +35,9 @@
 	digestBudgetFactor = 1.25
 	// usageTimeConstant is the time constant of the moving averages of spending.
 	usageTimeConstant = 3 * time.Second
+	// lateDigestTime is how long after a digest one of an earlier process may still arrive.
+	// Later on it is of a process whose clock was set back.
+	lateDigestTime = time.Second
 	// defaultDigestInterval applies until SetPeers is called.
 	defaultDigestInterval = 200 * time.Millisecond
 )
@@ -150,13 +153,13 @@
 
 // ApplyPeerTotals debits what a peer has spent since its last report. spent holds the
 // peer's running totals in tokens by account, of all accounts if complete is set, otherwise
-// at least of those that have changed. Messages from unknown peers and from earlier
-// processes of a peer are ignored.
+// at least of those that have changed. Messages from unknown peers and late ones from
+// earlier processes of a peer are ignored.
 func (ledger *Ledger) ApplyPeerTotals(name string, incarnation uint64, spent map[string]float64, complete bool, now time.Time) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	known, found := ledger.peers[name]
-	if !found || incarnation < known.incarnation {
+	if !found || incarnation < known.incarnation && now.Sub(known.lastSeen) < lateDigestTime {
 		return
 	}
 	if known.incarnation != incarnation {
--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -296,3 +296,27 @@
 		}
 	}
 }
+
+// TestProcessWhoseClockWasSetBackIsHeard guards against a restarted peer that is ignored for
+// good because its clock, by which processes are told apart, was set back meanwhile.
+func TestProcessWhoseClockWasSetBackIsHeard(t *testing.T) {
+	ledger := allowance.New(true)
+	ledger.SetPeers([]string{"b"}, nil, 200*time.Millisecond)
+	level := func(now time.Time) float64 {
+		return math.Round(ledger.Spend("a", allowance.Limit{Rate: 1e-9, Burst: 500}, 0, now).Level)
+	}
+	ledger.ApplyPeerTotals("b", 7, nil, true, start)
+	level(start)
+	ledger.ApplyPeerTotals("b", 6, map[string]float64{"a": 100}, true, start.Add(100*time.Millisecond))
+	if got := level(start.Add(100 * time.Millisecond)); got != 500 {
+		t.Errorf("late digest of an earlier process: got level %v, want 500", got)
+	}
+	// The peer counts as unreachable after a second, so that its first totals are covered.
+	later := start.Add(1200 * time.Millisecond)
+	level(later)
+	ledger.ApplyPeerTotals("b", 6, nil, true, later)
+	ledger.ApplyPeerTotals("b", 6, map[string]float64{"a": 100}, true, later)
+	if got := level(later); got != 150 {
+		t.Errorf("process with an earlier number: got level %v, want 150, half of the burst less 100", got)
+	}
+}
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -364,9 +364,11 @@
 		case <-ticker.C:
 		}
 		receives := fleet.ReceivesFromRelay(platform.ConfigurationTable)
-		if receives == before {
+		if receives && before {
 			continue
 		}
+		// A follower may have seen a relay between two checks that is gone again, so that
+		// followers are told at each check without one.
 		before = receives
 		fleet.lock.Lock()
 		close(fleet.relayChanged)
--- a/internal/zone/tally.go
+++ b/internal/zone/tally.go
@@ -19,8 +19,13 @@
 	"mimosatide.example/mimosatide/internal/gossip"
 )
 
-// forgetAfter is how long the totals of a host without digests are kept.
-const forgetAfter = time.Minute
+const (
+	// forgetAfter is how long the totals of a host without digests are kept.
+	forgetAfter = time.Minute
+	// lateDigestTime is how long after a digest one of an earlier process may still arrive.
+	// Later on it is of a process whose clock was set back.
+	lateDigestTime = time.Second
+)
 
 // report is the last digest of a host.
 type report struct {
@@ -58,7 +63,7 @@
 	tally.lock.Lock()
 	defer tally.lock.Unlock()
 	last, known := tally.reports[digest.Node]
-	if known && digest.Incarnation < last.digest.Incarnation {
+	if known && digest.Incarnation < last.digest.Incarnation && now.Sub(last.at) < lateDigestTime {
 		return
 	}
 	if !known || digest.Incarnation != last.digest.Incarnation {
