Share the slack of the retry budget among the nodes that there are

Cause: each node used a sixteenth of the slack, fitted to fleets of 8; 71 nodes could use 4.4 times and 295 nodes 18 times the slack. Change: half of the slack is shared among the nodes of the list, and each has one retry at least. For 8 nodes nothing changes.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -184,6 +184,7 @@
 	}
 	names, zones := fleet.reportersLocked()
 	fleet.node.ledger.SetPeers(names, zones, maxDigestAge(len(fleet.members)))
+	fleet.node.retryBudget.SetHosts(len(fleet.members) + 1)
 	fleet.chooser.SetHosts(fleet.hostsLocked())
 }
 
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -7,8 +7,12 @@
 	// retryRatioShare leaves room for the borders of a time window over which requests
 	// and retries are counted: the window may contain a retry without its request.
 	retryRatioShare = 0.75
-	// retrySlackShare is one node's share of the slack; a larger fleet has more slack.
-	retrySlackShare = 1.0 / 16
+	// retrySlackShare is the part of the slack that all nodes use together: a node that restarts
+	// has its part anew.
+	retrySlackShare = 0.5
+	// minBudgetHosts is the least number of nodes that the slack is shared among: after a start
+	// a node doesn't know all others.
+	minBudgetHosts = 8
 )
 
 // RetryBudget holds a token bucket of retries for each service, which is filled by
@@ -16,20 +20,30 @@
 // requests, the fleet stays within its bounds without communication. It is safe for
 // concurrent use.
 type RetryBudget struct {
-	ratio  float64
-	slack  float64
-	lock   sync.Mutex
-	tokens map[string]float64
+	ratio float64
+	// fleetSlack is what all nodes use of the slack, slack this node's part of it.
+	fleetSlack float64
+	lock       sync.Mutex
+	slack      float64
+	tokens     map[string]float64
 }
 
 // NewRetryBudget returns the budget of one node. The bounds are those of the whole
 // fleet: ratio is the number of retries per request, slack the number of retries
 // allowed on top.
 func NewRetryBudget(ratio, slack float64) *RetryBudget {
-	return &RetryBudget{
-		ratio:  ratio * retryRatioShare,
-		slack:  max(slack*retrySlackShare, 1),
-		tokens: map[string]float64{},
+	budget := &RetryBudget{ratio: ratio * retryRatioShare, fleetSlack: slack * retrySlackShare, tokens: map[string]float64{}}
+	budget.SetHosts(minBudgetHosts)
+	return budget
+}
+
+// SetHosts sets the number of nodes that share the slack. A node has at least one retry.
+func (budget *RetryBudget) SetHosts(hosts int) {
+	budget.lock.Lock()
+	defer budget.lock.Unlock()
+	budget.slack = max(budget.fleetSlack/float64(max(hosts, minBudgetHosts)), 1)
+	for service, tokens := range budget.tokens {
+		budget.tokens[service] = min(tokens, budget.slack)
 	}
 }
 
