--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -85,6 +85,8 @@
 	inner    int
 	settings string
 	endpoint *emulator.StoreEndpoint
+	// storeAddress is where the process reaches the store.
+	storeAddress string
 
 	lock    sync.Mutex
 	process *exec.Cmd
@@ -109,6 +111,7 @@
 	_, inner, _ := strings.Cut(free[2], ":")
 	created.inner, _ = strconv.Atoi(inner)
 	created.endpoint = bed.store.NewEndpoint(created.name)
+	created.storeAddress = created.endpoint.Address()
 	created.settings = filepath.Join(bed.folder, created.name+".conf")
 	bed.nodes = append(bed.nodes, created)
 	return created
@@ -145,7 +148,7 @@
 bounds.requireFencing=true
 platform.address=%s
 platform.form=table
-`, node.name, node.ip, node.zone, node.callers, node.ready, node.inner, node.inner+15, first, memoryLimitMB, node.endpoint.Address())
+`, node.name, node.ip, node.zone, node.callers, node.ready, node.inner, node.inner+15, first, memoryLimitMB, node.storeAddress)
 	if err := os.WriteFile(node.settings, []byte(text), 0o600); err != nil {
 		node.bed.fail("%v", err)
 	}
@@ -268,6 +271,7 @@
 // scenarios are the cases by name. Each returns what was broken, empty if the rule held.
 var scenarios = map[string]func(bed *bed) string{
 	"memory": playMemory,
+	"stop":   playStop,
 }
 
 func main() {
