--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -32,6 +32,9 @@
 	memoryLimitMB = 284
 )
 
+// checksFences says that replicas check the epoch numbers of orders.
+var checksFences = os.Getenv("FENCING") != "0"
+
 // bed is the deployment of one case.
 type bed struct {
 	folder  string
@@ -145,10 +148,10 @@
 bounds.retryBudgetRatio=0.2
 bounds.budgetWindowS=10
 bounds.budgetSlack=56
-bounds.requireFencing=true
+bounds.requireFencing=%t
 platform.address=%s
 platform.form=table
-`, node.name, node.ip, node.zone, node.callers, node.ready, node.inner, node.inner+15, first, memoryLimitMB, node.storeAddress)
+`, node.name, node.ip, node.zone, node.callers, node.ready, node.inner, node.inner+15, first, memoryLimitMB, checksFences, node.storeAddress)
 	if err := os.WriteFile(node.settings, []byte(text), 0o600); err != nil {
 		node.bed.fail("%v", err)
 	}
@@ -272,6 +275,7 @@
 var scenarios = map[string]func(bed *bed) string{
 	"memory": playMemory,
 	"stop":   playStop,
+	"holder": playHolder,
 }
 
 func main() {
