--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -276,6 +276,7 @@
 	"memory": playMemory,
 	"stop":   playStop,
 	"holder": playHolder,
+	"turn":   playTurn,
 }
 
 func main() {
--- a/review/bed/holder.go
+++ b/review/bed/holder.go
@@ -120,6 +120,15 @@
 
 const engineModel = "daka510000"
 
+// adapterManifest has one service with engines, whose model has adapters.
+const adapterManifest = `{"version":7,"routes":[{"name":"r-match","host":"ficu95.example","prefix":"/match/","kind":"stream","timeoutMs":12000,
+  "targetLatencyMs":600,"priority":0,"service":"letter-models","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":500}],
+ "services":[{"name":"letter-models","healthPath":"/health","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":263704,
+  "hostMb":150000,"diskMb":860000,"weightsSizeMb":230000,"adapterSlots":8,"loadsPerS":1.6,
+  "models":[{"name":"` + engineModel + `","weightsSizeMb":72700,"loadS":6,"adapters":32,"adapterSizeMb":66,"warmS":0.32,"diskS":0.44}]}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"hule930","apiKeys":["i9n73hh2b9wu3fexd9dn"],"unit":"tokens","plainTokens":200}]}`
+
 func (bed *bed) startEngine(host int) *engine {
 	listener := bed.listen(host)
 	created := &engine{bed: bed, id: "i-7f3a91c2", address: listener.Addr().String(), born: time.Now().UnixMilli(), ordered: make(chan struct{}, 16)}
@@ -272,13 +281,7 @@
 // playHolder kills the process of the lease's holder after an order, and cuts its machine off
 // from the store when it has started again.
 func playHolder(bed *bed) string {
-	bed.store.Put("op", "config", `{"version":7,"routes":[{"name":"r-match","host":"ficu95.example","prefix":"/match/","kind":"stream","timeoutMs":12000,
-  "targetLatencyMs":600,"priority":0,"service":"letter-models","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":500}],
- "services":[{"name":"letter-models","healthPath":"/health","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":263704,
-  "hostMb":150000,"diskMb":860000,"weightsSizeMb":230000,"adapterSlots":8,"loadsPerS":1.6,
-  "models":[{"name":"`+engineModel+`","weightsSizeMb":72700,"loadS":6,"adapters":32,"adapterSizeMb":66,"warmS":0.32,"diskS":0.44}]}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"hule930","apiKeys":["i9n73hh2b9wu3fexd9dn"],"unit":"tokens","plainTokens":200}]}`)
+	bed.store.Put("op", "config", adapterManifest)
 	engine := bed.startEngine(101)
 	links := map[*node]*link{}
 	for index := range 3 {
