--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -37,7 +37,8 @@
 
 // LeaseTable is the table that holds the leases.
 type LeaseTable interface {
-	Read(ctx context.Context, keys ...string) ([]mimosatide.Row, error)
+	// Read returns the rows of the given keys that exist, and the newest version of the store.
+	Read(ctx context.Context, keys ...string) ([]mimosatide.Row, mimosatide.RowVersion, error)
 	Commit(ctx context.Context, transaction mimosatide.Transaction) (mimosatide.CommitOutcome, mimosatide.RowVersion, error)
 }
 
@@ -252,7 +253,7 @@
 // machine's own, or if the row has not changed for longer than leaseDuration.
 func (lease *Lease) takeOver(ctx context.Context) time.Duration {
 	bounded, cancel := context.WithTimeout(ctx, tableTimeout)
-	rows, err := lease.table.Read(bounded, lease.key)
+	rows, _, err := lease.table.Read(bounded, lease.key)
 	cancel()
 	if err != nil {
 		lease.log.V(1).Info("cannot read the lease row", "lease", lease.key, "reason", err.Error())
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -46,12 +46,12 @@
 	return &memoryTable{rows: map[string]mimosatide.Row{}}
 }
 
-func (table *memoryTable) Read(_ context.Context, keys ...string) ([]mimosatide.Row, error) {
+func (table *memoryTable) Read(_ context.Context, keys ...string) ([]mimosatide.Row, mimosatide.RowVersion, error) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
 	table.reads++
 	if table.refuse {
-		return nil, errors.New("table refused the call")
+		return nil, 0, errors.New("table refused the call")
 	}
 	var rows []mimosatide.Row
 	for _, key := range keys {
@@ -59,7 +59,7 @@
 			rows = append(rows, row)
 		}
 	}
-	return rows, nil
+	return rows, table.version, nil
 }
 
 func (table *memoryTable) Commit(
--- a/table.go
+++ b/table.go
@@ -1,11 +1,47 @@
 package mimosatide
 
-import "context"
+import (
+	"context"
+	"strconv"
+
+	"github.com/juju/errors"
+)
 
 // RowVersion is the version of a table row. Every write increases it; zero means that
-// the row is absent.
+// the row is absent. A store that was restored from an older copy gives out lower numbers
+// again, in a higher era: a version of a later era is the higher one.
 type RowVersion uint64
 
+// numberBits is the number of bits of a version that hold its number; the others hold its era.
+const numberBits = 48
+
+// NewRowVersion returns the version with a number in an era of the store. It returns an
+// error if either is too large.
+func NewRowVersion(era, number uint64) (RowVersion, error) {
+	if era >= 1<<(64-numberBits) || number >= 1<<numberBits {
+		return 0, errors.NotValidf("version %d in era %d of the store", number, era)
+	}
+	return RowVersion(era<<numberBits | number), nil
+}
+
+// Era returns how often the store had been restored, as the store counts it.
+func (version RowVersion) Era() uint64 {
+	return uint64(version) >> numberBits
+}
+
+// Number returns the version's number in its era.
+func (version RowVersion) Number() uint64 {
+	return uint64(version) & (1<<numberBits - 1)
+}
+
+// String returns the number, and the era before it unless that is zero.
+func (version RowVersion) String() string {
+	if version.Era() == 0 {
+		return strconv.FormatUint(version.Number(), 10)
+	}
+	return strconv.FormatUint(version.Era(), 10) + "/" + strconv.FormatUint(version.Number(), 10)
+}
+
 // Row is one row of the platform's table service.
 type Row struct {
 	Key     string
