Log the connection of each answer that is not passed on

Logs could not tell on which connection a refusal came, whether that connection had carried the request before, and whether the refusal was believed.

Change: connections are numbered and count their calls; a line for each answer that is not taken, one at detail level 1 for each believed refusal, and the counter mimosatide_target_answers by kind. checkAnswer moves to a file of its own. No decision changes.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -26,6 +26,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -86,6 +87,8 @@
 	dialer *net.Dialer
 	lock   sync.Mutex
 	idle   map[string][]*connection
+	// opened is the number of connections opened so far.
+	opened atomic.Uint64
 }
 
 type connection struct {
@@ -93,8 +96,9 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// reused says that the connection has carried an earlier call.
-	reused bool
+	// number identifies the connection in logs, calls counts the calls that it has carried.
+	number uint64
+	calls  int
 	// headLimit is how many bytes may still be read for the head of an answer; nil while no
 	// head is read.
 	headLimit *int
@@ -124,9 +128,11 @@
 // Reply is the answer to a call. The caller has to call Close or Abort.
 type Reply struct {
 	Response *http.Response
-	// Reused says that the connection carried an earlier call, so that an answer which does
-	// not name its request may be a late one to that call.
-	Reused bool
+	// Connection identifies the connection among those of the client.
+	Connection uint64
+	// EarlierCalls is how many calls the connection has carried before this one. If there are
+	// any, an answer that does not name its request may be a late one to one of them.
+	EarlierCalls int
 
 	client     *Client
 	address    string
@@ -151,6 +157,8 @@
 		_ = acquired.Close()
 		return nil, mimosatide.CallNotSent, errors.Trace(ErrNotPermitted)
 	}
+	earlierCalls := acquired.calls
+	acquired.calls++
 	stop := context.AfterFunc(ctx, func() { _ = acquired.Close() })
 	written, failure, err := write(acquired, call.Message)
 	if failure != mimosatide.CallSucceeded {
@@ -168,13 +176,14 @@
 		return nil, mimosatide.CallCut, errors.Annotate(err, "answer")
 	}
 	return &Reply{
-		Response:   response,
-		Reused:     acquired.reused,
-		client:     client,
-		address:    call.Address,
-		connection: acquired,
-		stopWatch:  stop,
-		written:    written,
+		Response:     response,
+		Connection:   acquired.number,
+		EarlierCalls: earlierCalls,
+		client:       client,
+		address:      call.Address,
+		connection:   acquired,
+		stopWatch:    stop,
+		written:      written,
 	}, mimosatide.CallSucceeded, nil
 }
 
@@ -228,7 +237,6 @@
 			age *= 2
 		}
 		if age < pooled.idleTimeout && pooled.noPendingInput() {
-			pooled.reused = true
 			return pooled, nil
 		}
 		_ = pooled.Close()
@@ -239,7 +247,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	opened := &connection{Conn: dialled}
+	opened := &connection{Conn: dialled, number: client.opened.Add(1)}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
 }
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/exchange"
+	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/platform"
+)
+
+// checkAnswer checks the head of an answer. The send has failed if the target says
+// that it did not run the request, or if the answer is not the target's own signed
+// and unencoded answer to this request. A rejection without a request id is only believed
+// on a new connection: on another one it may belong to an earlier request.
+func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
+	head := platform.DecodeAnswerHead(reply.Response)
+	handler.recordWishes(head.Wishes)
+	if head.Wishes.Rate == 0 && head.RequestID == handler.request.ID {
+		handler.recordUnlimited()
+	}
+	if head.NotRun && (head.RequestID == handler.request.ID || head.RequestID == "" && reply.EarlierCalls == 0) {
+		reply.Discard()
+		handler.gateway.Meter.CountAnswer(metric.AnswerRefused)
+		handler.gateway.log.V(1).Info("target refused a request", handler.describeAnswer(reply, head)...)
+		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
+		if head.Status == http.StatusMisdirectedRequest {
+			outcome.reason = metric.RetryNotLoaded
+			handler.recordNotLoaded()
+		}
+		handler.inFlight.End(balance.Busy, time.Now())
+		return outcome
+	}
+	detail := ""
+	switch {
+	case head.RequestID != handler.request.ID:
+		detail = "the answer belongs to another request"
+	case head.Encoded:
+		detail = "the answer is encoded"
+	case head.Status < http.StatusMultipleChoices && !head.Signed:
+		detail = "the answer is not signed"
+	}
+	if detail != "" {
+		reply.Abort()
+		handler.gateway.Meter.CountAnswer(metric.AnswerMismatched)
+		handler.gateway.log.Info("answer not taken", append(handler.describeAnswer(reply, head), "detail", detail)...)
+		handler.possibleRuns++
+		handler.inFlight.End(balance.Failed, time.Now())
+		return sendOutcome{failure: mimosatide.CallMismatched, detail: detail, reason: metric.RetryMismatch}
+	}
+	handler.possibleRuns++
+	return sendOutcome{reply: reply, head: head}
+}
+
+// describeAnswer returns the keys and values of a log line about a target's answer.
+func (handler *requestHandler) describeAnswer(reply *exchange.Reply, head platform.AnswerHead) []any {
+	return []any{
+		"request", handler.request.ID, "target", handler.instance.ID, "status", head.Status, "answers", head.RequestID,
+		"notRun", head.NotRun, "connection", reply.Connection, "earlierCalls", reply.EarlierCalls,
+		"sends", handler.sends, "mayHaveRun", handler.possibleRuns, "after", time.Since(handler.sent),
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -251,45 +251,6 @@
 	return outcome
 }
 
-// checkAnswer checks the head of an answer. The send has failed if the target says
-// that it did not run the request, or if the answer is not the target's own signed
-// and unencoded answer to this request. A rejection without a request id is only believed
-// on a new connection: on another one it may belong to an earlier request.
-func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
-	head := platform.DecodeAnswerHead(reply.Response)
-	handler.recordWishes(head.Wishes)
-	if head.Wishes.Rate == 0 && head.RequestID == handler.request.ID {
-		handler.recordUnlimited()
-	}
-	if head.NotRun && (head.RequestID == handler.request.ID || head.RequestID == "" && !reply.Reused) {
-		reply.Discard()
-		outcome := sendOutcome{failure: mimosatide.CallCut, notRun: true, detail: http.StatusText(head.Status), reason: metric.RetryBusy}
-		if head.Status == http.StatusMisdirectedRequest {
-			outcome.reason = metric.RetryNotLoaded
-			handler.recordNotLoaded()
-		}
-		handler.inFlight.End(balance.Busy, time.Now())
-		return outcome
-	}
-	detail := ""
-	switch {
-	case head.RequestID != handler.request.ID:
-		detail = "the answer belongs to another request"
-	case head.Encoded:
-		detail = "the answer is encoded"
-	case head.Status < http.StatusMultipleChoices && !head.Signed:
-		detail = "the answer is not signed"
-	}
-	if detail != "" {
-		reply.Abort()
-		handler.possibleRuns++
-		handler.inFlight.End(balance.Failed, time.Now())
-		return sendOutcome{failure: mimosatide.CallMismatched, detail: detail, reason: metric.RetryMismatch}
-	}
-	handler.possibleRuns++
-	return sendOutcome{reply: reply, head: head}
-}
-
 // recordNotLoaded records that the target lacks the request's model or adapter, so
 // that the request waits for the load or goes to another target instead of being
 // sent to the same target again.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -58,6 +58,17 @@
 	RetryResume RetryReason = "Resume"
 )
 
+// AnswerKind is what became of a target's answer.
+type AnswerKind string
+
+// The kinds of answers that are not passed on to the caller.
+const (
+	// AnswerRefused is the statement that the request was not run, and it was believed.
+	AnswerRefused AnswerKind = "Refused"
+	// AnswerMismatched is an answer that is not the target's own answer to the request.
+	AnswerMismatched AnswerKind = "Mismatched"
+)
+
 // Meter holds a node's metrics.
 type Meter struct {
 	scope    tally.Scope
@@ -112,6 +123,11 @@
 	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("retries").Inc(1)
 }
 
+// CountAnswer counts a target's answer that is not passed on.
+func (meter *Meter) CountAnswer(kind AnswerKind) {
+	meter.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("target_answers").Inc(1)
+}
+
 // CountTableRows counts rows read from the table and writes sent to it.
 func (meter *Meter) CountTableRows(reads, writes int) {
 	meter.scope.Counter("table_reads").Inc(int64(reads))
