Don't use a connection for a request that it has carried before

What callers saw: 503, 'not run', for a request that ran (REFUSED), and a request that must run once ran twice (TWICE).

Cause: a target may write a refusal a second time, where the next answer on the connection is due. The copy names the refused request, so that on a connection that carries this request again the ID tells nothing. Since a request got a new connection at a target that it had been sent to, by the target's ID and by what this request's own handler had sent. The connections are pooled by address: a target with a second ID at the same address got the request on the same connection, and so did any target when a caller used an ID again.

The class is an answer that is matched by an ID which does not tell one send from another.

Change: a connection remembers the requests that it has carried and is not used for them again; within one request the new connection is chosen by the address.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -2,8 +2,9 @@
 // once and reports how far a failed request got.
 //
 // Connections are pooled, but a connection is only reused once the whole request
-// was written, the whole answer was read and no other bytes have arrived. The
-// client never retries; that is left to its caller.
+// was written, the whole answer was read and no other bytes have arrived. It is not used
+// for a request that it has carried before: a late copy of the first answer could not be
+// told from the second one. The client never retries; that is left to its caller.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +67,8 @@
 	Address string
 	// Method decides whether the answer has a body.
 	Method string
+	// Request is the ID by which the target's answers name the request.
+	Request string
 	// Message is the complete HTTP request, head and body.
 	Message []byte
 	// LimitReuse restricts pooled connections to those idle for less than half of
@@ -72,7 +76,7 @@
 	// target has closed the connection.
 	LimitReuse bool
 	// NewConnection forbids a pooled connection. It is meant for a request that was sent to
-	// the target before, whose earlier answer may be repeated on the same connection.
+	// the address before, however many other requests the connection has carried since.
 	NewConnection bool
 	// Permitted is called once a connection is open, directly before the message is
 	// written. If it returns false, nothing is sent; nil always permits.
@@ -99,6 +103,8 @@
 	// number identifies the connection in logs, calls counts the calls that it has carried.
 	number uint64
 	calls  int
+	// carried are the requests of the latest calls.
+	carried recentRequests
 	// headLimit is how many bytes may still be read for the head of an answer; nil while no
 	// head is read.
 	headLimit *int
@@ -159,6 +165,7 @@
 	}
 	earlierCalls := acquired.calls
 	acquired.calls++
+	acquired.carried.add(call.Request)
 	stop := context.AfterFunc(ctx, func() { _ = acquired.Close() })
 	written, failure, err := write(acquired, call.Message)
 	if failure != mimosatide.CallSucceeded {
@@ -228,7 +235,7 @@
 // acquire returns a reusable connection from the pool, or a new one.
 func (client *Client) acquire(ctx context.Context, call Call) (*connection, error) {
 	for !call.NewConnection {
-		pooled := client.popIdle(call.Address)
+		pooled := client.popIdle(call.Address, call.Request)
 		if pooled == nil {
 			break
 		}
@@ -252,17 +259,19 @@
 	return opened, nil
 }
 
-// popIdle takes the most recently used connection to an address from the pool, nil if there is none.
-func (client *Client) popIdle(address string) *connection {
+// popIdle takes the most recently used connection to an address from the pool that has not
+// carried the request, nil if there is none.
+func (client *Client) popIdle(address, request string) *connection {
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	list := client.idle[address]
-	if len(list) == 0 {
-		return nil
+	for index := len(list) - 1; index >= 0; index-- {
+		if pooled := list[index]; !pooled.carried.has(request) {
+			client.idle[address] = slices.Delete(list, index, index+1)
+			return pooled
+		}
 	}
-	pooled := list[len(list)-1]
-	client.idle[address] = list[:len(list)-1]
-	return pooled
+	return nil
 }
 
 // CloseExpired closes the pooled connections whose idle timeout has passed.
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// A late copy of the first answer would be taken for the answer to the second call.
+func TestConnectionDoesNotCarryARequestTwice(t *testing.T) {
+	started := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		writeAnswer(connection, okAnswer)
+		return true
+	})
+	client := exchange.New(&net.Dialer{})
+	for _, request := range []string{"r-1", "r-2", "r-1", "r-2", "r-3"} {
+		named := call(started.address)
+		named.Request = request
+		reply, failure, err := client.Send(context.Background(), named)
+		if failure != mimosatide.CallSucceeded {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, reply.Body())
+		reply.Close(err == nil)
+	}
+	if count := started.connections.Load(); count != 2 {
+		t.Errorf("connections for two requests that are sent twice and a third one: got %d, want 2", count)
+	}
+}
+
 // On a reused connection the bytes after an answer would be taken for the answer to the
 // next request.
 func TestConnectionWithBytesAfterItsAnswerIsNotReused(t *testing.T) {
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package gateway_test
 
 import (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,10 @@
 // ServeHTTP answers one request.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
-	handler := &requestHandler{gateway: gateway, writer: writer, arrived: arrived, tried: map[string]bool{}, releaseAdapter: func() {}}
+	handler := &requestHandler{
+		gateway: gateway, writer: writer, arrived: arrived, tried: map[string]bool{}, triedAddresses: map[string]bool{},
+		releaseAdapter: func() {},
+	}
 	deployment := gateway.Deployment()
 	if deployment == nil {
 		handler.refuse(mimosatide.Refuse(mimosatide.ReasonNotFresh, "no configuration is known yet").WithRetryAfter(startupRetryAfter))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,8 +46,10 @@
 	// waitingSince is when the request began to wait for its model.
 	waitingSince time.Time
 
-	// tried are the ids of the targets that the request was sent to.
-	tried map[string]bool
+	// tried are the ids of the targets that the request was sent to, triedAddresses their
+	// addresses: a target may have another id at the same address.
+	tried          map[string]bool
+	triedAddresses map[string]bool
 	// sends counts all sends, possibleRuns those that a target may have run.
 	sends        int
 	possibleRuns int
@@ -142,8 +144,8 @@
 func (handler *requestHandler) send(ctx context.Context, instance mimosatide.Instance) sendOutcome {
 	handler.instance = instance
 	handler.sent = time.Now()
-	repeated := handler.tried[instance.ID]
-	handler.tried[instance.ID] = true
+	repeated := handler.triedAddresses[instance.Address]
+	handler.tried[instance.ID], handler.triedAddresses[instance.Address] = true, true
 	handler.sends++
 	handler.answerBegan = time.Time{}
 	if handler.sends == 1 {
@@ -172,6 +174,7 @@
 	reply, failure, err := handler.gateway.Client.Send(ctx, exchange.Call{
 		Address:       instance.Address,
 		Method:        handler.request.Method,
+		Request:       handler.request.ID,
 		Message:       message,
 		LimitReuse:    !handler.route.Repeatable(),
 		NewConnection: repeated,
