Don't pass on a refusal that doesn't say that the request was not run

What callers saw: a target's own 408, 429 or 503, unchanged, also without the declaration that the request was not run. To a caller these statuses promise that it was not, so that a request that must run once is sent again.

Cause: only refusals with the declaration were treated as such; any other answer that names the request went to the caller as it was.

Change: such an answer ends the send as one that may have run. A request that may be repeated goes to another target, another one gets 502. Counted as mimosatide_target_answers{kind="Undeclared"}.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,9 +12,11 @@
 )
 
 // checkAnswer checks the head of an answer. The send has failed if the target says
-// that it did not run the request, or if the answer is not the target's own signed
-// and unencoded answer to this request. A rejection without a request id is only believed
-// on a new connection: on another one it may belong to an earlier request.
+// that it did not run the request, if the answer is not the target's own signed and
+// unencoded answer to this request, or if its status would tell the caller that the
+// request was not run although the target does not say so. A rejection without a request
+// id is only believed on a new connection: on another one it may belong to an earlier
+// request.
 func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
 	head := platform.DecodeAnswerHead(reply.Response)
 	handler.recordWishes(head.Wishes)
@@ -51,9 +53,30 @@
 		return sendOutcome{failure: mimosatide.CallMismatched, detail: detail, reason: metric.RetryMismatch}
 	}
 	handler.possibleRuns++
+	if saysNotRun(head.Status) {
+		reply.Discard()
+		handler.gateway.Meter.CountAnswer(metric.AnswerUndeclared)
+		handler.gateway.log.Info("answer not taken", append(handler.describeAnswer(reply, head), "detail", undeclaredDetail)...)
+		handler.inFlight.End(balance.Failed, time.Now())
+		return sendOutcome{failure: mimosatide.CallCut, detail: undeclaredDetail, reason: metric.RetryBusy}
+	}
 	return sendOutcome{reply: reply, head: head}
 }
 
+// undeclaredDetail describes an answer with a status that says that the request was not run,
+// although the target does not declare it.
+const undeclaredDetail = "the target turned the request away but may have run it"
+
+// saysNotRun reports whether a status tells a caller that its request was not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // describeAnswer returns the keys and values of a log line about a target's answer.
 func (handler *requestHandler) describeAnswer(reply *exchange.Reply, head platform.AnswerHead) []any {
 	return []any{
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -125,3 +125,19 @@
 		}
 	}
 }
+
+// TestRefusalWithoutADeclarationDoesNotSayNotRun guards against a target's own 503, 429 or 408
+// for a request that it has run: to a caller these say that it was not run.
+func TestRefusalWithoutADeclarationDoesNotSayNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+		for _, route := range []string{"/order/x", "/lookup/x"} {
+			fixture := newFixture(t)
+			fixture.addTarget("d-1", "desk", respondStatus(status, false))
+			response, _, _ := fixture.send(fixture.newRequest(http.MethodPost, route))
+			if response.StatusCode != http.StatusBadGateway || response.Header.Get("Response-Signature") != "" {
+				t.Errorf("target's own status %d at %s: got status %d, signature %q, want 502 without one",
+					status, route, response.StatusCode, response.Header.Get("Response-Signature"))
+			}
+		}
+	}
+}
