Ignore what the late answer to another request asks for

What callers saw: nothing yet; found when looking for the same cause elsewhere. A target could lose requests to a pause, a limit or a farewell that it had named some time before.

Cause: what an answer says of further requests was recorded before the answer was known to be this request's.

Evidence: the new test fails before: the copy of an earlier answer marks the target's next incarnation as leaving and gives it a limit.

Change: only the answer to this request is asked, or on a new connection one without an ID.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -14,16 +14,20 @@
 // checkAnswer checks the head of an answer. The send has failed if the target says
 // that it did not run the request, if the answer is not the target's own signed and
 // unencoded answer to this request, or if its status would tell the caller that the
-// request was not run although the target does not say so. A rejection without a request
-// id is only believed on a new connection: on another one it may belong to an earlier
-// request.
+// request was not run although the target does not say so. An answer without a request id
+// is only believed on a new connection, where it can't belong to an earlier request, and
+// then only a refusal.
 func (handler *requestHandler) checkAnswer(reply *exchange.Reply) sendOutcome {
 	head := platform.DecodeAnswerHead(reply.Response)
-	handler.recordWishes(head.Wishes)
-	if head.Wishes.Rate == 0 && head.RequestID == handler.request.ID {
+	named := head.RequestID == handler.request.ID
+	answersRequest := named || head.RequestID == "" && reply.EarlierCalls == 0
+	if answersRequest {
+		handler.recordWishes(head.Wishes)
+	}
+	if named && head.Wishes.Rate == 0 {
 		handler.recordUnlimited()
 	}
-	if head.NotRun && (head.RequestID == handler.request.ID || head.RequestID == "" && reply.EarlierCalls == 0) {
+	if head.NotRun && answersRequest {
 		reply.Discard()
 		handler.gateway.Meter.CountAnswer(metric.AnswerRefused)
 		handler.gateway.log.V(1).Info("target refused a request", handler.describeAnswer(reply, head)...)
@@ -37,7 +41,7 @@
 	}
 	detail := ""
 	switch {
-	case head.RequestID != handler.request.ID:
+	case !named:
 		detail = "the answer belongs to another request"
 	case head.Encoded:
 		detail = "the answer is encoded"
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"mimosatide.example/mimosatide"
 )
@@ -141,3 +142,25 @@
 		}
 	}
 }
+
+// TestCopyOfAnotherRequestsRefusalAsksForNothing guards against a late copy whose Retry-After,
+// limit or farewell is taken for the target's present one.
+func TestCopyOfAnotherRequestsRefusalAsksForNothing(t *testing.T) {
+	fixture := newFixture(t)
+	target := startCopyingTarget(t, 1)
+	target.fields = "Server-Limit: 3\r\nServer-Leaving: 1\r\n"
+	fixture.put("d-1", target.address)
+	instance, _ := fixture.targets.View().Instance("d-1")
+	fixture.send(fixture.newOrder("r-1"))
+	// What the first answer asked for ended with this incarnation.
+	later := instance
+	later.Born = instance.Born.Add(time.Second)
+	fixture.targets.Put(later)
+	fixture.send(fixture.newOrder("r-2"))
+	if current, _ := fixture.targets.View().Instance("d-1"); current.Leaving {
+		t.Error("got a target that leaves, want it to stay: its copy of an earlier answer said so")
+	}
+	if rate, limited := fixture.limits.Rate(later); limited {
+		t.Errorf("got a limit of %g, want none: the copy of an earlier answer named it", rate)
+	}
+}
