Skip the late answer to an earlier request and wait for the request's own

Cause: any answer that names another request ended the send and, with the connection, often the request at the target too.

Evidence: the new test got 502 for a request that the target ran.

Change: an answer that names a request which the connection has carried before is read to its end, and the next one is awaited, at most eight times and with bodies of at most 64 KiB. Any other one still ends the send. Counted as mimosatide_target_answers{kind="Late"}.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -56,6 +56,8 @@
 	// connection can be reused.
 	maxDiscardBytes = 4 << 10
 	discardTimeout  = 10 * time.Millisecond
+	// maxSkippedBytes bounds the body of a late answer that Skip reads.
+	maxSkippedBytes = 64 << 10
 	// maxInlineWriteBytes is the largest message that is written before the answer is
 	// read: it can't block, even if the target does not read.
 	maxInlineWriteBytes = 2 << 10
@@ -332,6 +334,34 @@
 	return false
 }
 
+// AnswersEarlier reports whether the answer, which names the given request, is a late one to
+// an earlier call of the connection.
+func (reply *Reply) AnswersEarlier(request string) bool {
+	return reply.EarlierCalls > 0 && reply.connection.carried.has(request)
+}
+
+// Skip reads a late answer to its end and replaces it by the next one on the connection. An
+// answer that is long, or ends with the connection, is an error. After an error the caller
+// still has to call Close or Abort.
+func (reply *Reply) Skip() error {
+	if reply.Response.Close || reply.Response.ContentLength > maxSkippedBytes {
+		return errors.New("a late answer can't be skipped")
+	}
+	count, err := io.Copy(io.Discard, io.LimitReader(reply.Response.Body, maxSkippedBytes+1))
+	if err != nil {
+		return errors.Annotate(err, "late answer")
+	}
+	if count > maxSkippedBytes {
+		return errors.New("a late answer is too long")
+	}
+	response, err := reply.connection.readHead(reply.Response.Request.Method)
+	if err != nil {
+		return errors.Annotate(err, "answer after a late one")
+	}
+	reply.Response = response
+	return nil
+}
+
 // Body returns the answer's body.
 func (reply *Reply) Body() io.Reader {
 	return reply.Response.Body
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,6 +11,26 @@
 	"mimosatide.example/mimosatide/platform"
 )
 
+// maxLateAnswers is how many late answers may come before the answer to the request.
+const maxLateAnswers = 8
+
+// skipLateAnswers skips late answers to earlier requests on the connection. The target still
+// works on the request; its own answer comes after them.
+func (handler *requestHandler) skipLateAnswers(reply *exchange.Reply) error {
+	for range maxLateAnswers {
+		head := platform.DecodeAnswerHead(reply.Response)
+		if head.RequestID == handler.request.ID || !reply.AnswersEarlier(head.RequestID) {
+			return nil
+		}
+		handler.gateway.Meter.CountAnswer(metric.AnswerLate)
+		handler.gateway.log.Info("late answer skipped", handler.describeAnswer(reply, head)...)
+		if err := reply.Skip(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkAnswer checks the head of an answer. The send has failed if the target says
 // that it did not run the request, if the answer is not the target's own signed and
 // unencoded answer to this request, or if its status would tell the caller that the
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -164,3 +164,19 @@
 		t.Errorf("got a limit of %g, want none: the copy of an earlier answer named it", rate)
 	}
 }
+
+// TestCopyOfAnotherRequestsRefusalDoesNotFailTheRequest guards against 502 for a request that
+// the target runs, because the late copy of an earlier answer came before its own.
+func TestCopyOfAnotherRequestsRefusalDoesNotFailTheRequest(t *testing.T) {
+	fixture := newFixture(t)
+	target := startCopyingTarget(t, 2)
+	fixture.put("d-1", target.address)
+	fixture.send(fixture.newOrder("r-1"))
+	response, body, _ := fixture.send(fixture.newOrder("r-2"))
+	if response.StatusCode != http.StatusOK || body != "the answer" {
+		t.Errorf("got status %d and body %q, want 200 and the target's answer", response.StatusCode, body)
+	}
+	if runs := target.runsOf("r-2"); runs != 1 {
+		t.Errorf("got %d runs, want 1", runs)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -189,6 +189,11 @@
 		}
 		return handler.failSend(ctx, failure, err.Error())
 	}
+	if err := handler.skipLateAnswers(reply); err != nil {
+		reply.Abort()
+		handler.possibleRuns++
+		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
+	}
 	return handler.checkAnswer(reply)
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -67,6 +67,8 @@
 	AnswerRefused AnswerKind = "Refused"
 	// AnswerMismatched is an answer that is not the target's own answer to the request.
 	AnswerMismatched AnswerKind = "Mismatched"
+	// AnswerLate is the second answer to an earlier request on the same connection.
+	AnswerLate AnswerKind = "Late"
 	// AnswerUndeclared is a refusal that does not say that the request was not run.
 	AnswerUndeclared AnswerKind = "Undeclared"
 )
