soak: Let targets send answers and refusals twice

Callers were told that requests had not run that had run. A target may send a refusal a second time with the ID of the request, and no run of the soak could show it. In half of the runs targets now do so, and refuse a part of the requests although they are not full, in series and beside the other faults; -soak.twice=false leaves it out. These faults draw from a source of their own, so that the others of a seed stay as they were.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -95,6 +96,24 @@
 	}
 }
 
+// answerFaults returns the faults in the answers of targets that the seed has drawn.
+func answerFaults(random *rand.Rand) []fault {
+	var drawn []fault
+	if random.IntN(2) == 0 && *sendTwice {
+		drawn = append(drawn,
+			fault{"let a target send answers twice and refuse requests", func(testbed *testbed, _ string) func() {
+				target := testbed.targets[random.IntN(len(testbed.targets))]
+				target.SendAnswersTwice(random.Float64() / 2)
+				target.RefuseRequests(random.Float64() / 2)
+				return func() {
+					target.SendAnswersTwice(0)
+					target.RefuseRequests(0)
+				}
+			}})
+	}
+	return drawn
+}
+
 func (testbed *testbed) randomNode() *node {
 	return testbed.nodes[testbed.random.IntN(len(testbed.nodes))]
 }
@@ -221,14 +240,13 @@
 	}
 }
 
-// injectFaults injects random faults until the context ends and waits until all
+// injectFaults injects random faults of a list until the context ends and waits until all
 // have ended. It passes the name of each fault to onFault.
-func (testbed *testbed) injectFaults(ctx context.Context, program string, onFault func(name string)) {
+func (testbed *testbed) injectFaults(ctx context.Context, program string, all []fault, random *rand.Rand, onFault func(name string)) {
 	var group sync.WaitGroup
-	all := faults()
-	for ctx.Err() == nil {
-		fault := all[testbed.random.IntN(len(all))]
-		duration := time.Duration(testbed.random.Int64N(int64(maxFaultDuration)))
+	for ctx.Err() == nil && len(all) > 0 {
+		fault := all[random.IntN(len(all))]
+		duration := time.Duration(random.Int64N(int64(maxFaultDuration)))
 		onFault(fault.name)
 		if end := fault.begin(testbed, program); end != nil {
 			group.Go(func() {
@@ -236,7 +254,7 @@
 				end()
 			})
 		}
-		time.Sleep(time.Duration(testbed.random.Int64N(int64(maxFaultPause))))
+		time.Sleep(time.Duration(random.Int64N(int64(maxFaultPause))))
 	}
 	group.Wait()
 }
@@ -258,6 +276,8 @@
 		target.SetFailureRates(0, 0, 0)
 		target.SetPause(0)
 		target.SetLimit(0)
+		target.SendAnswersTwice(0)
+		target.RefuseRequests(0)
 		testbed.replaceLeaving(target)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +19,7 @@
 	seedCount       = flag.Int("soak.seeds", 3, "number of seeds")
 	nodeCount       = flag.Int("soak.nodes", 4, "number of nodes, 59 at most; relays are used from 22 on")
 	runKnownFailing = flag.Bool("soak.red", false, "also run the seeds that are listed in KNOWN-RED.txt")
+	sendTwice       = flag.Bool("soak.twice", true, "let targets send answers and refusals twice in some runs")
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
 
@@ -84,9 +86,18 @@
 	}
 	var injected []string
 	began := time.Now()
-	testbed.injectFaults(ctx, program, func(name string) {
+	var injectedLock sync.Mutex
+	onFault := func(name string) {
+		injectedLock.Lock()
+		defer injectedLock.Unlock()
 		injected = append(injected, fmt.Sprintf("%s %s", time.Since(began).Round(time.Millisecond), name))
-	})
+	}
+	// Faults with a source of randomness of their own leave the others of a seed as they were.
+	answers := rand.New(rand.NewPCG(seed, 2))
+	var added sync.WaitGroup
+	added.Go(func() { testbed.injectFaults(ctx, program, answerFaults(answers), answers, onFault) })
+	testbed.injectFaults(ctx, program, faults(), testbed.random, onFault)
+	added.Wait()
 	callers.Wait()
 	oldKey := testbed.schoolKey()
 	testbed.clearFaults()
