Send each order over a connection of its own

Callers saw nothing of it so far; found while looking for the cause of the late refusals elsewhere.

Cause: orders and requests for reports shared kept connections, and their answers name nothing, so that they were matched by their order on the connection only. Evidence: against an engine that writes an answer once more where the next one is due, an order refused with 409, 412, 421, 400, 503 or 500 got the outcome of the order before (Accepted and Holds included) in all 54 pairs of two statuses with different outcomes, an order after a request for a report got Holds from the report's 200, and a report after an order was decoded from the order's answer as an engine without models. TestRepeatedAnswerIsNotTakenForTheAnswerToAnOrder and TestRepeatedAnswerIsNotTakenForAReport failed so before this change.

What the holder then believed: an order that was refused counts as accepted or the other way round; a fence is believed that no engine has raised.

Change: a connection is opened for each order. The reports keep theirs: there an answer too many can only be an earlier report of the same engine, which the number of orders in it dates. Sending an id with orders was not chosen, since nothing says that engines return it.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -58,7 +58,7 @@
 	// stallThreshold is the delay of a sweep above which the process must have been
 	// suspended or got no processor time.
 	stallThreshold = time.Second
-	// engineIdleTimeout is how long an idle connection for orders is kept; engines close idle ones.
+	// engineIdleTimeout is how long an idle connection for reports is kept; engines close idle ones.
 	engineIdleTimeout = 2 * time.Second
 )
 
