Let emulated engines repeat earlier reports

Engines may send an answer too many, and an earlier report can be taken for the one that is due on a kept connection.

--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -43,6 +43,9 @@
 	storeCapacity int
 	settledAt     time.Time
 	maxLoads      int
+	// stale is the probability that a request for a report gets an earlier one again.
+	stale    float64
+	reported map[string]mimosatide.InstanceReport
 	// advancedAt is when the loads from the weight store were last continued.
 	advancedAt time.Time
 }
@@ -66,6 +69,8 @@
 		engines: map[string]*fakeEngine{},
 		reports: map[string]int{},
 		sends:   map[string]int{},
+
+		reported: map[string]mimosatide.InstanceReport{},
 	}
 	for _, id := range ids {
 		engines.engines[id] = &fakeEngine{holdings: map[string][]string{}}
@@ -250,6 +255,10 @@
 		report.Holdings = append(report.Holdings, mimosatide.Holding{Model: model, Adapters: slices.Clone(adapters)})
 		report.OnDisk = append(report.OnDisk, model)
 	}
+	if earlier, found := engines.reported[instance.ID]; found && engines.random.Float64() < engines.stale {
+		return earlier, nil
+	}
+	engines.reported[instance.ID] = report
 	return report, nil
 }
 
@@ -260,7 +269,7 @@
 	for seed := range uint64(30) {
 		synctest.Test(t, func(t *testing.T) {
 			engines := newEngines(seed, "e0", "e1", "e2")
-			engines.lost, engines.late = 0.2, 0.2
+			engines.lost, engines.late, engines.stale = 0.2, 0.2, 0.5
 			met := driveController(t, engines, seed)
 			if len(engines.violations) > 0 {
 				t.Errorf("seed %d: %s", seed, engines.violations[0])
@@ -306,7 +315,7 @@
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
 			engines := newEngines(seed, "e0", "e1")
-			engines.lost, engines.late = 0.2, 0.2
+			engines.lost, engines.late, engines.stale = 0.2, 0.2, 0.5
 			table := newTable()
 			random := rand.New(rand.NewPCG(seed, 5))
 			orders := int64(0)
