Open a connection for each order to an engine of serve

Callers saw nothing of it so far; found while looking for the cause of the late refusals elsewhere.

Cause: orders, reports, cancellations and requests shared kept connections, and the answers to the first three name nothing. Evidence: against a target that writes an answer once more where the next one is due, an unload that the engine was still carrying out (Loading) got Absent from the unload before. The memory of a placement is released on that answer alone where the engine checks fencing tokens, so that the next load may exceed the engine's memory. An order got Ready or Stale in the same way, a report got that of the poll before or decoded the answer to an order as an engine without placements, and a request counted as cut because a report came, which makes its target a crashed one. The three tests of this commit failed so before it.

Change: orders, reports and cancellations open a connection each, as requests that must run at most once do. Kept connections carry nothing but requests, whose answers have an id.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -71,7 +71,9 @@
 	// pooled reuses connections. It is for requests that may run more than once.
 	pooled *client.Client
 	// unpooled opens a connection for each call. It is for requests that must run at
-	// most once: the HTTP library retries a call if its pooled connection was closed.
+	// most once: the HTTP library retries a call if its pooled connection was closed. It is
+	// for orders, reports and cancellations, too: their answers name nothing, so that on a
+	// connection that has carried another call they may be repeated ones to that call.
 	unpooled *client.Client
 }
 
@@ -214,8 +216,8 @@
 	_, _ = target.exchange(ctx, "DELETE", spec, "/v1/requests/"+request, nil)
 }
 
-// exchange sends a request to a target and returns the body of the answer. A status
-// other than 200 is an error.
+// exchange sends a request to a target over a new connection and returns the body of the
+// answer. A status other than 200 is an error.
 func (target *Client) exchange(
 	ctx context.Context, method string, spec mimosatide.TargetSpec, path string, body []byte,
 ) ([]byte, error) {
@@ -229,7 +231,7 @@
 		request.Header.SetContentTypeBytes([]byte("application/json"))
 		request.SetBody(body)
 	}
-	if err := target.pooled.Do(ctx, request, response); err != nil {
+	if err := target.unpooled.Do(ctx, request, response); err != nil {
 		return nil, errors.Trace(err)
 	}
 	answer := target.readBody(ctx, response)
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"testing"
 
+	"github.com/juju/errors"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/target"
 )
@@ -118,3 +120,151 @@
 		_ = listener.Close()
 	}
 }
+
+// startRepeatingTarget starts a target that answers its requests in turn with the given
+// answers. Where the next answer is due on a connection, it first writes the one before once
+// more. It returns its address.
+func startRepeatingTarget(t *testing.T, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	due := make(chan string, len(answers))
+	for _, answer := range answers {
+		due <- answer
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerRepeatedly(connection, due)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerRepeatedly(connection net.Conn, due <-chan string) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for earlier := ""; ; {
+		request, err := http.ReadRequest(reader)
+		if err == nil {
+			_, err = io.Copy(io.Discard, request.Body)
+		}
+		if err != nil {
+			return
+		}
+		answer := <-due
+		if _, err := io.WriteString(connection, earlier+answer); err != nil {
+			return
+		}
+		earlier = answer
+	}
+}
+
+// answerWith returns a complete answer with status 200; request may be empty.
+func answerWith(request, contentType, body string) string {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n"
+	if request != "" {
+		head += target.RequestHeader + ": " + request + "\r\n"
+	}
+	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+}
+
+// TestRepeatedAnswerIsNotTakenForTheAnswerToAnOrder guards against memory that is given to
+// another model because the answer to an earlier unload says that its model is gone.
+func TestRepeatedAnswerIsNotTakenForTheAnswerToAnOrder(t *testing.T) {
+	for _, earlier := range []mimosatide.OrderState{mimosatide.OrderAbsent, mimosatide.OrderReady, mimosatide.OrderStale} {
+		client, err := target.New(target.DefaultSettings())
+		if err != nil {
+			t.Fatal(err)
+		}
+		spec := mimosatide.TargetSpec{Address: startRepeatingTarget(t,
+			answerWith("", "application/json", `{"State":"`+string(earlier)+`"}`),
+			answerWith("", "application/json", `{"State":"Loading"}`))}
+		for index, want := range []mimosatide.OrderState{earlier, mimosatide.OrderLoading} {
+			order := mimosatide.Order{Kind: mimosatide.OrderUnload, Placement: fmt.Sprint("p-", index)}
+			if got, err := client.SendOrder(context.Background(), spec, order); got != want {
+				t.Errorf("order %d after the answer %s: got %q (%v), want %s", index, earlier, got, err, want)
+			}
+		}
+	}
+}
+
+// TestRepeatedReportIsNotTakenForTheNewOne guards against reports that are older than the
+// request for them, and so show a model as lost that was loaded since.
+func TestRepeatedReportIsNotTakenForTheNewOne(t *testing.T) {
+	var answers []string
+	for running := range 4 {
+		answers = append(answers, answerWith("", "application/json", fmt.Sprintf(`{"Running":%d}`, running)))
+	}
+	client, err := target.New(target.DefaultSettings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec := mimosatide.TargetSpec{Address: startRepeatingTarget(t, answers...)}
+	for running := range answers {
+		report, err := client.GetReport(context.Background(), spec)
+		if err != nil || report.Running != running {
+			t.Errorf("report %d: got %+v (%v), want %d running requests", running, report, err, running)
+		}
+	}
+}
+
+// TestRepeatedAnswerIsNotTakenForThatOfAnotherKind guards against reports that are decoded
+// from the answer to an order, orders answered by a report, and requests that count as cut
+// because a report came.
+func TestRepeatedAnswerIsNotTakenForThatOfAnotherKind(t *testing.T) {
+	const request = "r-1"
+	type exchange struct {
+		kind, answer string
+		call         func(*target.Client, mimosatide.TargetSpec) error
+	}
+	exchanges := []exchange{
+		{"request", answerWith(request, "text/event-stream", "id: 1\ndata: token\n\ndata: [DONE]\n\n"), func(client *target.Client, spec mimosatide.TargetSpec) error {
+			answer := client.Run(context.Background(), spec, mimosatide.Call{
+				Request: request, Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}"), Stream: true,
+			}, func(mimosatide.Event) error { return nil })
+			if answer.Failure != mimosatide.CallSucceeded {
+				return errors.Errorf("%s: %s", answer.Failure, answer.Detail)
+			}
+			return nil
+		}},
+		{"report", answerWith("", "application/json", `{"Placements":{"p-1":"Ready"}}`), func(client *target.Client, spec mimosatide.TargetSpec) error {
+			got, err := client.GetReport(context.Background(), spec)
+			if err == nil && got.Placements["p-1"] != mimosatide.OrderReady {
+				err = errors.Errorf("report %+v", got)
+			}
+			return err
+		}},
+		{"order", answerWith("", "application/json", `{"State":"Loading"}`), func(client *target.Client, spec mimosatide.TargetSpec) error {
+			got, err := client.SendOrder(context.Background(), spec, mimosatide.Order{Kind: mimosatide.OrderLoad, Placement: "p-1"})
+			if err == nil && got != mimosatide.OrderLoading {
+				err = errors.Errorf("state %q", got)
+			}
+			return err
+		}},
+	}
+	for _, earlier := range exchanges {
+		for _, due := range exchanges {
+			if earlier.kind == due.kind {
+				continue
+			}
+			client, err := target.New(target.DefaultSettings())
+			if err != nil {
+				t.Fatal(err)
+			}
+			spec := mimosatide.TargetSpec{Address: startRepeatingTarget(t, earlier.answer, due.answer)}
+			if err := earlier.call(client, spec); err != nil {
+				t.Fatal(err)
+			}
+			if err := due.call(client, spec); err != nil {
+				t.Errorf("%s after the answer to a %s came twice: got %v, want its own answer", due.kind, earlier.kind, err)
+			}
+		}
+	}
+}
