Don't take an informational answer for the final one

What a caller of serve could see: status 103 without a body as the answer of a plain service that then closed the connection. With an Idempotency-Key this answer was kept and replayed.

Cause: the HTTP library returns an informational answer (1xx) if the final one is cut, or if two come in a row.

Change: such a call counts as cut, so that a call that must not run twice is answered as one that may have run. The test now tries new connections, too. A target that sends two informational answers in a row is still not served: the call fails as cut, where the caller got status 1xx before.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -116,6 +116,11 @@
 	if err := httpClient.Do(ctx, request, response); err != nil {
 		return failedAnswer(ctx, err)
 	}
+	if response.StatusCode() < 200 {
+		// The library returns an informational answer if the final one is cut.
+		forceClose(response)
+		return mimosatide.Answer{Failure: mimosatide.CallCut, Detail: "no answer after an informational one"}
+	}
 	answered := string(response.Header.Peek(RequestHeader))
 	if answered != "" && answered != call.Request {
 		forceClose(response)
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -109,12 +109,12 @@
 				_ = connection.Close()
 			}
 		}()
-		for _, stream := range []bool{false, true} {
-			got := client.Run(context.Background(), mimosatide.TargetSpec{Address: listener.Addr().String()}, mimosatide.Call{
-				Request: request, Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}"), Stream: stream,
-			}, func(mimosatide.Event) error { return nil })
+		for _, call := range []mimosatide.Call{{}, {Stream: true}, {FreshConnection: true}, {Stream: true, FreshConnection: true}} {
+			call.Request, call.Method, call.Path, call.Body = request, http.MethodPost, "/v1/completions", []byte("{}")
+			got := client.Run(context.Background(), mimosatide.TargetSpec{Address: listener.Addr().String()}, call,
+				func(mimosatide.Event) error { return nil })
 			if got.Failure == mimosatide.CallSucceeded {
-				t.Errorf("head cut to %q, stream %v: got %+v, want a failure", answer, stream, got)
+				t.Errorf("head cut to %q, stream %v, fresh connection %v: got %+v, want a failure", answer, call.Stream, call.FreshConnection, got)
 			}
 		}
 		_ = listener.Close()
