Don't believe a 200 that names no request on a kept connection

What a caller of serve could see: the stream of another caller's request.

Cause: on a kept connection an error without a request's id was not believed, a 200 without one was. Evidence: against a target that writes an answer once more where the next one is due, a request got the stream of the one before it, in 1 of 5 requests of a target that names its requests sometimes and 2 of 5 of one that never does (TestAnswerWithoutARequestIsNotBelievedOnAKeptConnection, which failed so before this change).

Change: an answer on a kept connection has to name its request. A target whose last answer named none is sent each call over a new connection, where the answer can belong to nothing else, so that targets that never name requests are served as before after their first answer. A request without an id uses a new connection.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -75,6 +76,9 @@
 	// for orders, reports and cancellations, too: their answers name nothing, so that on a
 	// connection that has carried another call they may be repeated ones to that call.
 	unpooled *client.Client
+	// unnamed holds the addresses of targets whose last answer named no request. They are
+	// sent nothing over pooled connections, where such an answer may be a repeated one.
+	unnamed sync.Map
 }
 
 // New returns a client with the given settings.
@@ -109,9 +113,11 @@
 	defer protocol.ReleaseRequest(request)
 	defer protocol.ReleaseResponse(response)
 	target.setRequest(request, spec, call)
-	httpClient := target.pooled
-	if call.FreshConnection {
-		httpClient = target.unpooled
+	_, unnamed := target.unnamed.Load(spec.Address)
+	mayReuse := !call.FreshConnection && !unnamed && call.Request != ""
+	httpClient := target.unpooled
+	if mayReuse {
+		httpClient = target.pooled
 	}
 	if err := httpClient.Do(ctx, request, response); err != nil {
 		return failedAnswer(ctx, err)
@@ -126,7 +132,12 @@
 		forceClose(response)
 		return mimosatide.Answer{Failure: mimosatide.CallMismatched, Detail: "the answer names request " + answered}
 	}
-	if answered == "" && !call.FreshConnection && response.StatusCode() != 200 {
+	if answered == "" {
+		target.unnamed.Store(spec.Address, true)
+	} else {
+		target.unnamed.Delete(spec.Address)
+	}
+	if answered == "" && mayReuse {
 		forceClose(response)
 		return mimosatide.Answer{Failure: mimosatide.CallMismatched, Detail: "the answer names no request and may be that to an earlier one"}
 	}
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 
 	"github.com/juju/errors"
@@ -268,3 +269,43 @@
 		}
 	}
 }
+
+// TestAnswerWithoutARequestIsNotBelievedOnAKeptConnection guards against a caller that gets
+// the answer to another one's request, because the answer came late and names no request. A
+// target that never names one must be served all the same.
+func TestAnswerWithoutARequestIsNotBelievedOnAKeptConnection(t *testing.T) {
+	stream := func(request, token string) string {
+		return answerWith(request, "text/event-stream", "id: 1\ndata: "+token+"\n\ndata: [DONE]\n\n")
+	}
+	for name, answers := range map[string][]string{
+		"named before": {stream("r-0", "0"), stream("", "1"), stream("", "2"), stream("r-3", "3"), stream("r-4", "4")},
+		"never named":  {stream("", "0"), stream("", "1"), stream("", "2"), stream("", "3"), stream("", "4")},
+	} {
+		client, err := target.New(target.DefaultSettings())
+		if err != nil {
+			t.Fatal(err)
+		}
+		spec := mimosatide.TargetSpec{Address: startRepeatingTarget(t, answers...)}
+		disbelieved := 0
+		for index := range answers {
+			got := ""
+			answer := client.Run(context.Background(), spec, mimosatide.Call{
+				Request: fmt.Sprint("r-", index), Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}"), Stream: true,
+			}, func(event mimosatide.Event) error {
+				if !event.Last {
+					got += string(event.Data)
+				}
+				return nil
+			})
+			if answer.Failure == mimosatide.CallMismatched {
+				disbelieved++
+			}
+			if answer.Failure == mimosatide.CallSucceeded && got != strconv.Itoa(index) {
+				t.Errorf("%s, request %d: got the stream of request %s, want its own", name, index, got)
+			}
+		}
+		if disbelieved > 2 {
+			t.Errorf("%s: got %d of %d answers not believed, want at most 2", name, disbelieved, len(answers))
+		}
+	}
+}
--- a/internal/target/doc.go
+++ b/internal/target/doc.go
@@ -2,8 +2,8 @@
 //
 // Only headers on an allow list are forwarded, so that no key or cookie of a
 // caller reaches a target. Every call carries the request's id, and an answer that
-// names another id is discarded. On a kept connection, so is an error or a rejection that
-// names none.
+// names another id is discarded. On a kept connection, so is one that names none. A target
+// that names none is sent each call over a new connection.
 //
 // # Usage
 //
