Name the request in the stand-in's rejections

The stand-in's engines named the request in streams only. A rejection without the id is not believed on a kept connection, so that a request for a model that was just unloaded counted as one that may have run.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -343,6 +343,7 @@
 // serveCompletion starts a completion and streams its events.
 func (engine *engine) serveCompletion(lifetime context.Context, writer http.ResponseWriter, request *http.Request, body []byte) {
 	id := request.Header.Get("Mimosatide-Request")
+	writer.Header().Set("Mimosatide-Request", id)
 	placement := request.Header.Get("Mimosatide-Placement")
 	var parameters struct {
 		MaxTokens int    `json:"max_tokens"`
