--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -24,10 +24,15 @@
 // recorder is a Dispatcher that records the requests it is given.
 type recorder struct {
 	requests []dispatch.Request
+	// status is that of the answers; zero means 200.
+	status int
 }
 
 func (recorded *recorder) RunModel(_ context.Context, request dispatch.Request, onEvent func(mimosatide.Event) error) dispatch.Result {
 	recorded.requests = append(recorded.requests, request)
+	if recorded.status != 0 {
+		return dispatch.Result{Answer: mimosatide.Answer{Status: recorded.status, Body: []byte("busy")}}
+	}
 	for index := range 3 {
 		_ = onEvent(mimosatide.Event{Index: index + 1, Data: []byte(`{"choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}`)})
 	}
@@ -37,7 +42,11 @@
 
 func (recorded *recorder) RunRoute(_ context.Context, request dispatch.Request) dispatch.Result {
 	recorded.requests = append(recorded.requests, request)
-	return dispatch.Result{Answer: mimosatide.Answer{Status: 200, Body: []byte("done")}}
+	status := 200
+	if recorded.status != 0 {
+		status = recorded.status
+	}
+	return dispatch.Result{Answer: mimosatide.Answer{Status: status, Body: []byte("done")}}
 }
 
 func newEngine(t *testing.T) (*route.Engine, *recorder) {
@@ -159,3 +168,18 @@
 		}
 	}
 }
+
+// TestTargetsOwnStatusIsNoRefusal guards against a run state beside an answer of a target,
+// which says nothing about whether the request has run.
+func TestTargetsOwnStatusIsNoRefusal(t *testing.T) {
+	for _, status := range []int{408, 409, 421, 429, 500, 503} {
+		for path, body := range map[string]string{"/services/orders/buy": "x", "/v1/chat/completions": chat} {
+			engine, recorded := newEngine(t)
+			recorded.status = status
+			answer := perform(engine, "POST", path, body, withKey).Result()
+			if run := answer.Header.Get("Mimosatide-Run"); run != "" || answer.StatusCode() != status {
+				t.Errorf("%s answered with %d by its target: got status %d and run state %q, want the status and none", path, status, answer.StatusCode(), run)
+			}
+		}
+	}
+}
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -84,7 +84,10 @@
 func TestNonIdempotentCallIsNeverSentTwice(t *testing.T) {
 	for _, failure := range []mimosatide.CallFailure{mimosatide.CallCut, mimosatide.CallSilent, mimosatide.CallMismatched} {
 		harness := newHarness(t, 3)
-		harness.target.answer = func(string, mimosatide.Call, func(mimosatide.Event) error) mimosatide.Answer {
+		harness.target.answer = func(_ string, call mimosatide.Call, _ func(mimosatide.Event) error) mimosatide.Answer {
+			if !call.FreshConnection {
+				t.Errorf("%s: got a call over a kept connection, want a new one", failure)
+			}
 			return mimosatide.Answer{Failure: failure}
 		}
 		result := harness.service.RunRoute(context.Background(), harness.routeRequest("once", 3, false))
@@ -150,6 +153,66 @@
 	}
 }
 
+// TestServicesOwnRejectionKeepsTheClaim guards against running a repeated request again after
+// the service answered the first one with a status that does not say whether it has run.
+func TestServicesOwnRejectionKeepsTheClaim(t *testing.T) {
+	for _, status := range []int{408, 409, 421, 429, 500, 503} {
+		harness := newHarness(t, 2)
+		harness.target.answer = func(string, mimosatide.Call, func(mimosatide.Event) error) mimosatide.Answer {
+			return mimosatide.Answer{Status: status, ContentType: "text/plain", Body: []byte("busy")}
+		}
+		deadline := time.Now().Add(10 * time.Second)
+		for result := (dispatch.Result{}); !result.Replayed; time.Sleep(time.Millisecond) {
+			request := harness.routeRequest("parcel", 2, false)
+			request.IdempotencyKey, request.Digest = "parcel", "same"
+			result = harness.service.RunRoute(context.Background(), request)
+			if result.Refusal.Refused() && result.Refusal.Run == mimosatide.NotRun || time.Now().After(deadline) {
+				t.Fatalf("status %d: got %+v after %d calls, want the service's answer replayed", status, result, harness.target.count())
+			}
+		}
+		if harness.target.count() != 1 {
+			t.Errorf("status %d: got %d calls, want 1", status, harness.target.count())
+		}
+	}
+}
+
+// TestRefusalAfterAnUnknownAttemptIsNotNotRun guards against 'not run' for a request that a
+// target may have run before another attempt at it was refused or not sent.
+func TestRefusalAfterAnUnknownAttemptIsNotNotRun(t *testing.T) {
+	later := []mimosatide.Answer{{Failure: mimosatide.CallNotSent}, {Status: 409}, {Status: 429}, {Status: 503}}
+	for _, failure := range []mimosatide.CallFailure{mimosatide.CallCut, mimosatide.CallSilent, mimosatide.CallMismatched} {
+		for _, answer := range later {
+			harness := newHarness(t, 3)
+			harness.target.answer = func(_ string, call mimosatide.Call, _ func(mimosatide.Event) error) mimosatide.Answer {
+				if harness.target.count() == 1 || call.Resume {
+					return mimosatide.Answer{Failure: failure}
+				}
+				return answer
+			}
+			results := make(chan dispatch.Result, 1)
+			go func() {
+				results <- harness.service.RunModel(context.Background(), harness.modelRequest("model", paid), ignoreEvent)
+			}()
+			placeAfterDemand(harness, 3)
+			if result := <-results; result.Refusal.Run != mimosatide.RunUnknown {
+				t.Errorf("model, %s and then %+v: got %+v, want a refusal as possibly run", failure, answer, result)
+			}
+		}
+		harness := newHarness(t, 3)
+		harness.target.answer = func(string, mimosatide.Call, func(mimosatide.Event) error) mimosatide.Answer {
+			if harness.target.count() == 1 {
+				return mimosatide.Answer{Failure: failure}
+			}
+			return mimosatide.Answer{Failure: mimosatide.CallNotSent}
+		}
+		result := harness.service.RunRoute(context.Background(), harness.routeRequest("route", 3, true))
+		if result.Refusal.Run != mimosatide.RunUnknown || harness.target.count() < 2 {
+			t.Errorf("route, %s and then not sent: got %+v after %d calls, want a refusal as possibly run after 2 or more",
+				failure, result, harness.target.count())
+		}
+	}
+}
+
 // TestStreamIsResumedWithoutLossOrDuplicates guards against lost and repeated
 // events: the connection is cut after each number of events in turn.
 func TestStreamIsResumedWithoutLossOrDuplicates(t *testing.T) {
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -309,3 +309,63 @@
 		}
 	}
 }
+
+// TestCallOverANewConnectionIsSentOnce guards against a library that sends a call again by
+// itself after its connection was cut, so that it runs twice, and against one that uses a
+// connection again whose earlier answer may be repeated there.
+func TestCallOverANewConnectionIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost, http.MethodDelete} {
+		for _, partial := range []string{"", "HTTP/1.1 200 OK\r\nContent-Le"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			arrivals := make(chan string, 10)
+			go func() {
+				for {
+					connection, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go answerTheFirst(connection, partial, arrivals)
+				}
+			}()
+			client, err := target.New(target.DefaultSettings())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, request := range []string{"answered", "cut"} {
+				client.Run(context.Background(), mimosatide.TargetSpec{Address: listener.Addr().String()}, mimosatide.Call{
+					Request: request, Method: method, Path: "/", Body: []byte("{}"), FreshConnection: true,
+				}, nil)
+			}
+			_ = listener.Close()
+			if first, second := <-arrivals, <-arrivals; first != "answered, first on its connection" || second != "cut, first on its connection" || len(arrivals) > 0 {
+				t.Errorf("%s, cut after %q: got arrivals %q, %q and %d more, want one of each call on a connection of its own",
+					method, partial, first, second, len(arrivals))
+			}
+		}
+	}
+}
+
+// answerTheFirst answers the request "answered" and cuts any other after a part of an answer.
+func answerTheFirst(connection net.Conn, partial string, arrivals chan<- string) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for position := ", first on its connection"; ; position = ", again on its connection" {
+		request, err := http.ReadRequest(reader)
+		if err == nil {
+			_, err = io.Copy(io.Discard, request.Body)
+		}
+		if err != nil {
+			return
+		}
+		name := request.Header.Get(target.RequestHeader)
+		arrivals <- name + position
+		if name != "answered" {
+			_, _ = io.WriteString(connection, partial)
+			return
+		}
+		_, _ = io.WriteString(connection, answerWith(name, "text/plain", "done"))
+	}
+}
