Number a node's requests for permits from a random start

Callers saw nothing of it. Cause: the answers of a target's home are matched by a number that began at 1 with each process, so that an answer to the process that listened on the node's address before could pass for the answer to a request of this one: a permit that another request has used, or a denial. Evidence: TestAnswerToAnEarlierProcessIsNoPermit got a permit from the answer to question 1 of an earlier desk before this change.

Change: the first number is random, as that of the loans in internal/dispatch.

--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -47,7 +48,9 @@
 	peers  Peers
 	log    logr.Logger
 
-	lock   sync.Mutex
+	lock sync.Mutex
+	// number is that of the last question. The first is random, so that the numbers differ
+	// from those of an earlier process of the node, whose answers may still arrive.
 	number uint64
 	// open holds the questions without an answer by their numbers.
 	open map[uint64]chan Verdict
@@ -55,7 +58,9 @@
 
 // NewDesk returns a desk.
 func NewDesk(limits *Limits, issuer *Issuer, peers Peers, log logr.Logger) *Desk {
-	return &Desk{limits: limits, issuer: issuer, peers: peers, log: log, open: map[uint64]chan Verdict{}}
+	return &Desk{
+		limits: limits, issuer: issuer, peers: peers, log: log, number: rand.Uint64(), open: map[uint64]chan Verdict{},
+	}
 }
 
 // Acquire asks for a permit to send one request to a target. Without a limit it is granted
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -243,3 +243,40 @@
 		}
 	}
 }
+
+// homeElsewhere is a network with one home elsewhere, which answers nothing by itself.
+type homeElsewhere struct {
+	asked chan uint64
+}
+
+func (homeElsewhere) Home(string) (string, bool) { return "n2", false }
+
+func (home homeElsewhere) Ask(_ string, number uint64, _ permit.Request) { home.asked <- number }
+
+func (homeElsewhere) Silent(string) {}
+
+// TestAnswerToAnEarlierProcessIsNoPermit guards against a permit that a home issued for a
+// request of the process that listened on the node's address before.
+func TestAnswerToAnEarlierProcessIsNoPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		instance := target("a", 1)
+		home := homeElsewhere{asked: make(chan uint64, 1)}
+		start := func() (*permit.Desk, <-chan permit.Verdict) {
+			limits := permit.NewLimits()
+			limits.Name(instance, 3, time.Now())
+			desk := permit.NewDesk(limits, permit.NewIssuer(), home, logr.Discard())
+			verdict := make(chan permit.Verdict, 1)
+			go func() { verdict <- desk.Acquire(t.Context(), instance, time.Second, false) }()
+			return desk, verdict
+		}
+		_, earlier := start()
+		late := <-home.asked
+		desk, verdict := start()
+		own := <-home.asked
+		desk.Deliver(late, permit.Verdict{Granted: true})
+		if got := <-verdict; got.Granted {
+			t.Errorf("answer to question %d of an earlier process, with question %d open: got a permit, want none", late, own)
+		}
+		<-earlier
+	})
+}
