Number the rounds of a process from a start of its own

Callers saw nothing of it. Cause: reports about the head are matched by the number of a round that began at 1 with each process. A report to the process that listened at the address before, which arrives late, could confirm the head as of a round that this process has begun since, and so keep a node fresh with an older head for the time that the report was late. Evidence: TestReportToAnEarlierProcessIsNotTakenForTheNextOnes found the same rounds in two processes before this change.

Change: the first round is derived from the process's nonce, in four bytes: as long as the number of a process that has run for seven hours. The simulation now delivers a late message to the process that runs at the address when it arrives, as connections between nodes do; it dropped it if the process had changed.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -65,7 +65,7 @@
 	return &Core{
 		settings:       settings,
 		calls:          map[uint64]tableCall{},
-		freshness:      newFreshness(),
+		freshness:      newFreshness(settings.Nonce),
 		log:            newEntryLog(settings.Applied),
 		observedLeases: map[string]observedLease{},
 		hosts:          hostWatch{missing: map[mimosatide.Member]time.Duration{}},
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -135,6 +135,25 @@
 	}
 }
 
+// TestReportToAnEarlierProcessIsNotTakenForTheNextOnes guards against a late report that
+// confirms the configuration of a process as of a round that it has only begun since: rounds
+// of two processes at one address must not have the same number.
+func TestReportToAnEarlierProcessIsNotTakenForTheNextOnes(t *testing.T) {
+	sim := newStableSimulation(t, 9, 4)
+	earlier := sim.nodes[2].core
+	sim.start(sim.nodes[2])
+	sim.run(20 * time.Second)
+	next := sim.nodes[2].core
+	if len(sim.rounds[earlier]) == 0 || len(sim.rounds[next]) == 0 {
+		t.Fatalf("got %d and %d rounds of the two processes, want some of both", len(sim.rounds[earlier]), len(sim.rounds[next]))
+	}
+	for round := range sim.rounds[next] {
+		if sim.rounds[earlier][round] {
+			t.Fatalf("round %d: got it from two processes at one address, want numbers of their own", round)
+		}
+	}
+}
+
 func TestPausedNodeRegainsEvenShareAfterLeaseExpiry(t *testing.T) {
 	sim := newStableSimulation(t, 8, 4)
 	sim.nodes[1].paused = true
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosatide.example/mimosatide"
 )
 
@@ -17,7 +19,8 @@
 	// lastRead is when the newest successful read of the head was begun or, if it was
 	// relayed, requested.
 	lastRead time.Duration
-	round    uint64
+	// round is the number of the last round of requests.
+	round uint64
 	// roundStarts holds the start of every recent round of requests by its number.
 	roundStarts   map[uint64]time.Duration
 	reportedHeads map[string]reportedHead
@@ -39,8 +42,12 @@
 	requestedAt time.Duration
 }
 
-func newFreshness() freshness {
+// newFreshness returns the state of a new process. Its rounds are numbered from a start of
+// its own: a late report to an earlier process at the address must not match one of them.
+func newFreshness(nonce string) freshness {
 	return freshness{
+		// Four bytes keep the encoded messages short.
+		round:          xxhash.Sum64String(nonce) >> 32,
 		roundStarts:    map[uint64]time.Duration{},
 		reportedHeads:  map[string]reportedHead{},
 		lastReceived:   map[string]time.Duration{},
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -58,6 +58,8 @@
 	// witnessLimit and watchLimit are settings of the cores.
 	witnessLimit int
 	watchLimit   int
+	// rounds holds the rounds of each process's pings.
+	rounds map[*fleet.Core]map[uint64]bool
 	// cutLinks holds the pairs of addresses between which no message passes.
 	cutLinks map[[2]string]bool
 }
@@ -96,6 +98,14 @@
 	event fleet.Event
 }
 
+// outlivesProcess reports whether the event reaches the next process at the node's address
+// if it arrives late: a peer's message does, as the peer dials again, an answer of the table
+// does not.
+func (delivery delivery) outlivesProcess() bool {
+	_, message := delivery.event.(fleet.Received)
+	return message
+}
+
 func newSimulation(t testingT, seed uint64, size int) *simulation {
 	return newLimitedSimulation(t, seed, size, fleet.DefaultWitnessLimit, fleet.DefaultWatchLimit)
 }
@@ -113,6 +123,7 @@
 		accepted:           map[uint64]acceptedEntry{},
 		settled:            map[string]fleet.PatchOutcome{},
 		acceptanceReported: map[uint64]time.Duration{},
+		rounds:             map[*fleet.Core]map[uint64]bool{},
 		cutLinks:           map[[2]string]bool{},
 	}
 	for index := range size {
@@ -138,6 +149,7 @@
 	settings.LeaseReadEvery = time.Second
 	settings.WitnessLimit, settings.RelayLimit, settings.WatchLimit = sim.witnessLimit, sim.witnessLimit, sim.watchLimit
 	node.core = fleet.New(settings)
+	sim.rounds[node.core] = map[uint64]bool{}
 	node.rate = 1 + (sim.random.Float64()*2-1)*maxClockError
 	node.offset = time.Duration(sim.random.Int64N(int64(time.Hour)))
 	node.entries = map[uint64]string{}
@@ -199,7 +211,7 @@
 		switch {
 		case delivery.at > sim.now:
 			sim.inFlight = append(sim.inFlight, delivery)
-		case delivery.to.core == delivery.core && !delivery.to.dead:
+		case !delivery.to.dead && (delivery.to.core == delivery.core || delivery.outlivesProcess()):
 			// A paused process receives its messages when it resumes, from its socket buffers.
 			delivery.to.inbox = append(delivery.to.inbox, delivery.event)
 		}
@@ -258,6 +270,9 @@
 }
 
 func (sim *simulation) sendMessage(from *simulatedNode, effect fleet.SendMessage) {
+	if ping, ok := effect.Message.(fleet.Ping); ok {
+		sim.rounds[from.core][ping.Round] = true
+	}
 	to := sim.find(effect.To)
 	if sim.cutLinks[[2]string{from.member.Address, effect.To}] {
 		return
