--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -65,5 +65,12 @@
 mutate health internal/dispatch/health.go 's/return found && now < state\.ejectedUntil/return found \&\& now < state.ejectedUntil \&\& false/' ./internal/dispatch TestRetriesKeepToTheirBudget
 mutate key-in-body internal/caller/key.go 's/if slices\.Contains\(keyParameters, strings\.ToLower\(name\)\) \{/if slices.Contains(keyParameters, strings.ToLower(name)) \&\& false {/' ./internal/caller 'TestNoKeyReachesATarget'
 mutate drain internal/dispatch/service.go 's/case service\.draining:/case false:/' ./internal/dispatch TestDrainingRefusesNewWorkOnly
+mutate own-connections platform/order.go 's/unpooled\.DisableKeepAlives = true/unpooled.DisableKeepAlives = false/' ./platform TestRepeatedAnswerIsNotTaken
+mutate engine-connections internal/target/client.go 's/target\.unpooled\.Do\(ctx, request, response\)/target.pooled.Do(ctx, request, response)/' ./internal/target TestRepeated
+mutate unnamed internal/target/client.go 's/if answered == "" && mayReuse \{/if false \&\& mayReuse {/' ./internal/target TestAnswerWithoutARequest
+mutate call-once internal/target/client.go 's/newHTTPClient\(settings, false\)/newHTTPClient(settings, true)/' ./internal/target TestCallOverANewConnectionIsSentOnce
+mutate may-have-run internal/dispatch/run_model.go 's/run\.mayHaveRun = run\.mayHaveRun \|\| /run.mayHaveRun = /' ./internal/dispatch TestRefusalAfterAnUnknownAttempt
+mutate rounds internal/fleet/freshness.go 's/xxhash\.Sum64String\(nonce\) >> 32/xxhash.Sum64String(nonce) >> 63 >> 1/' ./internal/fleet TestReportToAnEarlierProcess
+mutate permit-number internal/permit/desk.go 's/number: rand\.Uint64\(\)/number: rand.Uint64N(1)/' ./internal/permit TestAnswerToAnEarlierProcess
 echo "$((ran - survived)) passed, $survived failed"
 [ "$survived" -eq 0 ]
