Count answers of targets that exceed a bound

Operators could not see that targets sent answers beyond the bounds of a head, an event or a buffered body: such requests only showed as failed or served.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -100,8 +100,8 @@
 	headLimit *int
 }
 
-// errHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes.
-var errHeadTooLarge = errors.New("the head of the answer is too large")
+// ErrHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes.
+var ErrHeadTooLarge = errors.New("the head of the answer is too large")
 
 // Read reads from the connection, within the limit while the head of an answer is read.
 func (open *connection) Read(buffer []byte) (int, error) {
@@ -109,7 +109,7 @@
 		return open.Conn.Read(buffer)
 	}
 	if *open.headLimit <= 0 {
-		return 0, errHeadTooLarge
+		return 0, ErrHeadTooLarge
 	}
 	count, err := open.Conn.Read(buffer[:min(len(buffer), *open.headLimit)])
 	*open.headLimit -= count
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,6 +14,7 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -60,6 +61,7 @@
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
 	if len(body) > maxBufferedBytes {
+		handler.gateway.Meter.CountOversize(metric.OversizeBody)
 		return handler.relayLarge(outcome, body)
 	}
 	handler.acquit(time.Now())
@@ -166,11 +168,22 @@
 // failStream ends the send of a stream that broke off; an incomplete event is dropped.
 func (handler *requestHandler) failStream(ctx context.Context, outcome sendOutcome, err error) sendOutcome {
 	outcome.reply.Abort()
+	handler.countOversize(err)
 	failed := handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	failed.reason = metric.RetryResume
 	return failed
 }
 
+// countOversize counts an answer whose error says that it exceeded a bound.
+func (handler *requestHandler) countOversize(err error) {
+	switch {
+	case errors.Is(err, exchange.ErrHeadTooLarge):
+		handler.gateway.Meter.CountOversize(metric.OversizeHead)
+	case errors.Is(err, errEventTooLarge):
+		handler.gateway.Meter.CountOversize(metric.OversizeEvent)
+	}
+}
+
 // errEventTooLarge is the error of a stream with an event above maxEventBytes.
 var errEventTooLarge = errors.New("an event of the stream is too large")
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -181,6 +181,7 @@
 		if failure != mimosatide.CallNotSent {
 			handler.possibleRuns++
 		}
+		handler.countOversize(err)
 		if errors.Is(err, exchange.ErrNotPermitted) {
 			handler.inFlight.End(balance.Withdrawn, time.Now())
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -58,6 +58,20 @@
 	RetryResume RetryReason = "Resume"
 )
 
+// OversizeReason says which bound an answer of a target exceeded.
+type OversizeReason string
+
+// The bounds that an answer may exceed.
+const (
+	// OversizeHead is the bound of its head; the answer is cut.
+	OversizeHead OversizeReason = "HeadTooLarge"
+	// OversizeEvent is the bound of one event of a stream; the stream is cut.
+	OversizeEvent OversizeReason = "EventTooLarge"
+	// OversizeBody is the bound of an answer that is read completely before it is sent; the
+	// answer is sent while it arrives.
+	OversizeBody OversizeReason = "BodyTooLarge"
+)
+
 // Meter holds a node's metrics.
 type Meter struct {
 	scope    tally.Scope
@@ -112,6 +126,11 @@
 	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("retries").Inc(1)
 }
 
+// CountOversize counts an answer of a target that exceeded a bound.
+func (meter *Meter) CountOversize(reason OversizeReason) {
+	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("oversized_answers").Inc(1)
+}
+
 // CountTableRows counts rows read from the table and writes sent to it.
 func (meter *Meter) CountTableRows(reads, writes int) {
 	meter.scope.Counter("table_reads").Inc(int64(reads))
