Bound the lines and fields of an answer's head

Operators saw machines run out of memory while faulty targets sent heads without end; the requests of all other clients ended with the process.

TestEndlessHeadIsCut failed before for 300 fields and for short fields, which were taken for malformed.

A head is now bounded to 32 KB, 256 lines and 256 fields. An error of the head's bounds is no longer hidden by that of the line which it cuts.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -19,6 +19,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -48,7 +49,10 @@
 	maxIdlePerTarget  = 16
 	readBufferBytes   = 4 << 10
 	// maxHeadBytes bounds the head of an answer, with the informational ones before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 32 << 10
+	// maxHeadLines bounds its lines and its fields: in memory a short field takes many times
+	// its bytes.
+	maxHeadLines = 256
 	// maxDiscardBytes and discardTimeout bound the body that Discard reads, so that the
 	// connection can be reused.
 	maxDiscardBytes = 4 << 10
@@ -95,24 +99,34 @@
 	idleTimeout time.Duration
 	// reused says that the connection has carried an earlier call.
 	reused bool
-	// headLimit is how many bytes may still be read for the head of an answer; nil while no
-	// head is read.
-	headLimit *int
+	// headLimit is what may still be read for the head of an answer; nil while no head is read.
+	headLimit *headLimit
 }
 
-// ErrHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes.
+// headLimit is a number of bytes and of lines.
+type headLimit struct {
+	bytes, lines int
+	// exceeded says that more was asked for.
+	exceeded bool
+}
+
+// ErrHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes or maxHeadLines.
 var ErrHeadTooLarge = errors.New("the head of the answer is too large")
 
-// Read reads from the connection, within the limit while the head of an answer is read.
+// Read reads from the connection, within the limit while the head of an answer is read. The
+// lines of the last piece may exceed it, because a body may have begun there.
 func (open *connection) Read(buffer []byte) (int, error) {
-	if open.headLimit == nil {
+	limit := open.headLimit
+	if limit == nil {
 		return open.Conn.Read(buffer)
 	}
-	if *open.headLimit <= 0 {
+	if limit.bytes <= 0 || limit.lines <= 0 {
+		limit.exceeded = true
 		return 0, ErrHeadTooLarge
 	}
-	count, err := open.Conn.Read(buffer[:min(len(buffer), *open.headLimit)])
-	*open.headLimit -= count
+	count, err := open.Conn.Read(buffer[:min(len(buffer), limit.bytes)])
+	limit.bytes -= count
+	limit.lines -= bytes.Count(buffer[:count], []byte{'\n'})
 	return count, err
 }
 
@@ -202,20 +216,35 @@
 
 // readHead reads the head of the final answer and skips informational (1xx) answers.
 func (open *connection) readHead(method string) (*http.Response, error) {
-	limit := maxHeadBytes
-	open.headLimit = &limit
+	limit := &headLimit{bytes: maxHeadBytes, lines: maxHeadLines}
+	open.headLimit = limit
 	defer func() { open.headLimit = nil }()
 	for {
 		response, err := http.ReadResponse(open.reader, &http.Request{Method: method})
+		if limit.exceeded {
+			// The error may be that of the line which was cut off.
+			return nil, errors.Trace(ErrHeadTooLarge)
+		}
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		if countFields(response.Header) > maxHeadLines {
+			return nil, errors.Trace(ErrHeadTooLarge)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
 
+func countFields(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // acquire returns a reusable connection from the pool, or a new one.
 func (client *Client) acquire(ctx context.Context, call Call) (*connection, error) {
 	for !call.NewConnection {
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -307,12 +307,14 @@
 		"fields":        {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
 		"status line":   {"", "HTTP/1.1 "},
 		"informational": {"", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n"},
+		"short fields":  {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
+		"many fields":   {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 300) + "\r\n", "a"},
 	}
 	for name, head := range heads {
 		address, written := startEndlessTarget(t, head[0], head[1])
 		_, failure, err := exchange.New(&net.Dialer{}).Send(context.Background(), call(address))
-		if failure != mimosatide.CallCut || err == nil {
-			t.Errorf("endless %s: got failure %q and error %v, want Cut", name, failure, err)
+		if failure != mimosatide.CallCut || !errors.Is(err, exchange.ErrHeadTooLarge) {
+			t.Errorf("endless %s: got failure %q and error %v, want Cut and ErrHeadTooLarge", name, failure, err)
 		}
 		// What the sockets of both ends buffer counts as written.
 		if total := <-written; total > 32<<20 {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -159,6 +159,7 @@
 		route("lookup", mimosatide.IdempotentRoute, "desk", 2, time.Second),
 		route("order", mimosatide.NonIdempotentRoute, "desk", 2, time.Second),
 		route("short", mimosatide.NonIdempotentRoute, "desk", 1, 100*time.Millisecond),
+		route("slow", mimosatide.NonIdempotentRoute, "desk", 1, time.Hour),
 		route("chat", mimosatide.StreamRoute, "llm", 1, 2*time.Second),
 		resumable,
 		longTimeout,
