Hold answers of targets within one budget of memory

Operators saw machines run out of memory while faulty targets sent bodies without end; the requests of all other clients ended with the process.

An answer that doesn't fit is sent while it arrives, as one above 1 MB was before; a stream with such an event ends like one with an event above 1 MB. Buffers are given back when the answer is sent or the request tried again. The counter of oversized answers has the new reason NoMemory, and a gauge says what is held.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -15,6 +15,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/allowance"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/feed"
 	"mimosatide.example/mimosatide/internal/gateway"
@@ -58,6 +59,9 @@
 	// stallThreshold is the delay of a sweep above which the process must have been
 	// suspended or got no processor time.
 	stallThreshold = time.Second
+	// answerMemoryShare is the share of the process's memory in which answers of targets are
+	// buffered.
+	answerMemoryShare = 0.125
 	// engineIdleTimeout is how long an idle connection for orders is kept; engines close idle ones.
 	engineIdleTimeout = 2 * time.Second
 )
@@ -77,6 +81,7 @@
 	tracker      *balance.Tracker
 	ledger       *allowance.Ledger
 	targetClient *exchange.Client
+	answers      *buffer.Budget
 	retryBudget  *gateway.RetryBudget
 	quarantine   *quarantine.Tracker
 	meter        *metric.Meter
@@ -113,6 +118,7 @@
 		tracker:        balance.New(settings.Zone),
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
+		answers:        buffer.NewBudget(int64(float64(settings.Limits.MemoryMB) * answerMemoryShare * (1 << 20))),
 		retryBudget:    gateway.NewRetryBudget(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
 		quarantine:     quarantine.New(log),
 		meter:          metric.New(),
@@ -290,6 +296,7 @@
 			node.targetClient.CloseExpired()
 			node.recordCopyAges()
 			node.recordPeerMessages()
+			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
 			node.targets.Expire(now)
 			view := node.targets.View()
 			known := func(id string) bool {
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -36,6 +36,7 @@
 		Limits:        node.limits,
 		Permits:       node.permits,
 		Ledger:        node.ledger,
+		Answers:       node.answers,
 		Client:        node.targetClient,
 		Loader:        node.loader,
 		RetryBudget:   node.retryBudget,
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -16,6 +16,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/allowance"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/loading"
@@ -25,6 +26,9 @@
 	"mimosatide.example/mimosatide/internal/registry"
 )
 
+// answerMemory is the memory for buffered answers, in bytes.
+const answerMemory = 16 << 20
+
 // receivedRequest is a request as it arrived at a target.
 type receivedRequest struct {
 	target string
@@ -42,6 +46,7 @@
 	ledger  *allowance.Ledger
 	limits  *permit.Limits
 	loader  *fakeLoader
+	answers *buffer.Budget
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
 	// age is the age of the gateway's copy of the configuration.
@@ -100,6 +105,7 @@
 		ledger:   allowance.New(true),
 		limits:   permit.NewLimits(),
 		loader:   &fakeLoader{},
+		answers:  buffer.NewBudget(answerMemory),
 		draining: make(chan struct{}),
 	}
 	deployment := testDeployment()
@@ -112,6 +118,7 @@
 		Limits:        created.limits,
 		Permits:       permit.NewDesk(created.limits, permit.NewIssuer(), noPeers{}, logr.Discard()),
 		Ledger:        created.ledger,
+		Answers:       created.answers,
 		Client:        exchange.New(&net.Dialer{}),
 		Loader:        created.loader,
 		RetryBudget:   gateway.NewRetryBudget(0.2, 56),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/allowance"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
@@ -62,6 +63,8 @@
 	Limits  *permit.Limits
 	Permits *permit.Desk
 	Ledger  *allowance.Ledger
+	// Answers is the memory in which answers of targets are buffered.
+	Answers *buffer.Budget
 	// Client sends the requests to the targets.
 	Client      *exchange.Client
 	Loader      Loader
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,19 +14,15 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/platform"
 )
 
-// The bounds of a relayed answer.
-const (
-	// maxBufferedBytes is the largest answer that is read completely before any of it
-	// is sent to the caller.
-	maxBufferedBytes = 1 << 20
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
-)
+// maxBufferedBytes is the largest answer that is read completely before any of it is sent
+// to the caller, and the largest event of a stream.
+const maxBufferedBytes = 1 << 20
 
 // relay sends an answer to the caller. It returns a failed outcome if the request may
 // have to be sent again: the answer broke off before any of it was sent, a stream broke
@@ -55,17 +51,18 @@
 // can still be retried.
 func (handler *requestHandler) relayBuffered(ctx context.Context, outcome sendOutcome) sendOutcome {
 	handler.inFlight.PrefillDone()
-	body, err := io.ReadAll(io.LimitReader(outcome.reply.Body(), maxBufferedBytes+1))
+	handler.buffer.Reset()
+	err := handler.buffer.Fill(outcome.reply.Body())
+	if errors.Is(err, buffer.ErrTooLarge) || errors.Is(err, buffer.ErrNoMemory) {
+		handler.countOversize(err, metric.OversizeBody)
+		return handler.relayLarge(outcome)
+	}
 	if err != nil {
 		outcome.reply.Abort()
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
-	if len(body) > maxBufferedBytes {
-		handler.gateway.Meter.CountOversize(metric.OversizeBody)
-		return handler.relayLarge(outcome, body)
-	}
 	handler.acquit(time.Now())
-	answer := &bufferedAnswer{head: outcome.head, body: body}
+	answer := &bufferedAnswer{head: outcome.head, body: handler.buffer.Bytes()}
 	if outcome.head.Status >= http.StatusInternalServerError && handler.route.Repeatable() {
 		outcome.reply.Close(true)
 		handler.inFlight.End(balance.Failed, time.Now())
@@ -92,14 +89,18 @@
 	}
 }
 
-// relayLarge sends an answer above maxBufferedBytes while it arrives; start is the
-// part that was already read.
-func (handler *requestHandler) relayLarge(outcome sendOutcome, start []byte) sendOutcome {
+// relayLarge sends an answer that can't be buffered while it arrives, after the part that
+// the buffer holds.
+func (handler *requestHandler) relayLarge(outcome sendOutcome) sendOutcome {
 	platform.CopyAnswerHead(handler.writer.Header(), outcome.head.Header)
 	handler.headSent = true
 	handler.writer.WriteHeader(outcome.head.Status)
-	body := io.MultiReader(bytes.NewReader(start), outcome.reply.Body())
-	if _, err := io.Copy(handler.writer, body); err != nil {
+	_, err := handler.writer.Write(handler.buffer.Bytes())
+	handler.buffer.Release()
+	if err == nil {
+		_, err = io.Copy(handler.writer, outcome.reply.Body())
+	}
+	if err != nil {
 		outcome.reply.Abort()
 		handler.inFlight.End(balance.Failed, time.Now())
 		handler.abort(sendOutcome{detail: err.Error()})
@@ -112,7 +113,8 @@
 func (handler *requestHandler) relayStream(ctx context.Context, outcome sendOutcome) sendOutcome {
 	reader := bufio.NewReader(outcome.reply.Body())
 	for {
-		event, id, err := readEvent(reader)
+		handler.buffer.Reset()
+		event, id, err := readEvent(reader, handler.buffer)
 		if err == io.EOF {
 			break
 		}
@@ -168,37 +170,37 @@
 // failStream ends the send of a stream that broke off; an incomplete event is dropped.
 func (handler *requestHandler) failStream(ctx context.Context, outcome sendOutcome, err error) sendOutcome {
 	outcome.reply.Abort()
-	handler.countOversize(err)
+	handler.countOversize(err, metric.OversizeEvent)
 	failed := handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	failed.reason = metric.RetryResume
 	return failed
 }
 
-// countOversize counts an answer whose error says that it exceeded a bound.
-func (handler *requestHandler) countOversize(err error) {
+// countOversize counts an answer whose error says that it exceeded a bound; limit is the
+// one of its buffer.
+func (handler *requestHandler) countOversize(err error, limit metric.OversizeReason) {
 	switch {
 	case errors.Is(err, exchange.ErrHeadTooLarge):
 		handler.gateway.Meter.CountOversize(metric.OversizeHead)
-	case errors.Is(err, errEventTooLarge):
-		handler.gateway.Meter.CountOversize(metric.OversizeEvent)
+	case errors.Is(err, buffer.ErrTooLarge):
+		handler.gateway.Meter.CountOversize(limit)
+	case errors.Is(err, buffer.ErrNoMemory):
+		handler.gateway.Meter.CountOversize(metric.OversizeMemory)
 	}
 }
 
-// errEventTooLarge is the error of a stream with an event above maxEventBytes.
-var errEventTooLarge = errors.New("an event of the stream is too large")
-
 // readEvent reads one server-sent event up to and including the empty line that
-// ends it, and returns its bytes and its id. It returns io.EOF only between events.
-func readEvent(reader *bufio.Reader) ([]byte, string, error) {
-	var event []byte
+// ends it into an empty buffer, and returns its bytes and its id. It returns io.EOF only
+// between events.
+func readEvent(reader *bufio.Reader, into *buffer.Buffer) ([]byte, string, error) {
 	id := ""
 	lineStart := 0
 	for {
 		piece, err := reader.ReadSlice('\n')
-		event = append(event, piece...)
-		if len(event) > maxEventBytes {
-			return nil, "", errEventTooLarge
+		if err := into.Append(piece); err != nil {
+			return nil, "", errors.Annotate(err, "an event of the stream")
 		}
+		event := into.Bytes()
 		if err == bufio.ErrBufferFull {
 			continue
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
@@ -64,6 +65,8 @@
 	// acquitted says that a target has answered the request without a crash.
 	answerBegan time.Time
 	acquitted   bool
+	// buffer holds the current target's answer, or an event of it.
+	buffer *buffer.Buffer
 	// headSent says that the answer to the caller has begun.
 	headSent    bool
 	lastEventID string
@@ -88,7 +91,8 @@
 	targetAnswer *bufferedAnswer
 }
 
-// bufferedAnswer is a complete answer that has not been sent to the caller.
+// bufferedAnswer is a complete answer that has not been sent to the caller. Its body is
+// that of the request's buffer.
 type bufferedAnswer struct {
 	head platform.AnswerHead
 	body []byte
@@ -102,6 +106,8 @@
 func (handler *requestHandler) serve(ctx context.Context) {
 	gateway := handler.gateway
 	defer func() { handler.releaseAdapter() }()
+	handler.buffer = gateway.Answers.NewBuffer(maxBufferedBytes)
+	defer handler.buffer.Release()
 	gateway.RetryBudget.RecordRequest(handler.service.Name)
 	if handler.service.Engine != nil {
 		gateway.Loader.RecordUsage(handler.service.Name, handler.request.Model, handler.query().PrefillTime())
@@ -127,6 +133,7 @@
 			handler.answerFailure(ctx, outcome)
 			return
 		}
+		handler.buffer.Reset()
 		gateway.Meter.CountRetry(outcome.reason)
 	}
 }
@@ -181,7 +188,7 @@
 		if failure != mimosatide.CallNotSent {
 			handler.possibleRuns++
 		}
-		handler.countOversize(err)
+		handler.countOversize(err, metric.OversizeHead)
 		if errors.Is(err, exchange.ErrNotPermitted) {
 			handler.inFlight.End(balance.Withdrawn, time.Now())
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -70,6 +70,9 @@
 	// OversizeBody is the bound of an answer that is read completely before it is sent; the
 	// answer is sent while it arrives.
 	OversizeBody OversizeReason = "BodyTooLarge"
+	// OversizeMemory is the memory for the answers of all targets together; an event is cut,
+	// another answer is sent while it arrives.
+	OversizeMemory OversizeReason = "NoMemory"
 )
 
 // Meter holds a node's metrics.
