Close idle connections whose targets go on sending

Faulty targets send further bytes after a complete answer, without end. A connection with such bytes was not used again, but it stayed open in the pool until its idle timeout, which the target names, and what is received and not read counts as memory of the process: up to 16 connections to each target, with a full window each.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -286,14 +286,15 @@
 	return pooled
 }
 
-// CloseExpired closes the pooled connections whose idle timeout has passed.
+// CloseExpired closes the pooled connections whose idle timeout has passed, and those that
+// can't be used again because bytes or their end have arrived.
 func (client *Client) CloseExpired() {
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	for address, list := range client.idle {
 		remaining := list[:0]
 		for _, pooled := range list {
-			if time.Since(pooled.idleSince) < pooled.idleTimeout {
+			if time.Since(pooled.idleSince) < pooled.idleTimeout && pooled.noPendingInput() {
 				remaining = append(remaining, pooled)
 				continue
 			}
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -146,6 +146,33 @@
 	}
 }
 
+// TestIdleConnectionThatReceivesBytesIsClosed guards against pooled connections whose targets
+// go on sending: what is not read counts as memory of the process.
+func TestIdleConnectionThatReceivesBytesIsClosed(t *testing.T) {
+	start := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\nContent-Length: 2\r\n\r\nok"
+	address, written := startEndlessTarget(t, start, "more")
+	quiet := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		writeAnswer(connection, okAnswer)
+		return true
+	})
+	client := exchange.New(&net.Dialer{})
+	for _, at := range []string{address, quiet.address} {
+		if body, _ := sendAndRead(t, client, at); body != "ok" {
+			t.Fatalf("body: got %q, want \"ok\"", body)
+		}
+	}
+	for attempt := 0; len(written) == 0; attempt++ {
+		if attempt == 500 {
+			t.Fatal("got an open connection to a target that goes on sending, want it closed")
+		}
+		client.CloseExpired()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if body, _ := sendAndRead(t, client, quiet.address); body != "ok" || quiet.connections.Load() != 1 {
+		t.Errorf("quiet target: got body %q and %d connections, want \"ok\" and 1", body, quiet.connections.Load())
+	}
+}
+
 // The target closes each connection after its answer. A request on such a connection would
 // fail, and it would be unknown whether the target ran it.
 func TestClosedIdleConnectionIsNotReused(t *testing.T) {
