serve: bound heads, trailers, bodies without a length and events

A faulty target could make a node of serve run out of memory, with the requests of all callers: the HTTP library reads a head and trailers until the read timeout, reads a body that ends with its connection completely before anybody gets a byte of it, and bounds the lines of an event, but not their sum.

Connections to targets now hold at most 16 KB of a head or trailers and MaxAnswer of a body that is not released, and a stream ends at 1 MB without a whole event. No sum is kept: serve knows no limit of its process's memory.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -90,7 +90,7 @@
 
 func newHTTPClient(settings Settings, keepAlive bool) (*client.Client, error) {
 	return client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(boundedDialer{Dialer: standard.NewDialer(), maxAnswer: settings.MaxAnswer}),
 		client.WithDialTimeout(settings.DialTimeout),
 		client.WithClientReadTimeout(settings.ProgressTimeout),
 		client.WithResponseBodyStream(true),
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -65,7 +65,11 @@
 	ctx context.Context, response *protocol.Response, onEvent func(mimosatide.Event) error,
 ) mimosatide.Answer {
 	answer := mimosatide.Answer{Status: response.StatusCode(), ContentType: string(response.Header.ContentType())}
-	reader, err := sse.NewReader(response)
+	limit := &eventLimit{source: response.BodyStream(), left: maxEventSize}
+	var limited protocol.Response
+	limited.Header.SetContentTypeBytes(response.Header.ContentType())
+	limited.SetBodyStream(limit, -1)
+	reader, err := sse.NewReader(&limited)
 	if err != nil {
 		forceClose(response)
 		answer.Failure, answer.Detail = mimosatide.CallCut, err.Error()
@@ -77,6 +81,7 @@
 	complete := false
 	err = reader.ForEach(watched, func(event *sse.Event) error {
 		progress.reset()
+		limit.left = maxEventSize
 		last := bytes.Equal(event.Data, doneData)
 		complete = complete || last
 		index, _ := strconv.Atoi(event.ID)
@@ -91,10 +96,39 @@
 		forceClose(response)
 		return answer
 	}
-	_ = reader.Close()
+	_ = response.CloseBodyStream()
 	return answer
 }
 
+// errEventTooLarge is the error of a stream with an event above maxEventSize.
+var errEventTooLarge = errors.Errorf("an event of the stream is larger than %d bytes", maxEventSize)
+
+// eventLimit bounds the bytes between two events of a stream: the event reader bounds the
+// lines of an event, but not their sum.
+type eventLimit struct {
+	source io.Reader
+	// left is how many bytes may still be read before the next event.
+	left int
+}
+
+// Read reads from the source.
+func (limit *eventLimit) Read(buffer []byte) (int, error) {
+	if limit.left <= 0 {
+		return 0, errEventTooLarge
+	}
+	count, err := limit.source.Read(buffer[:min(len(buffer), limit.left)])
+	limit.left -= count
+	return count, err
+}
+
+// ForceClose closes the connection of the source.
+func (limit *eventLimit) ForceClose() error {
+	if closer, ok := limit.source.(forceCloser); ok {
+		return closer.ForceClose()
+	}
+	return nil
+}
+
 // readBody reads the whole body of an answer that isn't streamed.
 func (target *Client) readBody(ctx context.Context, response *protocol.Response) mimosatide.Answer {
 	answer := mimosatide.Answer{Status: response.StatusCode(), ContentType: string(response.Header.ContentType())}
