serve: don't take an informational answer for the final one

The HTTP library returns an informational answer (1xx other than 100) as the answer of a call on a new connection. A caller got status 103 and an empty body as the answer of its target, while the target's own answer was still to come, and the call counted as succeeded.

TestAnswerWithoutEndIsCut failed before for informational answers without end (an answer of 0 bytes without a failure). An answer after informational ones is still not read.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -114,6 +114,11 @@
 	if err := httpClient.Do(ctx, request, response); err != nil {
 		return failedAnswer(ctx, err)
 	}
+	if response.StatusCode() < 200 {
+		// The HTTP library takes an informational answer for the final one.
+		forceClose(response)
+		return mimosatide.Answer{Failure: mimosatide.CallCut, Detail: "the target sent an informational answer"}
+	}
 	answered := string(response.Header.Peek(RequestHeader))
 	if answered != "" && answered != call.Request {
 		forceClose(response)
--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -62,6 +62,7 @@
 	}{
 		"field":             {ok + "X: ", "aaaaaaaa", false},
 		"fields":            {ok, "X: a\r\n", false},
+		"informational":     {"", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n", false},
 		"status line":       {"", "HTTP/1.1 ", false},
 		"body":              {ok + "Content-Length: 1000000000\r\n\r\n", "aaaaaaaa", false},
 		"body to the end":   {ok + "Connection: close\r\n\r\n", "aaaaaaaa", false},
