--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -20,7 +20,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -115,33 +114,6 @@
 	headLimit *headLimit
 }
 
-// headLimit is a number of bytes and of lines.
-type headLimit struct {
-	bytes, lines int
-	// exceeded says that more was asked for.
-	exceeded bool
-}
-
-// ErrHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes or maxHeadLines.
-var ErrHeadTooLarge = errors.New("the head of the answer is too large")
-
-// Read reads from the connection, within the limit while the head of an answer is read. The
-// lines of the last piece may exceed it, because a body may have begun there.
-func (open *connection) Read(buffer []byte) (int, error) {
-	limit := open.headLimit
-	if limit == nil {
-		return open.Conn.Read(buffer)
-	}
-	if limit.bytes <= 0 || limit.lines <= 0 {
-		limit.exceeded = true
-		return 0, ErrHeadTooLarge
-	}
-	count, err := open.Conn.Read(buffer[:min(len(buffer), limit.bytes)])
-	limit.bytes -= count
-	limit.lines -= bytes.Count(buffer[:count], []byte{'\n'})
-	return count, err
-}
-
 // New returns a client with an empty pool.
 func New(dialer *net.Dialer) *Client {
 	return &Client{dialer: dialer, idle: map[string][]*connection{}}
@@ -232,37 +204,6 @@
 	return nil, mimosatide.CallCut, errors.Trace(err)
 }
 
-// readHead reads the head of the final answer and skips informational (1xx) answers.
-func (open *connection) readHead(method string) (*http.Response, error) {
-	limit := &headLimit{bytes: maxHeadBytes, lines: maxHeadLines}
-	open.headLimit = limit
-	defer func() { open.headLimit = nil }()
-	for {
-		response, err := http.ReadResponse(open.reader, &http.Request{Method: method})
-		if limit.exceeded {
-			// The error may be that of the line which was cut off.
-			return nil, errors.Trace(ErrHeadTooLarge)
-		}
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		if countFields(response.Header) > maxHeadLines {
-			return nil, errors.Trace(ErrHeadTooLarge)
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
-func countFields(header http.Header) int {
-	count := 0
-	for _, values := range header {
-		count += len(values)
-	}
-	return count
-}
-
 // acquire returns a reusable connection from the pool, or a new one.
 func (client *Client) acquire(ctx context.Context, call Call) (*connection, error) {
 	for !call.NewConnection {
