Don't wait until the deadline for the rest of a late answer

What callers saw: 504 after the whole time for a request that may be repeated, where it was sent again before.

Cause: the body of a late answer was read without a bound in time. One that stops short, or whose length is that of an answer to HEAD, took the bytes of the request's own answer and waited for more.

Change: the body has to arrive within 100 ms; otherwise the send has failed as one that may have run.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -3,8 +3,8 @@
 //
 // Connections are pooled, but a connection is only reused once the whole request
 // was written, the whole answer was read and no other bytes have arrived. It is not used
-// for a request that it has carried before: a late copy of the first answer could not be
-// told from the second one. The client never retries; that is left to its caller.
+// for one of the latest requests that it has carried: a late copy of the first answer could
+// not be told from the second one. The client never retries; that is left to its caller.
 //
 // # Usage
 //
@@ -59,8 +59,11 @@
 	// connection can be reused.
 	maxDiscardBytes = 4 << 10
 	discardTimeout  = 10 * time.Millisecond
-	// maxSkippedBytes bounds the body of a late answer that Skip reads.
+	// maxSkippedBytes and skipTimeout bound the body of a late answer that Skip reads. It was
+	// written whole: what is missing will not come, and the bytes of the next answer would
+	// be taken for it.
 	maxSkippedBytes = 64 << 10
+	skipTimeout     = 100 * time.Millisecond
 	// maxInlineWriteBytes is the largest message that is written before the answer is
 	// read: it can't block, even if the target does not read.
 	maxInlineWriteBytes = 2 << 10
@@ -72,7 +75,8 @@
 	Address string
 	// Method decides whether the answer has a body.
 	Method string
-	// Request is the ID by which the target's answers name the request.
+	// Request is the ID by which the target's answers name the request. A connection that has
+	// recently carried a request with this ID is not used.
 	Request string
 	// Message is the complete HTTP request, head and body.
 	Message []byte
@@ -312,12 +316,15 @@
 }
 
 // Skip reads a late answer to its end and replaces it by the next one on the connection. An
-// answer that is long, or ends with the connection, is an error. After an error the caller
+// answer that is long, that stops short or that ends with the connection is an error. After an error the caller
 // still has to call Close or Abort.
 func (reply *Reply) Skip() error {
 	if reply.Response.Close || reply.Response.ContentLength > maxSkippedBytes {
 		return errors.New("a late answer can't be skipped")
 	}
+	if err := reply.connection.SetReadDeadline(time.Now().Add(skipTimeout)); err != nil {
+		return errors.Trace(err)
+	}
 	count, err := io.Copy(io.Discard, io.LimitReader(reply.Response.Body, maxSkippedBytes+1))
 	if err != nil {
 		return errors.Annotate(err, "late answer")
@@ -325,6 +332,9 @@
 	if count > maxSkippedBytes {
 		return errors.New("a late answer is too long")
 	}
+	if err := reply.connection.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Trace(err)
+	}
 	response, err := reply.connection.readHead(reply.Response.Request.Method)
 	if err != nil {
 		return errors.Annotate(err, "answer after a late one")
