--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -147,7 +147,8 @@
 	return mimosatide.NotRun
 }
 
-// send sends the request to a target and checks the head of its answer.
+// send sends the request to a target, skips late answers to earlier requests and checks the
+// head of the answer.
 func (handler *requestHandler) send(ctx context.Context, instance mimosatide.Instance) sendOutcome {
 	handler.instance = instance
 	handler.sent = time.Now()
