Log and count what a restore of the store changed

Seen: nothing in logs and metrics told a restore of the store from an outage, nor what a host ignored because it seemed older. The merge of rows is a file of its own.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -288,7 +288,7 @@
 				node.log.Info("process held up", "node", node.settings.Node, "delay", delay)
 			}
 			node.targetClient.CloseExpired()
-			node.recordCopyAges()
+			node.recordCopies()
 			node.recordPeerMessages()
 			node.targets.Expire(now)
 			view := node.targets.View()
@@ -308,11 +308,18 @@
 	return bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().ConfirmedAt
 }
 
-// recordCopyAges sets the gauges of the ages of the tables' copies.
-func (node *Node) recordCopyAges() {
+// recordCopies sets the gauges of the tables' copies and of the store's era.
+func (node *Node) recordCopies() {
 	now := bootClock{}.Now()
+	node.meter.SetGauge("store_era", float64(node.store.Era()))
 	for table, follower := range node.followers {
-		node.meter.SetCopyAge(table, now-follower.State().ConfirmedAt)
+		state, counts := follower.State(), follower.Counts()
+		node.meter.SetCopyAge(table, now-state.ConfirmedAt)
+		node.meter.SetTableGauge(table, "copy_era", float64(state.Version.Era()))
+		node.meter.SetTableGauge(table, "copy_restores", float64(counts.Restores))
+		node.meter.SetTableGauge(table, "copy_rows_changed_by_restores", float64(counts.ChangedRows))
+		node.meter.SetTableGauge(table, "copy_rows_lost_by_restores", float64(counts.LostRows))
+		node.meter.SetTableGauge(table, "copy_batches_ignored", float64(counts.Ignored))
 	}
 }
 
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -172,6 +172,7 @@
 	behindLogged bool
 	// relayed is true if the last check found that another node forwards the changes.
 	relayed bool
+	counts  Counts
 }
 
 // New returns a follower of a table that passes changes to onUpdate, one call at a time.
@@ -390,73 +391,6 @@
 	follower.everCalled = true
 }
 
-// Merge takes rows from the store or from a peer. It ignores a batch that is older
-// than the copy, and an incomplete one before the whole table is known.
-func (follower *Follower) Merge(batch mimosatide.RowBatch) {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	if batch.Version < follower.state.Version || (!batch.Complete && !follower.state.Synced) {
-		return
-	}
-	follower.mergeLocked(batch, follower.recoveringLocked())
-}
-
-// MergeChanges takes changes that another node forwards; after is the version of the
-// newest change before them. It returns false if the copy lacks that change: the
-// caller then needs a snapshot for Merge.
-func (follower *Follower) MergeChanges(after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool) bool {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	if !follower.state.Synced || follower.state.Version < after {
-		return false
-	}
-	if batch.Version > follower.state.Version {
-		follower.mergeLocked(batch, recovering)
-	}
-	return true
-}
-
-// mergeLocked replaces the rows that are older than those of the batch, and passes
-// the differences to onUpdate. A complete batch also deletes the rows it lacks.
-func (follower *Follower) mergeLocked(batch mimosatide.RowBatch, recovering bool) {
-	update := Update{Recovering: recovering}
-	seen := map[string]bool{}
-	for _, change := range batch.Rows {
-		seen[change.Key] = true
-		known, found := follower.rows[change.Key]
-		if found && change.Version <= known.Version {
-			continue
-		}
-		if change.Deleted {
-			delete(follower.rows, change.Key)
-			if !found {
-				continue
-			}
-		} else {
-			follower.rows[change.Key] = change.Row
-		}
-		update.Rows = append(update.Rows, change)
-	}
-	if batch.Complete {
-		for key, row := range follower.rows {
-			if !seen[key] && row.Version <= batch.Version {
-				delete(follower.rows, key)
-				deletion := mimosatide.RowChange{Row: mimosatide.Row{Key: key, Version: batch.Version}, Deleted: true}
-				update.Rows = append(update.Rows, deletion)
-			}
-		}
-	}
-	for _, change := range update.Rows {
-		follower.state.LastChange = max(follower.state.LastChange, change.Version)
-	}
-	follower.state.Version = batch.Version
-	first := !follower.state.Synced
-	follower.state.Synced = true
-	if len(update.Rows) > 0 || first {
-		follower.onUpdate(update)
-	}
-}
-
 func (follower *Follower) recovering() bool {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -128,6 +128,11 @@
 	meter.scope.Tagged(map[string]string{"table": table}).Gauge("copy_age_seconds").Update(age.Seconds())
 }
 
+// SetTableGauge sets a gauge of a table's copy to the current value.
+func (meter *Meter) SetTableGauge(table, name string, value float64) {
+	meter.scope.Tagged(map[string]string{"table": table}).Gauge(name).Update(value)
+}
+
 // ObserveQueueWait records how long a request waited until it was sent to a target.
 func (meter *Meter) ObserveQueueWait(account string, wait time.Duration) {
 	meter.observe("queue_wait", map[string]string{"account": account}, wait)
