Follow a store that was restored from an older copy

Cause: "the highest version wins" is no order over a restore. With versions ordered by era the table that was read again wins; the rest is here.

- A relay sends its zone a table that it had to read as a whole, instead of leaving it to the digests.

--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -402,3 +402,20 @@
 	message.Bulk = table == platform.ConfigurationTable
 	fleet.node.hub.SendAll(fleet.zonePeerAddresses(), message)
 }
+
+// ForwardTable sends the copy of a table to the nodes of the zone if this node is its relay.
+// It implements feed.Peers.
+func (fleet *fleet) ForwardTable(table string, after mimosatide.RowVersion) {
+	if !fleet.IsRelay() {
+		return
+	}
+	node := fleet.node
+	request := gossip.RowsRequest{Table: table, After: uint64(after), Compression: true}
+	message, err := node.compressor.EncodeRows(request, node.followers[table].Snapshot())
+	if err != nil {
+		// The digests name the version, so that the other nodes request the rows.
+		node.log.Error(err, "table not forwarded", "table", table)
+		return
+	}
+	node.hub.SendAll(fleet.zonePeerAddresses(), message)
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -5,7 +5,9 @@
 // A Follower therefore replaces its poll once a peer knows a newer change, or once
 // another call to the store has failed. While the store rejects a node's calls, the
 // node takes snapshots from its peers instead. All versions come from a single counter, so
-// the highest one wins, whatever its source, and no row reverts. In a large fleet
+// the highest one wins, whatever its source, and no row reverts. A store that was restored
+// from an older copy counts in a later era, whose versions are all higher; the table is
+// then read as a whole. In a large fleet
 // the relay of a zone forwards the changes to its nodes; their followers then
 // don't call the store.
 //
@@ -126,6 +128,9 @@
 	Forward(
 		table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, previous map[string]mimosatide.Row, recovering bool,
 	)
+	// ForwardTable passes on the whole copy of a table that the store no longer gave the
+	// changes of; after is the version of the newest change before.
+	ForwardTable(table string, after mimosatide.RowVersion)
 }
 
 // Follower holds a copy of one table. Its methods may be called concurrently.
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -272,6 +272,7 @@
 	expects        bool
 	changed        chan struct{}
 	forwardedAfter []mimosatide.RowVersion
+	tablesAfter    []mimosatide.RowVersion
 }
 
 func (peers *fakePeers) ReceivesFromRelay(string) bool {
@@ -305,6 +306,18 @@
 	peers.forwardedAfter = append(peers.forwardedAfter, after)
 }
 
+func (peers *fakePeers) ForwardTable(_ string, after mimosatide.RowVersion) {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	peers.tablesAfter = append(peers.tablesAfter, after)
+}
+
+func (peers *fakePeers) tables() []mimosatide.RowVersion {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	return slices.Clone(peers.tablesAfter)
+}
+
 func (peers *fakePeers) forwarded() []mimosatide.RowVersion {
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -44,6 +44,11 @@
 		follower.Merge(batch)
 		follower.markCurrent(start)
 		*hasSnapshot = true
+		after := follower.State()
+		if follower.peers != nil && state.Synced && after.LastChange > state.LastChange {
+			follower.peers.ForwardTable(follower.table, state.LastChange)
+		}
+		follower.probeGate.announceEra(follower, after.Version.Era())
 		return nil
 	}
 	wait := follower.pollWait
@@ -163,6 +168,16 @@
 	follower.cancelPoll()
 }
 
+// announceEra replaces the open poll, if there is one, if the copy is of an earlier era of the
+// store: the poll waits for a number that this era may give out much later.
+func (follower *Follower) announceEra(era uint64) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if follower.state.Version.Era() < era {
+		follower.suspectPollLocked("the store was restored")
+	}
+}
+
 // endSuspicion ends the suspicion of the last poll. If the poll that replaced it returned
 // changes at once, the last one was silent: the store may have had an outage that this
 // follower did not notice, and deletions may be effects of it.
--- a/internal/feed/probe_gate.go
+++ b/internal/feed/probe_gate.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// announceEra tells the other followers the era of a table that a follower has read.
+func (gate *ProbeGate) announceEra(follower *Follower, era uint64) {
+	for _, other := range gate.followers {
+		if other != follower {
+			other.announceEra(era)
+		}
+	}
+}
+
 // update takes the outcome of a follower's call and reports whether the follower has lost
 // the store with it.
 func (gate *ProbeGate) update(follower *Follower, answered bool) bool {
