--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"net/netip"
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
-
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
-	"mimosatide.example/mimosatide/internal/feed"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/relay"
 	"mimosatide.example/mimosatide/internal/zone"
@@ -32,48 +27,16 @@
 	completeSpentDigests = 15
 	// loadLifetime is that time in a fleet with relays.
 	loadLifetime = loadLifetimeDigests * (digestInterval + relayBatchDelay)
-	// joinInterval is the time between two attempts to join the list of hosts.
-	joinInterval = 500 * time.Millisecond
-	// hostTimeout is how long a host may send no digest before it is taken off the list.
-	hostTimeout  = 8 * time.Second
-	storeTimeout = 1500 * time.Millisecond
 	// rowsRequestInterval is the least time between two requests for rows, of any table from any peer.
 	rowsRequestInterval = 300 * time.Millisecond
-	// maxLoggedHosts is how many hosts of one change of the list are logged one by one.
-	maxLoggedHosts = 8
-	// maxCPUShare bounds the CPU share of a host, in cores.
-	maxCPUShare = 1024
 )
 
-// hostRow is the content of a host's row.
-type hostRow struct {
-	Address     string
-	Incarnation uint64
-	Zone        string
-	// CPUShare is the fraction of a core that the node may use.
-	CPUShare float64
-}
-
-// validate rejects a row that names no usable host: one of another writer, or one whose
-// share would make every node choose the host as its relay.
-func (row hostRow) validate() error {
-	if address, err := netip.ParseAddrPort(row.Address); err != nil || address.Port() == 0 {
-		return errors.NotValidf("address %q", row.Address)
-	}
-	if !(row.CPUShare > 0 && row.CPUShare <= maxCPUShare) {
-		return errors.NotValidf("CPU share %v", row.CPUShare)
-	}
-	return nil
-}
-
 // member is another host on the list.
 type member struct {
-	name     string
-	address  string
-	zone     string
-	cpuShare float64
-	// version is that of the host's row.
-	version    mimosatide.RowVersion
+	name       string
+	address    string
+	zone       string
+	cpuShare   float64
 	lastDigest time.Time
 	// timeoutStart is when the host's row last changed or its removal was last attempted.
 	timeoutStart time.Time
@@ -146,48 +109,6 @@
 	}
 }
 
-// applyHosts applies changes of the list of hosts.
-func (fleet *fleet) applyHosts(update feed.Update) {
-	fleet.lock.Lock()
-	defer fleet.lock.Unlock()
-	log := fleet.node.log
-	if len(update.Rows) > maxLoggedHosts {
-		log.Info("hosts known", "rows", len(update.Rows), "before", len(fleet.members))
-		log = log.V(1)
-	}
-	for _, change := range update.Rows {
-		own := change.Key == fleet.node.settings.Node
-		if change.Deleted {
-			delete(fleet.members, change.Key)
-			fleet.joined = fleet.joined && !own
-			log.Info("host left", "host", change.Key, "row", change.Version)
-			continue
-		}
-		var row hostRow
-		err := cbor.Unmarshal(change.Value, &row)
-		if err == nil {
-			err = row.validate()
-		}
-		if err != nil {
-			fleet.node.log.Error(err, "host row unreadable", "host", change.Key, "row", change.Version)
-			continue
-		}
-		if own {
-			fleet.joined = row.Incarnation == fleet.node.incarnation
-			continue
-		}
-		fleet.members[change.Key] = &member{
-			name: change.Key, address: row.Address, zone: row.Zone, cpuShare: row.CPUShare, version: change.Version,
-			timeoutStart: time.Now(),
-		}
-		log.Info("host known", "host", change.Key, "address", row.Address, "row", change.Version)
-	}
-	names, zones := fleet.reportersLocked()
-	fleet.node.ledger.SetPeers(names, zones, maxDigestAge(len(fleet.members)))
-	fleet.node.retryBudget.SetHosts(len(fleet.members) + 1)
-	fleet.chooser.SetHosts(fleet.hostsLocked())
-}
-
 // addresses returns the peer addresses of all other hosts.
 func (fleet *fleet) addresses() []string {
 	fleet.lock.Lock()
@@ -266,66 +187,6 @@
 	return fleet.joined
 }
 
-// join writes this node's row. The commit's outcome may be unknown: applyHosts sets
-// joined once the row is on the list.
-func (fleet *fleet) join(ctx context.Context) {
-	value, err := cbor.Marshal(hostRow{
-		Address: fleet.node.peerAddress, Incarnation: fleet.node.incarnation, Zone: fleet.node.settings.Zone,
-		CPUShare: fleet.node.settings.Limits.CPUShare,
-	})
-	if err != nil {
-		fleet.node.log.Error(err, "cannot encode host row")
-		return
-	}
-	fleet.commit(ctx, "host joins", mimosatide.Transaction{
-		Writes: []mimosatide.Write{{Key: fleet.node.settings.Node, Value: value}},
-	})
-}
-
-// leave takes this node off the list of hosts.
-func (fleet *fleet) leave(ctx context.Context) {
-	fleet.commit(ctx, "host leaves", mimosatide.Transaction{
-		Writes: []mimosatide.Write{{Key: fleet.node.settings.Node, Delete: true}},
-	})
-}
-
-// commit writes to the table of hosts and logs the outcome.
-func (fleet *fleet) commit(ctx context.Context, message string, transaction mimosatide.Transaction) {
-	commitCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	outcome, row, err := fleet.node.store.Table(hostTable).Commit(commitCtx, transaction)
-	reason := ""
-	if err != nil {
-		reason = err.Error()
-	}
-	fleet.node.log.Info(message, "host", transaction.Writes[0].Key, "outcome", outcome.String(), "row", row, "reason", reason)
-}
-
-// removeSilentHosts takes hosts off the list that have sent no digest for hostTimeout.
-// Only a lease holder does so. The removal is conditional on the version of the
-// host's row, so that a host which has joined again meanwhile stays.
-func (fleet *fleet) removeSilentHosts(ctx context.Context, now time.Time) {
-	if !fleet.node.loader.holdsAnyLease() {
-		return
-	}
-	fleet.lock.Lock()
-	defer fleet.lock.Unlock()
-	for name, member := range fleet.members {
-		silentSince := fleet.lastHeardLocked(member)
-		if member.timeoutStart.After(silentSince) {
-			silentSince = member.timeoutStart
-		}
-		if now.Sub(silentSince) < hostTimeout {
-			continue
-		}
-		member.timeoutStart = now
-		go fleet.commit(ctx, "host removed", mimosatide.Transaction{
-			Conditions: []mimosatide.Condition{{Key: name, Version: member.version}},
-			Writes:     []mimosatide.Write{{Key: name, Delete: true}},
-		})
-	}
-}
-
 // digest returns this node's digest for the other hosts, and whether it can't wait for the
 // interval of an idle node: it has news, or this node is a relay.
 func (fleet *fleet) digest() (gossip.Digest, bool) {
