Name the era of versions in messages between nodes

Cause of what follows a restore in a fleet: versions travel as numbers in digests, summaries, leases, changes and whole tables, and a number of before the restore looks newer.

Each message now has the era of its versions in a field of its own; the known fields hold the numbers alone, so that nodes of the build before go on as in one era. A message without an era is of era zero, the lowest. A digest or summary leaves out what is of an earlier era than the rest of it. A difference is sent only against a row of the same era.

- A copy is confirmed only by one of the same era: a number of a node without eras, or of before a restore, says nothing of this copy.
- A deletion is confirmed only by a version of its era.
- A relay that doesn't know the era of the store is not relied on as a relay.

Places where versions are compared, in feed, gossip, entrynode, registry and zone: Follower.Merge, MergeChanges, mergeLocked (rows, deletions), Knows, ObserveVersion, Confirm; EncodeRows and Row.decode (rows left out), Change.value and compressRows (equality of base and cached version); handleRows, handleChanges, Forward; requestNewerRows; ConfirmDeletions; the tally's maxima and its map by version; the version of a host's removal. All compare versions with their era; those named above changed.

Of the five new tests of the wire four failed before (numbers of one era went as they are, so that TestVersionsKeepTheirEraOnTheWay passed); the three for the points above fail with their line taken out. The messages of the build before are pinned as bytes that it made. TestHostRequestsRowsFromARelayThatItDoesNotKnow failed since the emulated store names eras: its relay named version 1000 without one, which is now lower than each of era 1. The relay of this test, and that of TestHostsCallTheStoreOnceTheirRelayNoLongerFollowsIt, are of this build and name the era; a relay of the build before has a test of its own.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -260,10 +260,11 @@
 // time and the reading of the node's clock at which it arrived.
 func (fleet *fleet) handleDigest(from string, digest gossip.Digest, now time.Time, clock time.Duration) {
 	node := fleet.node
+	relaysTables := digest.RelaysTables && fleet.knowsEraOfStore(digest)
 	fleet.lock.Lock()
 	if known, found := fleet.members[digest.Node]; found {
 		known.lastDigest = now
-		known.relaysTables = digest.RelaysTables
+		known.relaysTables = relaysTables
 		fleet.chooser.DigestReceived(known.address, now)
 		if digest.StoreOutage {
 			fleet.chooser.MarkStoreOutage(known.address, now)
@@ -297,6 +298,14 @@
 	fleet.requestNewerRows(from, digest.Tables, now)
 }
 
+// knowsEraOfStore reports whether the sender of a digest knows the era of this node's
+// configuration. A relay that doesn't forwards nothing that this node can use: it hasn't heard
+// of the last restore yet, or is of a build that knows no eras.
+func (fleet *fleet) knowsEraOfStore(digest gossip.Digest) bool {
+	era := fleet.node.followers[platform.ConfigurationTable].State().Version.Era()
+	return mimosatide.RowVersion(digest.Tables[platform.ConfigurationTable]).Era() >= era
+}
+
 func decodeLoads(encoded map[string]gossip.Load) map[string]balance.Load {
 	loads := make(map[string]balance.Load, len(encoded))
 	for id, load := range encoded {
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/platform/emulator"
@@ -141,7 +142,7 @@
 	})
 	eventually(t, "a request for the rows of the configuration", func() bool {
 		relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{
-			{Node: "n3", Incarnation: 1, Tables: map[string]uint64{"op": 1000}},
+			{Node: "n3", Incarnation: 1, Tables: map[string]uint64{"op": versionIn(store.Era(), 1000)}},
 		}})
 		for len(requested) > 0 {
 			if request := <-requested; request.Table == "op" {
@@ -152,6 +153,54 @@
 	})
 }
 
+// versionIn returns a version of an era of the store.
+func versionIn(era, number uint64) uint64 {
+	version, err := mimosatide.NewRowVersion(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return uint64(version)
+}
+
+// TestRelayThatKnowsNoErasIsNotReliedOn guards against hosts that get no changes during a rolling
+// update, because their relay is of an earlier build, whose versions are lower than theirs.
+func TestRelayThatKnowsNoErasIsNotReliedOn(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	relay := startHub(t, func(any) {})
+	putHost(t, store, "a-00", relay.address)
+	for index := range fleetSize {
+		// Nothing listens at the addresses of the other hosts.
+		putHost(t, store, fmt.Sprintf("a-%02d", index+10), fmt.Sprintf("127.0.2.%d:1", index+1))
+	}
+	node := startNodeIn(t, "a", "a-01", "127.0.1.3", store)
+	var knowsEras atomic.Bool
+	knowsEras.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+			tables := map[string]uint64{"op": 1}
+			if knowsEras.Load() {
+				tables["op"] = versionIn(store.Era(), 1)
+			}
+			digest := gossip.Digest{Node: "a-00", Incarnation: 1, RelaysTables: true, Tables: tables}
+			relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{digest}})
+		}
+	}()
+	version := 1
+	eventually(t, "a change for which the host does not call the store", func() bool {
+		version++
+		return len(storeCallers(map[string]*testNode{"a-01": node}, func() {
+			store.Put("op", "config", configuration(version, fmt.Sprintf("k%d", version)))
+			time.Sleep(100 * time.Millisecond)
+		})) == 0
+	})
+	knowsEras.Store(false)
+	eventually(t, "the change, from the store", func() bool { return node.request(fmt.Sprintf("k%d", version)) == http.StatusOK })
+}
+
 // TestHostsCallTheStoreOnceTheirRelayNoLongerFollowsIt guards against hosts of a large fleet
 // that wait for changes from a relay which the store has stopped answering.
 func TestHostsCallTheStoreOnceTheirRelayNoLongerFollowsIt(t *testing.T) {
@@ -174,7 +223,9 @@
 	defer cancel()
 	go func() {
 		for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
-			digest := gossip.Digest{Node: "a-00", Incarnation: 1, RelaysTables: following.Load()}
+			digest := gossip.Digest{
+				Node: "a-00", Incarnation: 1, RelaysTables: following.Load(), Tables: map[string]uint64{"op": versionIn(store.Era(), 1)},
+			}
 			for _, node := range nodes {
 				relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{digest}})
 			}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -362,11 +362,12 @@
 }
 
 // Confirm records that a peer's copy, whose newest change has the given version, was
-// current at a clock reading. It has no effect if this copy lacks that change.
+// current at a clock reading. It has no effect if this copy lacks that change, or is of
+// another era of the store.
 func (follower *Follower) Confirm(version mimosatide.RowVersion, at time.Duration) {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
-	if follower.state.Synced && follower.state.Version >= version {
+	if follower.state.Synced && follower.state.Version >= version && follower.state.Version.Era() == version.Era() {
 		follower.state.ConfirmedAt = max(follower.state.ConfirmedAt, at)
 	}
 }
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// TestCopyIsNotConfirmedByOneOfAnotherEra guards against a copy that counts as current because
+// of a version whose number is of before a restore, or of a node that knows no eras.
+func TestCopyIsNotConfirmedByOneOfAnotherEra(t *testing.T) {
+	follower, _, _ := loggingFollower(&scriptedStore{}, feed.Settings{})
+	follower.Merge(whole(at(2, 70)))
+	for _, version := range []mimosatide.RowVersion{at(0, 90), at(1, 90), at(3, 10)} {
+		follower.Confirm(version, time.Hour)
+		if state := follower.State(); state.ConfirmedAt != 0 {
+			t.Errorf("copy at 2/70, confirmed at %s: got confirmed at %v, want never", version, state.ConfirmedAt)
+		}
+	}
+}
+
 // TestRestoreCountsAsAnOutage guards against live targets that are removed because the copy
 // from which the store came back lacks their rows. No call to the store has failed.
 func TestRestoreCountsAsAnOutage(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,7 +5,8 @@
 //
 // Messages are encoded as CBOR with integer keys, only RowsRequest, RowsResponse and
 // Row with the names of their fields. Keys, these names and the numbers of the message
-// kinds must not change.
+// kinds must not change. The versions of rows in messages are values of
+// mimosatide.RowVersion.
 //
 // # Usage
 //
@@ -283,9 +284,9 @@
 // Encode encodes a message of this package; other types are not supported.
 func (Codec) Encode(message any) ([]byte, error) {
 	var messageKind kind
-	switch message.(type) {
+	switch typed := message.(type) {
 	case Digest:
-		messageKind = kindDigest
+		messageKind, message = kindDigest, typed.wire()
 	case Usage:
 		messageKind = kindUsage
 	case Need:
@@ -293,13 +294,13 @@
 	case HoldingsReport:
 		messageKind = kindHoldingsReport
 	case RowsRequest:
-		messageKind = kindRowsRequest
+		messageKind, message = kindRowsRequest, typed.wire()
 	case RowsResponse:
-		messageKind = kindRowsResponse
+		messageKind, message = kindRowsResponse, typed.wire()
 	case Batch:
-		messageKind = kindBatch
+		messageKind, message = kindBatch, typed.wire()
 	case Changes:
-		messageKind = kindChanges
+		messageKind, message = kindChanges, typed.wire()
 	case PermitRequest:
 		messageKind = kindPermitRequest
 	case PermitResponse:
@@ -323,7 +324,7 @@
 	}
 	switch wrapped.Kind {
 	case kindDigest:
-		return decode[Digest](wrapped.Body)
+		return decodeVersions[Digest, digestWire](wrapped.Body)
 	case kindUsage:
 		return decode[Usage](wrapped.Body)
 	case kindNeed:
@@ -331,13 +332,13 @@
 	case kindHoldingsReport:
 		return decode[HoldingsReport](wrapped.Body)
 	case kindRowsRequest:
-		return decode[RowsRequest](wrapped.Body)
+		return decodeVersions[RowsRequest, rowsRequestWire](wrapped.Body)
 	case kindRowsResponse:
-		return decode[RowsResponse](wrapped.Body)
+		return decodeVersions[RowsResponse, rowsResponseWire](wrapped.Body)
 	case kindBatch:
-		return decode[Batch](wrapped.Body)
+		return decodeVersions[Batch, batchWire](wrapped.Body)
 	case kindPlainChanges, kindChanges:
-		return decode[Changes](wrapped.Body)
+		return decodeVersions[Changes, changesWire](wrapped.Body)
 	case kindPermitRequest:
 		return decode[PermitRequest](wrapped.Body)
 	case kindPermitResponse:
@@ -352,3 +353,17 @@
 	err := cbor.Unmarshal(body, &message)
 	return message, errors.Annotatef(err, "decode %T", message)
 }
+
+// versioned is the wire format of a message that holds versions of the store's rows.
+type versioned[Message any] interface {
+	message() (Message, error)
+}
+
+func decodeVersions[Message any, Wire versioned[Message]](body []byte) (any, error) {
+	var wire Wire
+	if err := cbor.Unmarshal(body, &wire); err != nil {
+		return nil, errors.Annotatef(err, "decode %T", wire)
+	}
+	message, err := wire.message()
+	return message, errors.Annotatef(err, "decode %T", message)
+}
--- a/internal/gossip/rows.go
+++ b/internal/gossip/rows.go
@@ -38,11 +38,17 @@
 func EncodeChanges(
 	table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, previous map[string]mimosatide.Row, recovering bool,
 ) (Changes, error) {
+	if after.Era() != batch.Version.Era() {
+		return Changes{}, errors.NotValidf("changes up to version %s after %s", batch.Version, after)
+	}
 	message := Changes{Table: table, After: uint64(after), Version: uint64(batch.Version), Recovering: recovering}
 	for _, row := range batch.Rows {
 		change := Change{Key: row.Key, Value: row.Value, Version: uint64(row.Version), Deleted: row.Deleted}
 		if len(row.Value) >= minCompressedBytes {
 			base := previous[row.Key]
+			if base.Version.Era() != batch.Version.Era() {
+				base = mimosatide.Row{}
+			}
 			value, err := compress(row.Value, base.Value)
 			if err != nil {
 				return Changes{}, errors.Annotatef(err, "row %q", row.Key)
@@ -134,7 +140,7 @@
 		row := Row{Key: change.Key, Value: change.Value, Version: uint64(change.Version)}
 		large, isLarge := compressed[change.Key]
 		switch {
-		case uint64(change.Version) <= request.After:
+		case uint64(change.Version) <= request.After && change.Version.Era() == eraOf(request.After):
 			row.Value, row.Known = nil, true
 		case isLarge:
 			row.Value, row.Compressed = large.value, true
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -235,13 +235,14 @@
 
 // ConfirmDeletions removes the targets whose rows were deleted at or before a version
 // that was read while the store had no outage: these deletions are not effects of an
-// outage.
+// outage. It has no effect on deletions of another era of the store: a restore may have
+// brought their rows back.
 func (registry *Registry) ConfirmDeletions(row mimosatide.RowVersion) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	confirmed := false
 	for id, removal := range registry.removals {
-		if removal.row <= row {
+		if removal.row <= row && removal.row.Era() == row.Era() {
 			registry.remove(id)
 			confirmed = true
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -240,3 +240,23 @@
 		t.Errorf("one target that leaves: got %d lines more, want 1", lines-1)
 	}
 }
+
+// TestDeletionOfAnotherEraIsNotConfirmed guards against a live target that is removed by a
+// version that says nothing of its row, because the store was restored in between.
+func TestDeletionOfAnotherEraIsNotConfirmed(t *testing.T) {
+	deleted, _ := mimosatide.NewRowVersion(2, 70)
+	later, _ := mimosatide.NewRowVersion(3, 90)
+	targets := registry.New(logr.Discard())
+	targets.Put(instance("m1"))
+	targets.Delete("i-1", deleted, true, time.Now())
+	for _, version := range []mimosatide.RowVersion{90, later} {
+		targets.ConfirmDeletions(version)
+		if !holds(targets, "m1") {
+			t.Fatalf("deletions up to %s confirmed: got the target removed, want it kept, as it was deleted at %s", version, deleted)
+		}
+	}
+	targets.ConfirmDeletions(deleted)
+	if holds(targets, "m1") {
+		t.Error("the deletion itself confirmed: got the target kept, want it removed")
+	}
+}
