Keep targets away that a restore of the store brings back

Cause: a restored row was taken for news.

The update that a restore causes is marked as such. A target whose incarnation was removed is then taken for leaving until its row is written again, at most for 10 s: a live target writes its row in a heartbeat, and the row of an ended one is deleted again. A restored row of an incarnation before the known one is ignored.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -246,6 +246,10 @@
 		}
 		instances = append(instances, instance)
 	}
+	if update.Restored {
+		node.targets.PutRestored(instances, time.Now())
+		return
+	}
 	node.targets.PutAll(instances)
 }
 
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -71,6 +71,9 @@
 	// Recovering is true during an outage of the store and shortly after it: a
 	// deletion may then be an effect of the outage.
 	Recovering bool
+	// Restored is true if the rows are those to which the store was restored: some may be
+	// older than those known before.
+	Restored bool
 }
 
 // State describes how current a follower's copy is.
--- a/internal/feed/merge.go
+++ b/internal/feed/merge.go
@@ -73,7 +73,7 @@
 func (follower *Follower) mergeLocked(batch mimosatide.RowBatch, recovering bool) {
 	before := follower.state
 	restored := before.Synced && batch.Version.Era() > before.Version.Era()
-	update := Update{Recovering: recovering || restored}
+	update := Update{Recovering: recovering || restored, Restored: restored}
 	changed, lost := 0, 0
 	seen := map[string]bool{}
 	for _, change := range batch.Rows {
--- a/internal/registry/leaving.go
+++ b/internal/registry/leaving.go
@@ -76,10 +76,12 @@
 	return true
 }
 
-// isLeaving reports whether a target's row or an answer said that this incarnation leaves.
+// isLeaving reports whether a target's row or an answer said that this incarnation leaves, or
+// whether it had been removed before the store was restored.
 func (registry *Registry) isLeaving(instance mimosatide.Instance) bool {
 	mark, found := registry.leaving[instance.ID]
-	return instance.Leaving || found && !instance.Born.After(mark.born)
+	_, heldBack := registry.heldBack[instance.ID]
+	return instance.Leaving || heldBack || found && !instance.Born.After(mark.born)
 }
 
 // expireLeaving forgets incarnations whose rows have long been gone.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -95,7 +95,11 @@
 	refutations map[string]map[holdingKey]time.Time
 	// leaving holds, by target, the newest incarnation that is known to leave.
 	leaving map[string]leavingMark
-	changed chan struct{}
+	// removed holds, by target, the incarnation that was last removed, heldBack until when
+	// removed targets are kept away whose rows came back with a restore of the store.
+	removed  map[string]removedMark
+	heldBack map[string]time.Time
+	changed  chan struct{}
 }
 
 // pendingRemoval is the deletion of a row that may only be an effect of an outage of
@@ -122,6 +126,8 @@
 		removals:    map[string]pendingRemoval{},
 		refutations: map[string]map[holdingKey]time.Time{},
 		leaving:     map[string]leavingMark{},
+		removed:     map[string]removedMark{},
+		heldBack:    map[string]time.Time{},
 		changed:     make(chan struct{}),
 	}
 	return registry
@@ -159,6 +165,10 @@
 	}
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
+	registry.putAllLocked(instances)
+}
+
+func (registry *Registry) putAllLocked(instances []mimosatide.Instance) {
 	var known []mimosatide.Instance
 	for _, instance := range instances {
 		if registry.putLocked(instance) {
@@ -182,6 +192,8 @@
 func (registry *Registry) putLocked(instance mimosatide.Instance) bool {
 	before, found := registry.instances[instance.ID]
 	delete(registry.removals, instance.ID)
+	delete(registry.removed, instance.ID)
+	delete(registry.heldBack, instance.ID)
 	registry.instances[instance.ID] = instance
 	if mark, marked := registry.leaving[instance.ID]; marked && instance.Born.After(mark.born) {
 		delete(registry.leaving, instance.ID)
@@ -222,6 +234,7 @@
 	defer registry.lock.Unlock()
 	registry.expireLeaving(now)
 	expired := registry.expireRefutations(now)
+	expired = registry.expireRemoved(now) || expired
 	for id, removal := range registry.removals {
 		if now.After(removal.until) {
 			registry.remove(id)
@@ -315,6 +328,8 @@
 
 func (registry *Registry) remove(id string) {
 	registry.log.Info("target gone", "target", id, "service", registry.instances[id].Service)
+	registry.removed[id] = removedMark{born: registry.instances[id].Born, at: time.Now()}
+	delete(registry.heldBack, id)
 	delete(registry.instances, id)
 	delete(registry.reported, id)
 	delete(registry.removals, id)
