Keep the configuration in force over a restore to an older one

Within an era of the store the latest row is in force, as before. A row of a later era whose configuration has a lower version is ignored ("older configuration ignored"); one of the same version, or a higher one, is put in force. The digest of a host that is ahead of the store says the version, and a host that has an older one in force, such as one that has started since, requests the document and takes it as a whole. The copies of the table stay what the store has, so that differences name the right base.

Both new tests failed before.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -204,6 +204,8 @@
 		StoreOutage:  fleet.storeOutage(time.Now()),
 		Steady:       fleet.steady(),
 		Limits:       gossip.EncodeLimits(node.limits.Heard(time.Now()), time.Now()),
+
+		NewerConfiguration: node.newerConfiguration(),
 	}
 	for id, born := range node.targets.ToldLeaving(time.Now()) {
 		if digest.Leaving == nil {
@@ -295,6 +297,9 @@
 		// That node read the change without an outage, so that deletions up to it are final.
 		node.targets.ConfirmDeletions(mimosatide.RowVersion(digest.Tables[platform.TargetTable]))
 	}
+	if digest.NewerConfiguration != 0 {
+		node.requestConfiguration(from, digest.NewerConfiguration, now)
+	}
 	fleet.requestNewerRows(from, digest.Tables, now)
 }
 
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -70,25 +70,27 @@
 	// peerAddress is where this node listens for its peers and by which they know it.
 	peerAddress string
 
-	store        *platform.Store
-	engines      *platform.Engines
-	deployment   atomic.Pointer[mimosatide.Deployment]
-	targets      *registry.Registry
-	tracker      *balance.Tracker
-	ledger       *allowance.Ledger
-	targetClient *exchange.Client
-	retryBudget  *gateway.RetryBudget
-	quarantine   *quarantine.Tracker
-	meter        *metric.Meter
-	hub          *peer.Hub
-	followers    map[string]*feed.Follower
-	probeGate    *feed.ProbeGate
-	compressor   *gossip.Compressor
-	limits       *permit.Limits
-	issuer       *permit.Issuer
-	permits      *permit.Desk
-	fleet        *fleet
-	loader       *loader
+	store      *platform.Store
+	engines    *platform.Engines
+	deployment atomic.Pointer[mimosatide.Deployment]
+	// configuration is the row from which deployment was decoded.
+	configuration configurationState
+	targets       *registry.Registry
+	tracker       *balance.Tracker
+	ledger        *allowance.Ledger
+	targetClient  *exchange.Client
+	retryBudget   *gateway.RetryBudget
+	quarantine    *quarantine.Tracker
+	meter         *metric.Meter
+	hub           *peer.Hub
+	followers     map[string]*feed.Follower
+	probeGate     *feed.ProbeGate
+	compressor    *gossip.Compressor
+	limits        *permit.Limits
+	issuer        *permit.Issuer
+	permits       *permit.Desk
+	fleet         *fleet
+	loader        *loader
 
 	draining atomic.Bool
 	// refuseWaiting is closed when waiting requests can no longer be served before the process ends.
@@ -205,31 +207,6 @@
 	return node.deployment.Load()
 }
 
-// applyConfiguration puts a new configuration in force; after one that can't be decoded the last one stays.
-func (node *Node) applyConfiguration(update feed.Update) {
-	for _, change := range update.Rows {
-		if change.Key != platform.ConfigurationKey || change.Deleted {
-			continue
-		}
-		start := time.Now()
-		deployment, err := platform.DecodeDeployment(change.Value)
-		if err != nil {
-			node.log.Error(err, "configuration unreadable", "row", change.Version)
-			continue
-		}
-		node.deployment.Store(&deployment)
-		node.log.Info("configuration in force", "version", deployment.Version, "row", change.Version,
-			"routes", deployment.Routes(), "accounts", len(deployment.Accounts), "bytes", len(change.Value),
-			"decoding", time.Since(start))
-		limits := make(map[string]allowance.Limit, len(deployment.Accounts))
-		for name, account := range deployment.Accounts {
-			limits[name] = allowance.Limit{Rate: account.Rate, Burst: account.Burst}
-		}
-		node.ledger.SetAccounts(limits, time.Now())
-		node.loader.configure(&deployment)
-	}
-}
-
 // applyTargets applies changes of the targets' rows; a row that can't be decoded removes its target.
 func (node *Node) applyTargets(update feed.Update) {
 	var instances []mimosatide.Instance
--- /dev/null
+++ b/internal/entrynode/restore_test.go
@@ -0,0 +1,73 @@
+package entrynode_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mimosatide.example/mimosatide/platform/emulator"
+)
+
+// logged reports whether a line of the node's log holds all parts.
+func (node *testNode) logged(parts ...string) bool {
+	for line := range strings.SplitSeq(node.log.text(), "\n") {
+		found := true
+		for _, part := range parts {
+			found = found && strings.Contains(line, part)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+// startRestored starts a store and a node, puts version 2 with key k2 in force in place of
+// version 1 with key k1, and restores the store to version 1.
+func startRestored(t *testing.T) (*emulator.Store, *testNode) {
+	t.Helper()
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "version 1", func() bool { return node.request("k1") == http.StatusOK })
+	before := store.Copy()
+	store.Put("op", "config", configuration(2, "k2"))
+	eventually(t, "version 2", func() bool { return node.request("k2") == http.StatusOK })
+	store.Restore(before)
+	eventually(t, "the restore", func() bool { return node.logged("store restored", `"table"="op"`) })
+	return store, node
+}
+
+// TestConfigurationInForceOutlastsARestore guards against withdrawn keys and routes that are back
+// until the operator writes again, because the store was restored to an older configuration.
+func TestConfigurationInForceOutlastsARestore(t *testing.T) {
+	store, node := startRestored(t)
+	for range 5 {
+		if status := node.request("k2"); status != http.StatusOK {
+			t.Fatalf("key of the configuration in force: got status %d, want 200", status)
+		}
+		if status := node.request("k1"); status != http.StatusUnauthorized {
+			t.Fatalf("withdrawn key: got status %d, want 401", status)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	store.Put("op", "config", configuration(2, "k2b"))
+	eventually(t, "the same version in another row", func() bool { return node.request("k2b") == http.StatusOK })
+	store.Put("op", "config", configuration(3, "k3"))
+	eventually(t, "version 3", func() bool { return node.request("k3") == http.StatusOK })
+}
+
+// TestHostThatStartsAfterARestoreGetsTheConfigurationInForce guards against hosts that serve by
+// an older configuration than the others until the operator writes again.
+func TestHostThatStartsAfterARestoreGetsTheConfigurationInForce(t *testing.T) {
+	store, _ := startRestored(t)
+	started := startNode(t, "n2", "127.0.1.2", store)
+	eventually(t, "version 2 from the other host", func() bool { return started.request("k2") == http.StatusOK })
+	if status := started.request("k1"); status != http.StatusUnauthorized {
+		t.Errorf("withdrawn key: got status %d, want 401", status)
+	}
+	store.Put("op", "config", configuration(3, "k3"))
+	eventually(t, "version 3", func() bool { return started.request("k3") == http.StatusOK })
+}
--- a/internal/entrynode/rows.go
+++ b/internal/entrynode/rows.go
@@ -14,6 +14,10 @@
 
 // sendRows answers a peer's request for a table.
 func (node *Node) sendRows(to string, request gossip.RowsRequest) {
+	if request.Table == inForceTable {
+		node.sendConfiguration(to, request)
+		return
+	}
 	follower, found := node.followers[request.Table]
 	if !found || !follower.State().Synced {
 		return
@@ -28,6 +32,10 @@
 
 // handleRows merges a table that a peer has sent.
 func (node *Node) handleRows(from string, message gossip.RowsResponse) {
+	if message.Table == inForceTable {
+		node.handleConfiguration(from, message)
+		return
+	}
 	follower, found := node.followers[message.Table]
 	if !found || uint64(follower.State().Version) > message.Version {
 		return
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -63,6 +63,11 @@
 	Idle bool `cbor:"17,keyasint,omitempty"`
 	// RecentSpent says that Spent holds only the totals that have changed in the last digests.
 	RecentSpent bool `cbor:"18,keyasint,omitempty"`
+	// Key 19 holds the era of the versions.
+
+	// NewerConfiguration is the version of the configuration that the node has in force if the
+	// store was restored to an older one.
+	NewerConfiguration int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Events returns the part of the digest that no Summary of the node's zone holds, and whether
