Keep hosts on the list whose rows a restore of the store took away

A host whose row vanished with a restore stays on the list until it has written its row again or has sent no digest for the usual time, 8 s. A row that is written again keeps what was heard of the host. The new test failed before.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -40,6 +40,8 @@
 	lastDigest time.Time
 	// timeoutStart is when the host's row last changed or its removal was last attempted.
 	timeoutStart time.Time
+	// rowLost is true if a restore of the store took the host's row away.
+	rowLost bool
 	// relaysTables is true if the host forwards the changes of all tables to its zone.
 	relaysTables bool
 }
@@ -162,6 +164,7 @@
 			fleet.node.loader.sendUsage(now)
 			fleet.updateWatch()
 			fleet.removeSilentHosts(ctx, now)
+			fleet.dropLostHosts(now)
 		}
 	}
 }
--- a/internal/entrynode/hosts.go
+++ b/internal/entrynode/hosts.go
@@ -45,7 +45,8 @@
 	return nil
 }
 
-// applyHosts applies changes of the list of hosts.
+// applyHosts applies changes of the list of hosts. A host whose row a restore of the store took
+// away is kept while it sends digests, until it has written its row again.
 func (fleet *fleet) applyHosts(update feed.Update) {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
@@ -56,6 +57,12 @@
 	}
 	for _, change := range update.Rows {
 		own := change.Key == fleet.node.settings.Node
+		known := fleet.members[change.Key]
+		if change.Deleted && update.Restored && known != nil {
+			known.rowLost, known.timeoutStart = true, time.Now()
+			log.Info("host row lost", "host", change.Key, "row", change.Version)
+			continue
+		}
 		if change.Deleted {
 			delete(fleet.members, change.Key)
 			fleet.joined = fleet.joined && !own
@@ -75,12 +82,21 @@
 			fleet.joined = row.Incarnation == fleet.node.incarnation
 			continue
 		}
-		fleet.members[change.Key] = &member{
+		joined := &member{
 			name: change.Key, address: row.Address, zone: row.Zone, cpuShare: row.CPUShare,
 			timeoutStart: time.Now(),
 		}
+		if known != nil && (known.rowLost || update.Restored) && known.address == row.Address {
+			joined.lastDigest, joined.relaysTables = known.lastDigest, known.relaysTables
+		}
+		fleet.members[change.Key] = joined
 		log.Info("host known", "host", change.Key, "address", row.Address, "row", change.Version)
 	}
+	fleet.membersChangedLocked()
+}
+
+// membersChangedLocked tells those that depend on the other hosts of a change of the list.
+func (fleet *fleet) membersChangedLocked() {
 	names, zones := fleet.reportersLocked()
 	fleet.node.ledger.SetPeers(names, zones, maxDigestAge(len(fleet.members)))
 	fleet.node.retryBudget.SetHosts(len(fleet.members) + 1)
@@ -144,17 +160,40 @@
 	}
 }
 
+// dropLostHosts takes hosts off this node's list whose rows a restore of the store took away
+// and which have sent no digest for hostTimeout since.
+func (fleet *fleet) dropLostHosts(now time.Time) {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	dropped := false
+	for name, member := range fleet.members {
+		if member.rowLost && now.Sub(fleet.silentSinceLocked(member)) >= hostTimeout {
+			delete(fleet.members, name)
+			dropped = true
+			fleet.node.log.Info("host left", "host", name, "lastDigest", formatAge(now, member.lastDigest))
+		}
+	}
+	if dropped {
+		fleet.membersChangedLocked()
+	}
+}
+
+// silentSinceLocked returns when a host's time without a digest began.
+func (fleet *fleet) silentSinceLocked(member *member) time.Time {
+	heard := fleet.lastHeardLocked(member)
+	if member.timeoutStart.After(heard) {
+		return member.timeoutStart
+	}
+	return heard
+}
+
 // silentHosts returns the hosts that have sent no digest for hostTimeout, each once in that time.
 func (fleet *fleet) silentHosts(now time.Time) []*member {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	var silent []*member
 	for _, member := range fleet.members {
-		silentSince := fleet.lastHeardLocked(member)
-		if member.timeoutStart.After(silentSince) {
-			silentSince = member.timeoutStart
-		}
-		if now.Sub(silentSince) < hostTimeout {
+		if member.rowLost || now.Sub(fleet.silentSinceLocked(member)) < hostTimeout {
 			continue
 		}
 		member.timeoutStart = now
--- a/internal/entrynode/restore_test.go
+++ b/internal/entrynode/restore_test.go
@@ -71,3 +71,31 @@
 	store.Put("op", "config", configuration(3, "k3"))
 	eventually(t, "version 3", func() bool { return started.request("k3") == http.StatusOK })
 }
+
+// TestHostWhoseRowARestoreTookStaysKnown guards against hosts that take over the shares of the
+// quotas of others which are still there, and against messages that nobody sends them.
+func TestHostWhoseRowARestoreTookStaysKnown(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	first := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "version 1", func() bool { return first.request("k1") == http.StatusOK })
+	before := store.Copy()
+	second := startNode(t, "n2", "127.0.1.2", store)
+	eventually(t, "the second host", func() bool { return first.logged("host known", `"host"="n2"`) })
+	eventually(t, "its digests", func() bool { return second.request("k1") == http.StatusOK })
+	store.Restore(before)
+	eventually(t, "the row of the second host again", func() bool {
+		_, found := store.Row("mimosatide-hosts", "n2")
+		return found
+	})
+	eventually(t, "the row at the first host", func() bool { return strings.Count(first.log.text(), `"host known" "host"="n2"`) == 2 })
+	if first.logged("host left", `"host"="n2"`) {
+		t.Error("got the second host taken off the list, want it kept, since it sends digests")
+	}
+
+	second.entrance.SetUnavailable(true)
+	store.Restore(before)
+	second.stop()
+	eventually(t, "the end of the second host", func() bool { return first.logged("host left", `"host"="n2"`) })
+}
