Let a node that has just started not confirm deletions

A node that started just after the outage had seen none, and confirmed them at once. A node is steady 3 s after its first answer of the store at the earliest, as after an outage. The new test failed before.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -291,8 +291,8 @@
 	}
 }
 
-// Steady reports whether the store answers this node and its last outage here was
-// more than steadyAfter ago.
+// Steady reports whether the store answers this node and its last outage here, or the start,
+// was more than steadyAfter ago.
 func (follower *Follower) Steady() bool {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
@@ -387,9 +387,8 @@
 		return
 	}
 	if healthy {
-		if !follower.lostAt.IsZero() {
-			follower.recoveredAt = time.Now()
-		}
+		// A follower that has just started may have missed an outage.
+		follower.recoveredAt = time.Now()
 		follower.log.Info("store answers", "table", follower.table, "version", follower.state.Version)
 	} else {
 		follower.lostAt = time.Now()
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -700,3 +700,28 @@
 		synctest.Wait()
 	})
 }
+
+// TestFollowerThatHasJustStartedIsNotSteady guards against a host that confirms the deletions of
+// an outage to others, because it has started just after it and saw none.
+func TestFollowerThatHasJustStartedIsNotSteady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		quiet := answer{batch: mimosatide.RowBatch{Version: 2}, delay: time.Second}
+		store := &scriptedStore{answers: []answer{
+			{batch: mimosatide.RowBatch{Version: 2, Complete: true}}, quiet, quiet, quiet, quiet, quiet,
+		}}
+		follower, _ := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		go follower.Run(ctx)
+		time.Sleep(1500 * time.Millisecond)
+		if !follower.State().Healthy || follower.Steady() {
+			t.Error("1.5 s after the start: got unhealthy or steady, want healthy and not steady")
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if !follower.Steady() {
+			t.Error("4 s after the start: got not steady, want steady")
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
