--- a/internal/gossip/era.go
+++ b/internal/gossip/era.go
@@ -55,19 +55,15 @@
 	return numbers
 }
 
-// versionsIn returns the versions with the given numbers in an era.
-func versionsIn(era uint64, numbers map[string]uint64) (map[string]uint64, error) {
-	if era == 0 || numbers == nil {
-		return numbers, nil
-	}
-	versions := make(map[string]uint64, len(numbers))
-	for table, version := range numbers {
+// joinAll turns the numbers of tables into versions of an era.
+func joinAll(era uint64, tables map[string]uint64) error {
+	for table, version := range tables {
 		if err := join(era, &version); err != nil {
-			return nil, errors.Annotatef(err, "table %q", table)
+			return errors.Annotatef(err, "table %q", table)
 		}
-		versions[table] = version
+		tables[table] = version
 	}
-	return versions, nil
+	return nil
 }
 
 type digestWire struct {
@@ -109,8 +105,7 @@
 
 func (wire digestWire) message() (Digest, error) {
 	digest := wire.Digest
-	var err error
-	if digest.Tables, err = versionsIn(wire.Era, wire.Tables); err != nil {
+	if err := joinAll(wire.Era, digest.Tables); err != nil {
 		return Digest{}, errors.Trace(err)
 	}
 	for _, encoded := range wire.Ownerships {
@@ -148,12 +143,10 @@
 
 func (wire summaryWire) message() (Summary, error) {
 	summary := wire.Summary
-	var err error
-	if summary.Tables, err = versionsIn(wire.Era, wire.Tables); err != nil {
-		return Summary{}, errors.Trace(err)
-	}
-	if summary.SteadyTables, err = versionsIn(wire.Era, wire.SteadyTables); err != nil {
-		return Summary{}, errors.Trace(err)
+	for _, tables := range []map[string]uint64{summary.Tables, summary.SteadyTables} {
+		if err := joinAll(wire.Era, tables); err != nil {
+			return Summary{}, errors.Trace(err)
+		}
 	}
 	if wire.Era == 0 || wire.ConfigurationAgeMillis == nil {
 		return summary, nil
