Test a restore behind a relay and without the store

A host that the store rejects has to learn of a restore from its peers, and the hosts of a large fleet from their relays, without calling the store afterwards.

--- a/internal/entrynode/restore_test.go
+++ b/internal/entrynode/restore_test.go
@@ -99,3 +99,50 @@
 	second.stop()
 	eventually(t, "the end of the second host", func() bool { return first.logged("host left", `"host"="n2"`) })
 }
+
+// TestHostWithoutTheStoreFollowsARestore guards against a host that the store rejects and that
+// keeps the rows of before a restore, because those of its peers have lower numbers.
+func TestHostWithoutTheStoreFollowsARestore(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	nodes := map[string]*testNode{"n1": startNode(t, "n1", "127.0.1.1", store), "n2": startNode(t, "n2", "127.0.1.2", store)}
+	changeConfiguration(t, store, nodes, 2)
+	eventually(t, "the second host", func() bool { return nodes["n1"].logged("host known", `"host"="n2"`) })
+	before := store.Copy()
+	for version := 3; version < 6; version++ {
+		changeConfiguration(t, store, nodes, version)
+	}
+	nodes["n2"].entrance.SetUnavailable(true)
+	store.Restore(before)
+	changeConfiguration(t, store, nodes, 6)
+	if !nodes["n2"].logged("store restored", `"table"="op"`) {
+		t.Error("host that the store rejects: got no line of the restore, want one")
+	}
+}
+
+// TestRestoreReachesTheHostsBehindARelay guards against a large fleet that serves by rows of
+// before a restore, or in which every host calls the store after it.
+func TestRestoreReachesTheHostsBehindARelay(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	nodes := startFleet(t, store)
+	changeConfiguration(t, store, nodes, 2)
+	version := 2
+	onlyRelaysCall := func() bool {
+		version++
+		return len(storeCallers(nodes, func() { changeConfiguration(t, store, nodes, version) })) <= 2
+	}
+	eventually(t, "changes through relays", onlyRelaysCall)
+	before := store.Copy()
+	version++
+	changeConfiguration(t, store, nodes, version)
+	store.Restore(before)
+	for name, node := range nodes {
+		eventually(t, "the restore at "+name, func() bool { return node.logged("store restored", `"table"="op"`) })
+	}
+	version++
+	changeConfiguration(t, store, nodes, version)
+	eventually(t, "changes through relays after the restore", onlyRelaysCall)
+}
