--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// A late copy of the first answer would be taken for the answer to the second call.
+func TestConnectionDoesNotCarryARequestTwice(t *testing.T) {
+	started := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		writeAnswer(connection, okAnswer)
+		return true
+	})
+	client := exchange.New(&net.Dialer{})
+	for _, request := range []string{"r-1", "r-2", "r-1", "r-2", "r-3"} {
+		named := call(started.address)
+		named.Request = request
+		reply, failure, err := client.Send(context.Background(), named)
+		if failure != mimosatide.CallSucceeded {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, reply.Body())
+		reply.Close(err == nil)
+	}
+	if count := started.connections.Load(); count != 2 {
+		t.Errorf("connections for two requests that are sent twice and a third one: got %d, want 2", count)
+	}
+}
+
 // On a reused connection the bytes after an answer would be taken for the answer to the
 // next request.
 func TestConnectionWithBytesAfterItsAnswerIsNotReused(t *testing.T) {
@@ -146,6 +168,33 @@
 	}
 }
 
+// TestIdleConnectionThatReceivesBytesIsClosed guards against pooled connections whose targets
+// go on sending: what is not read counts as memory of the process.
+func TestIdleConnectionThatReceivesBytesIsClosed(t *testing.T) {
+	start := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\nContent-Length: 2\r\n\r\nok"
+	address, written := startEndlessTarget(t, start, "more")
+	quiet := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		writeAnswer(connection, okAnswer)
+		return true
+	})
+	client := exchange.New(&net.Dialer{})
+	for _, at := range []string{address, quiet.address} {
+		if body, _ := sendAndRead(t, client, at); body != "ok" {
+			t.Fatalf("body: got %q, want \"ok\"", body)
+		}
+	}
+	for attempt := 0; len(written) == 0; attempt++ {
+		if attempt == 500 {
+			t.Fatal("got an open connection to a target that goes on sending, want it closed")
+		}
+		client.CloseExpired()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if body, _ := sendAndRead(t, client, quiet.address); body != "ok" || quiet.connections.Load() != 1 {
+		t.Errorf("quiet target: got body %q and %d connections, want \"ok\" and 1", body, quiet.connections.Load())
+	}
+}
+
 // The target closes each connection after its answer. A request on such a connection would
 // fail, and it would be unknown whether the target ran it.
 func TestClosedIdleConnectionIsNotReused(t *testing.T) {
@@ -307,12 +356,14 @@
 		"fields":        {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
 		"status line":   {"", "HTTP/1.1 "},
 		"informational": {"", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n"},
+		"short fields":  {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
+		"many fields":   {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 300) + "\r\n", "a"},
 	}
 	for name, head := range heads {
 		address, written := startEndlessTarget(t, head[0], head[1])
 		_, failure, err := exchange.New(&net.Dialer{}).Send(context.Background(), call(address))
-		if failure != mimosatide.CallCut || err == nil {
-			t.Errorf("endless %s: got failure %q and error %v, want Cut", name, failure, err)
+		if failure != mimosatide.CallCut || !errors.Is(err, exchange.ErrHeadTooLarge) {
+			t.Errorf("endless %s: got failure %q and error %v, want Cut and ErrHeadTooLarge", name, failure, err)
 		}
 		// What the sockets of both ends buffer counts as written.
 		if total := <-written; total > 32<<20 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/allowance"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
@@ -62,6 +63,8 @@
 	Limits  *permit.Limits
 	Permits *permit.Desk
 	Ledger  *allowance.Ledger
+	// Answers is the memory in which answers of targets are buffered.
+	Answers *buffer.Budget
 	// Client sends the requests to the targets.
 	Client      *exchange.Client
 	Loader      Loader
@@ -90,7 +93,10 @@
 // ServeHTTP answers one request.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
-	handler := &requestHandler{gateway: gateway, writer: writer, arrived: arrived, tried: map[string]bool{}, releaseAdapter: func() {}}
+	handler := &requestHandler{
+		gateway: gateway, writer: writer, arrived: arrived, tried: map[string]bool{}, triedAddresses: map[string]bool{},
+		releaseAdapter: func() {},
+	}
 	deployment := gateway.Deployment()
 	if deployment == nil {
 		handler.refuse(mimosatide.Refuse(mimosatide.ReasonNotFresh, "no configuration is known yet").WithRetryAfter(startupRetryAfter))
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -58,6 +58,38 @@
 	RetryResume RetryReason = "Resume"
 )
 
+// AnswerKind is what became of a target's answer.
+type AnswerKind string
+
+// The kinds of answers that are not passed on to the caller.
+const (
+	// AnswerRefused is the statement that the request was not run, and it was believed.
+	AnswerRefused AnswerKind = "Refused"
+	// AnswerMismatched is an answer that is not the target's own answer to the request.
+	AnswerMismatched AnswerKind = "Mismatched"
+	// AnswerLate is the second answer to an earlier request on the same connection.
+	AnswerLate AnswerKind = "Late"
+	// AnswerUndeclared is a refusal that does not say that the request was not run.
+	AnswerUndeclared AnswerKind = "Undeclared"
+)
+
+// OversizeReason says which bound an answer of a target exceeded.
+type OversizeReason string
+
+// The bounds that an answer may exceed.
+const (
+	// OversizeHead is the bound of its head; the answer is cut.
+	OversizeHead OversizeReason = "HeadTooLarge"
+	// OversizeEvent is the bound of one event of a stream; the stream is cut.
+	OversizeEvent OversizeReason = "EventTooLarge"
+	// OversizeBody is the bound of an answer that is read completely before it is sent; the
+	// answer is sent while it arrives.
+	OversizeBody OversizeReason = "BodyTooLarge"
+	// OversizeMemory is the memory for the answers of all targets together; an event is cut,
+	// another answer is sent while it arrives.
+	OversizeMemory OversizeReason = "NoMemory"
+)
+
 // Meter holds a node's metrics.
 type Meter struct {
 	scope    tally.Scope
@@ -112,6 +144,16 @@
 	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("retries").Inc(1)
 }
 
+// CountAnswer counts a target's answer that is not passed on.
+func (meter *Meter) CountAnswer(kind AnswerKind) {
+	meter.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("target_answers").Inc(1)
+}
+
+// CountOversize counts an answer of a target that exceeded a bound.
+func (meter *Meter) CountOversize(reason OversizeReason) {
+	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("oversized_answers").Inc(1)
+}
+
 // CountTableRows counts rows read from the table and writes sent to it.
 func (meter *Meter) CountTableRows(reads, writes int) {
 	meter.scope.Counter("table_reads").Inc(int64(reads))
