--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -74,26 +74,28 @@
 	// peerAddress is where this node listens for its peers and by which they know it.
 	peerAddress string
 
-	store        *platform.Store
-	engines      *platform.Engines
-	deployment   atomic.Pointer[mimosatide.Deployment]
-	targets      *registry.Registry
-	tracker      *balance.Tracker
-	ledger       *allowance.Ledger
-	targetClient *exchange.Client
-	answers      *buffer.Budget
-	retryBudget  *gateway.RetryBudget
-	quarantine   *quarantine.Tracker
-	meter        *metric.Meter
-	hub          *peer.Hub
-	followers    map[string]*feed.Follower
-	probeGate    *feed.ProbeGate
-	compressor   *gossip.Compressor
-	limits       *permit.Limits
-	issuer       *permit.Issuer
-	permits      *permit.Desk
-	fleet        *fleet
-	loader       *loader
+	store      *platform.Store
+	engines    *platform.Engines
+	deployment atomic.Pointer[mimosatide.Deployment]
+	// configuration is the row from which deployment was decoded.
+	configuration configurationState
+	targets       *registry.Registry
+	tracker       *balance.Tracker
+	ledger        *allowance.Ledger
+	targetClient  *exchange.Client
+	answers       *buffer.Budget
+	retryBudget   *gateway.RetryBudget
+	quarantine    *quarantine.Tracker
+	meter         *metric.Meter
+	hub           *peer.Hub
+	followers     map[string]*feed.Follower
+	probeGate     *feed.ProbeGate
+	compressor    *gossip.Compressor
+	limits        *permit.Limits
+	issuer        *permit.Issuer
+	permits       *permit.Desk
+	fleet         *fleet
+	loader        *loader
 
 	draining atomic.Bool
 	// refuseWaiting is closed when waiting requests can no longer be served before the process ends.
@@ -211,31 +213,6 @@
 	return node.deployment.Load()
 }
 
-// applyConfiguration puts a new configuration in force; after one that can't be decoded the last one stays.
-func (node *Node) applyConfiguration(update feed.Update) {
-	for _, change := range update.Rows {
-		if change.Key != platform.ConfigurationKey || change.Deleted {
-			continue
-		}
-		start := time.Now()
-		deployment, err := platform.DecodeDeployment(change.Value)
-		if err != nil {
-			node.log.Error(err, "configuration unreadable", "row", change.Version)
-			continue
-		}
-		node.deployment.Store(&deployment)
-		node.log.Info("configuration in force", "version", deployment.Version, "row", change.Version,
-			"routes", deployment.Routes(), "accounts", len(deployment.Accounts), "bytes", len(change.Value),
-			"decoding", time.Since(start))
-		limits := make(map[string]allowance.Limit, len(deployment.Accounts))
-		for name, account := range deployment.Accounts {
-			limits[name] = allowance.Limit{Rate: account.Rate, Burst: account.Burst}
-		}
-		node.ledger.SetAccounts(limits, time.Now())
-		node.loader.configure(&deployment)
-	}
-}
-
 // applyTargets applies changes of the targets' rows; a row that can't be decoded removes its target.
 func (node *Node) applyTargets(update feed.Update) {
 	var instances []mimosatide.Instance
@@ -252,6 +229,10 @@
 		}
 		instances = append(instances, instance)
 	}
+	if update.Restored {
+		node.targets.PutRestored(instances, time.Now())
+		return
+	}
 	node.targets.PutAll(instances)
 }
 
@@ -294,7 +275,7 @@
 				node.log.Info("process held up", "node", node.settings.Node, "delay", delay)
 			}
 			node.targetClient.CloseExpired()
-			node.recordCopyAges()
+			node.recordCopies()
 			node.recordPeerMessages()
 			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
 			node.targets.Expire(now)
@@ -315,11 +296,18 @@
 	return bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().ConfirmedAt
 }
 
-// recordCopyAges sets the gauges of the ages of the tables' copies.
-func (node *Node) recordCopyAges() {
+// recordCopies sets the gauges of the tables' copies and of the store's era.
+func (node *Node) recordCopies() {
 	now := bootClock{}.Now()
+	node.meter.SetGauge("store_era", float64(node.store.Era()))
 	for table, follower := range node.followers {
-		node.meter.SetCopyAge(table, now-follower.State().ConfirmedAt)
+		state, counts := follower.State(), follower.Counts()
+		node.meter.SetCopyAge(table, now-state.ConfirmedAt)
+		node.meter.SetTableGauge(table, "copy_era", float64(state.Version.Era()))
+		node.meter.SetTableGauge(table, "copy_restores", float64(counts.Restores))
+		node.meter.SetTableGauge(table, "copy_rows_changed_by_restores", float64(counts.ChangedRows))
+		node.meter.SetTableGauge(table, "copy_rows_lost_by_restores", float64(counts.LostRows))
+		node.meter.SetTableGauge(table, "copy_batches_ignored", float64(counts.Ignored))
 	}
 }
 
--- a/internal/entrynode/relay_test.go
+++ b/internal/entrynode/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/platform/emulator"
@@ -141,7 +142,7 @@
 	})
 	eventually(t, "a request for the rows of the configuration", func() bool {
 		relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{
-			{Node: "n3", Incarnation: 1, Tables: map[string]uint64{"op": 1000}},
+			{Node: "n3", Incarnation: 1, Tables: map[string]uint64{"op": versionIn(store.Era(), 1000)}},
 		}})
 		for len(requested) > 0 {
 			if request := <-requested; request.Table == "op" {
@@ -152,6 +153,51 @@
 	})
 }
 
+// versionIn returns a version of an era of the store.
+func versionIn(era, number uint64) uint64 {
+	version, err := mimosatide.NewRowVersion(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return uint64(version)
+}
+
+// TestRelayThatKnowsNoErasIsNotReliedOn guards against hosts that get no changes during a rolling
+// update, because their relay is of an earlier build, whose versions are lower than theirs.
+func TestRelayThatKnowsNoErasIsNotReliedOn(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	relay := startHub(t, func(any) {})
+	putHost(t, store, "a-00", relay.address)
+	for index := range fleetSize {
+		// Nothing listens at the addresses of the other hosts.
+		putHost(t, store, fmt.Sprintf("a-%02d", index+10), fmt.Sprintf("127.0.2.%d:1", index+1))
+	}
+	node := startNodeIn(t, "a", "a-01", "127.0.1.3", store)
+	// The relay is of this build, then one of its tables is of the next era, then it is of the
+	// build before.
+	digests := []map[string]uint64{{"op": versionIn(store.Era(), 1)}, {"mimosatide-hosts": versionIn(store.Era()+1, 1)}, {"op": 1}}
+	var state atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+			digest := gossip.Digest{Node: "a-00", Incarnation: 1, RelaysTables: true, Tables: digests[state.Load()]}
+			relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{digest}})
+		}
+	}()
+	eventually(t, "changes through the relay", func() bool { return node.logged("changes of a table", `"table"="op" "throughRelay"=true`) })
+	state.Store(1)
+	time.Sleep(time.Second)
+	if node.logged("changes of a table", `"table"="op" "throughRelay"=false`) {
+		t.Error("relay that reads its tables again after a restore: got that the host no longer relies on it, want that it does")
+	}
+	state.Store(2)
+	store.Put("op", "config", configuration(2, "k2"))
+	eventually(t, "the change, from the store", func() bool { return node.request("k2") == http.StatusOK })
+}
+
 // TestHostsCallTheStoreOnceTheirRelayNoLongerFollowsIt guards against hosts of a large fleet
 // that wait for changes from a relay which the store has stopped answering.
 func TestHostsCallTheStoreOnceTheirRelayNoLongerFollowsIt(t *testing.T) {
@@ -174,7 +220,9 @@
 	defer cancel()
 	go func() {
 		for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
-			digest := gossip.Digest{Node: "a-00", Incarnation: 1, RelaysTables: following.Load()}
+			digest := gossip.Digest{
+				Node: "a-00", Incarnation: 1, RelaysTables: following.Load(), Tables: map[string]uint64{"op": versionIn(store.Era(), 1)},
+			}
 			for _, node := range nodes {
 				relay.hub.Send(node.peers, gossip.Batch{Digests: []gossip.Digest{digest}})
 			}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -5,7 +5,9 @@
 // A Follower therefore replaces its poll once a peer knows a newer change, or once
 // another call to the store has failed. While the store rejects a node's calls, the
 // node takes snapshots from its peers instead. All versions come from a single counter, so
-// the highest one wins, whatever its source, and no row reverts. In a large fleet
+// the highest one wins, whatever its source, and no row reverts. A store that was restored
+// from an older copy counts in a later era, whose versions are all higher; the table is
+// then read as a whole. In a large fleet
 // the relay of a zone forwards the changes to its nodes; their followers then
 // don't call the store.
 //
@@ -69,6 +71,9 @@
 	// Recovering is true during an outage of the store and shortly after it: a
 	// deletion may then be an effect of the outage.
 	Recovering bool
+	// Restored is true if the rows are those to which the store was restored: some may be
+	// older than those known before.
+	Restored bool
 }
 
 // State describes how current a follower's copy is.
@@ -126,6 +131,9 @@
 	Forward(
 		table string, after mimosatide.RowVersion, batch mimosatide.RowBatch, previous map[string]mimosatide.Row, recovering bool,
 	)
+	// ForwardTable passes on the whole copy of a table that the store no longer gave the
+	// changes of; after is the version of the newest change before.
+	ForwardTable(table string, after mimosatide.RowVersion)
 }
 
 // Follower holds a copy of one table. Its methods may be called concurrently.
@@ -172,6 +180,7 @@
 	behindLogged bool
 	// relayed is true if the last check found that another node forwards the changes.
 	relayed bool
+	counts  Counts
 }
 
 // New returns a follower of a table that passes changes to onUpdate, one call at a time.
@@ -282,8 +291,8 @@
 	}
 }
 
-// Steady reports whether the store answers this node and its last outage here was
-// more than steadyAfter ago.
+// Steady reports whether the store answers this node and its last outage here, or the start,
+// was more than steadyAfter ago.
 func (follower *Follower) Steady() bool {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
@@ -356,11 +365,12 @@
 }
 
 // Confirm records that a peer's copy, whose newest change has the given version, was
-// current at a clock reading. It has no effect if this copy lacks that change.
+// current at a clock reading. It has no effect if this copy lacks that change, or is of
+// another era of the store.
 func (follower *Follower) Confirm(version mimosatide.RowVersion, at time.Duration) {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
-	if follower.state.Synced && follower.state.Version >= version {
+	if follower.state.Synced && follower.state.Version >= version && follower.state.Version.Era() == version.Era() {
 		follower.state.ConfirmedAt = max(follower.state.ConfirmedAt, at)
 	}
 }
@@ -377,9 +387,8 @@
 		return
 	}
 	if healthy {
-		if !follower.lostAt.IsZero() {
-			follower.recoveredAt = time.Now()
-		}
+		// A follower that has just started may have missed an outage.
+		follower.recoveredAt = time.Now()
 		follower.log.Info("store answers", "table", follower.table, "version", follower.state.Version)
 	} else {
 		follower.lostAt = time.Now()
@@ -390,73 +399,6 @@
 	follower.everCalled = true
 }
 
-// Merge takes rows from the store or from a peer. It ignores a batch that is older
-// than the copy, and an incomplete one before the whole table is known.
-func (follower *Follower) Merge(batch mimosatide.RowBatch) {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	if batch.Version < follower.state.Version || (!batch.Complete && !follower.state.Synced) {
-		return
-	}
-	follower.mergeLocked(batch, follower.recoveringLocked())
-}
-
-// MergeChanges takes changes that another node forwards; after is the version of the
-// newest change before them. It returns false if the copy lacks that change: the
-// caller then needs a snapshot for Merge.
-func (follower *Follower) MergeChanges(after mimosatide.RowVersion, batch mimosatide.RowBatch, recovering bool) bool {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	if !follower.state.Synced || follower.state.Version < after {
-		return false
-	}
-	if batch.Version > follower.state.Version {
-		follower.mergeLocked(batch, recovering)
-	}
-	return true
-}
-
-// mergeLocked replaces the rows that are older than those of the batch, and passes
-// the differences to onUpdate. A complete batch also deletes the rows it lacks.
-func (follower *Follower) mergeLocked(batch mimosatide.RowBatch, recovering bool) {
-	update := Update{Recovering: recovering}
-	seen := map[string]bool{}
-	for _, change := range batch.Rows {
-		seen[change.Key] = true
-		known, found := follower.rows[change.Key]
-		if found && change.Version <= known.Version {
-			continue
-		}
-		if change.Deleted {
-			delete(follower.rows, change.Key)
-			if !found {
-				continue
-			}
-		} else {
-			follower.rows[change.Key] = change.Row
-		}
-		update.Rows = append(update.Rows, change)
-	}
-	if batch.Complete {
-		for key, row := range follower.rows {
-			if !seen[key] && row.Version <= batch.Version {
-				delete(follower.rows, key)
-				deletion := mimosatide.RowChange{Row: mimosatide.Row{Key: key, Version: batch.Version}, Deleted: true}
-				update.Rows = append(update.Rows, deletion)
-			}
-		}
-	}
-	for _, change := range update.Rows {
-		follower.state.LastChange = max(follower.state.LastChange, change.Version)
-	}
-	follower.state.Version = batch.Version
-	first := !follower.state.Synced
-	follower.state.Synced = true
-	if len(update.Rows) > 0 || first {
-		follower.onUpdate(update)
-	}
-}
-
 func (follower *Follower) recovering() bool {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
