Log why a lease is taken or waited for, with the era of the store

What callers saw: rule ONE breaks after the store came back from an older copy (two holders with one fencing token), and the logs didn't say which row a node had found nor why it waited for nothing.

Change: before a take, the log names the row that was read, the era of the store and what makes the lease free (released, own, given up, unchanged for how long); while it isn't free, one line for each version of the row. The lines about renewals and releases name the row. No change of behaviour.

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -91,6 +91,9 @@
 	released bool
 	// held receives a value after this node has taken or renewed the lease.
 	held chan struct{}
+
+	// waitedFor is the version of the row that logWait last logged. Only Step uses it.
+	waitedFor mimosatide.RowVersion
 }
 
 // NewLease returns a lease that this node does not hold yet. handoverDelay is the
@@ -235,7 +238,7 @@
 		lease.log.Info("lease lost", "lease", lease.key, "term", term, "row", row)
 		lease.term = 0
 	default:
-		lease.log.Info("lease not renewed", "lease", lease.key, "term", term, "outcome", outcome.String(),
+		lease.log.Info("lease not renewed", "lease", lease.key, "term", term, "row", row, "outcome", outcome.String(),
 			"left", lease.expiresAt-lease.clock.Now(), "reason", errorText(err))
 		lease.failedRenewals++
 		if lease.failedRenewals >= maxFailedRenewals {
@@ -253,7 +256,7 @@
 // machine's own, or if the row has not changed for longer than leaseDuration.
 func (lease *Lease) takeOver(ctx context.Context) time.Duration {
 	bounded, cancel := context.WithTimeout(ctx, tableTimeout)
-	rows, _, err := lease.table.Read(bounded, lease.key)
+	rows, newest, err := lease.table.Read(bounded, lease.key)
 	cancel()
 	if err != nil {
 		lease.log.V(1).Info("cannot read the lease row", "lease", lease.key, "reason", err.Error())
@@ -276,12 +279,25 @@
 	givenUp := version != 0 && version == lease.givenUpRow
 	lease.lock.Unlock()
 	if version != 0 && !current.Released && !own && !givenUp && unchangedFor < leaseDuration+clockDriftMargin {
+		lease.logWait(version, newest, current, unchangedFor)
 		return min(leaseDuration+clockDriftMargin-unchangedFor, renewInterval)
 	}
+	lease.log.Info("lease free", "lease", lease.key, "era", newest.Era(), "row", version, "before", current.Holder, "term", current.Term,
+		"released", current.Released, "own", own, "givenUp", givenUp, "unchangedFor", unchangedFor)
 	lease.take(ctx, version, current)
 	return renewInterval
 }
 
+// logWait logs once for each version of the row that it may still be in force.
+func (lease *Lease) logWait(version, newest mimosatide.RowVersion, current leaseRow, unchangedFor time.Duration) {
+	if version == lease.waitedFor {
+		return
+	}
+	lease.waitedFor = version
+	lease.log.Info("lease not free", "lease", lease.key, "era", newest.Era(), "row", version, "before", current.Holder, "term", current.Term,
+		"unchangedFor", unchangedFor)
+}
+
 // take writes the row with the next term. After a different holder, the first order
 // waits until handoverDelay has passed since that holder may have sent its last
 // one. After a process of this machine no delay is needed: the new term and the
@@ -291,7 +307,7 @@
 	next := leaseRow{Holder: lease.holder, Term: before.Term + 1}
 	outcome, row, err := lease.write(ctx, version, next)
 	if outcome != mimosatide.CommitDone {
-		lease.log.Info("lease not taken", "lease", lease.key, "term", next.Term, "outcome", outcome.String(), "reason", errorText(err))
+		lease.log.Info("lease not taken", "lease", lease.key, "term", next.Term, "row", version, "outcome", outcome.String(), "reason", errorText(err))
 		return
 	}
 	if lease.recordTaken(version, row, begun, before) {
@@ -337,7 +353,7 @@
 		return
 	}
 	outcome, _, err := lease.write(ctx, row, leaseRow{Holder: lease.holder, Term: term, Released: true})
-	lease.log.Info("lease released", "lease", lease.key, "term", term, "outcome", outcome.String(), "reason", errorText(err))
+	lease.log.Info("lease released", "lease", lease.key, "term", term, "row", row, "outcome", outcome.String(), "reason", errorText(err))
 	if outcome != mimosatide.CommitDone {
 		// The other nodes cannot learn of the release from the table, so GivenUp
 		// reports the lease for the messages to the peers.
