Let a lease given up before its first order keep the holder before apart

What callers saw: nothing yet. Found by a search over schedules of the lease: a holder releases the lease, the next one waits for the handover and gives up before its first order, and the third one orders 0.7 s after the first machine (rule ONE, holders that take turns within the lease's time).

Cause: the message about a lease that was given up counts the time since the holder's own last order, which may be long ago or never, while it was still waiting for a holder before it.

Change: the time counts from the last moment at which the holder before may have ordered, if that is later.

Evidence: TestLeaseGivenUpBeforeItsFirstOrderKeepsTheHolderBeforeApart failed before (700 ms between the orders, at least 3 s wanted); the package's tests pass.

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -168,14 +168,15 @@
 
 // GivenUp returns the row version of a lease that this node gave up because the
 // table did not answer, or whose release the table did not confirm, and the time
-// since this node's last order.
+// since this node's last order, or that of a holder before it for which it was waiting.
 func (lease *Lease) GivenUp() (row mimosatide.RowVersion, idle time.Duration, givenUp bool) {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
 	if lease.failedRenewals < maxFailedRenewals {
 		return 0, 0, false
 	}
-	return lease.row, lease.clock.Now() - lease.lastOrderAt, true
+	last := max(lease.lastOrderAt, lease.ordersFrom-lease.handoverDelay-clockDriftMargin)
+	return lease.row, lease.clock.Now() - last, true
 }
 
 // observeRow records a row version and since when it is known.
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -298,3 +298,31 @@
 		t.Errorf("restarted machine: got held %t, fencing token %d; want true and a token above %d", held, second, first)
 	}
 }
+
+// TestLeaseGivenUpBeforeItsFirstOrderKeepsTheHolderBeforeApart guards against orders too soon
+// after those of a holder whose successor gave the lease up while it still waited for it.
+func TestLeaseGivenUpBeforeItsFirstOrderKeepsTheHolderBeforeApart(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	first, second, third := newLease("a", table, clock), newLease("b", table, clock), newLease("c", table, clock)
+	first.Step(context.Background(), 0)
+	first.RecordOrder()
+	last := clock.Now()
+	first.Release(context.Background())
+	second.Step(context.Background(), 0)
+	clock.advance(500 * time.Millisecond)
+	table.refuse = true
+	second.Step(context.Background(), 0)
+	second.Step(context.Background(), 0)
+	table.refuse = false
+	row, idle, givenUp := second.GivenUp()
+	if !givenUp {
+		t.Fatal("holder that the table refuses: got the lease not given up, want given up")
+	}
+	third.ObserveGivenUp(row, idle)
+	for third.Step(context.Background(), 0); !mayOrder(third); third.Step(context.Background(), 0) {
+		clock.advance(50 * time.Millisecond)
+	}
+	if gap := clock.Now() - last; gap < handoverDelay {
+		t.Errorf("got %s between the orders of two machines, want at least the handover delay", gap)
+	}
+}
