Let a takeover without an answer wait for the holder before

What callers saw: nothing yet.

Cause: the wait for the holder before was set only when the takeover was confirmed, and not at all for a row that names this machine.

Change: a takeover without an answer sets the wait; it is never shortened later.

Evidence: TestTakeoverWithoutAnswerStillWaitsForTheHolderBefore failed before (0 s between the orders, at least 3 s wanted).

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -309,6 +309,14 @@
 	outcome, row, err := lease.write(ctx, version, next)
 	if outcome != mimosatide.CommitDone {
 		lease.log.Info("lease not taken", "lease", lease.key, "term", next.Term, "row", version, "outcome", outcome.String(), "reason", errorText(err))
+	}
+	if outcome == mimosatide.CommitUnknown {
+		// If the row was written, this node will find it to be its own.
+		lease.lock.Lock()
+		lease.delayOrders(version, before)
+		lease.lock.Unlock()
+	}
+	if outcome != mimosatide.CommitDone {
 		return
 	}
 	if lease.recordTaken(version, row, begun, before) {
@@ -327,21 +335,29 @@
 	lease.failedRenewals = 0
 	lease.row = row
 	lease.expiresAt = begun + leaseDuration
-	if before.Holder != lease.holder || version == 0 {
-		lease.ordersFrom = lease.clock.Now()
-		if version != 0 {
-			lease.ordersFrom += lease.handoverDelay + clockDriftMargin
-		}
-		if version != 0 && version == lease.givenUpRow {
-			lease.ordersFrom -= min(lease.givenUpIdle, lease.handoverDelay)
-		}
-	}
+	lease.delayOrders(version, before)
 	lease.signalHeld()
 	lease.log.Info("lease taken", "lease", lease.key, "term", lease.term, "row", row, "before", before.Holder,
 		"released", before.Released, "ordersIn", lease.ordersFrom-lease.clock.Now())
 	return lease.released
 }
 
+// delayOrders sets the earliest time of the next order after a takeover. version and before
+// are those of the row before; what this node waits for stays if the row was its own.
+func (lease *Lease) delayOrders(version mimosatide.RowVersion, before leaseRow) {
+	if version != 0 && before.Holder == lease.holder {
+		return
+	}
+	from := lease.clock.Now()
+	if version != 0 {
+		from += lease.handoverDelay + clockDriftMargin
+	}
+	if version != 0 && version == lease.givenUpRow {
+		from -= min(lease.givenUpIdle, lease.handoverDelay)
+	}
+	lease.ordersFrom = max(lease.ordersFrom, from)
+}
+
 // Release gives up the lease for good, so that another node can take it before it expires.
 // If the table does not confirm the release, GivenUp reports the lease instead.
 func (lease *Lease) Release(ctx context.Context) {
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -326,3 +326,22 @@
 		t.Errorf("got %s between the orders of two machines, want at least the handover delay", gap)
 	}
 }
+
+// TestTakeoverWithoutAnswerStillWaitsForTheHolderBefore guards against orders too soon after
+// those of the holder before, because the row of a takeover without an answer is one's own.
+func TestTakeoverWithoutAnswerStillWaitsForTheHolderBefore(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	first, second := newLease("a", table, clock), newLease("b", table, clock)
+	first.Step(context.Background(), 0)
+	last := clock.Now()
+	first.Release(context.Background())
+	table.loseAnswers = true
+	second.Step(context.Background(), 0)
+	table.loseAnswers = false
+	for second.Step(context.Background(), 0); !mayOrder(second); second.Step(context.Background(), 0) {
+		clock.advance(50 * time.Millisecond)
+	}
+	if gap := clock.Now() - last; gap < handoverDelay {
+		t.Errorf("got %s between the orders of two machines, want at least the handover delay", gap)
+	}
+}
