Keep holders of a lease apart over a restore of the store

Cause: the lease took what the store said for what was last written there. The next term was the row's plus one, so that a forgotten term was given out again, and an older row that named this machine, or a holder that had released it, was taken at once although another one might have held the lease since.

Change: a row names the era in which it was written. One of another era, or an absent row once the store was restored, says nothing about holders since: the node waits until a lease that it can't see has expired, and then for the handover. A holder whose lease has not expired, and which has neither given it up nor released it, goes on with its term: nobody could take the lease before the restore, and the conditional write shows that nobody has since. A new term is at least the store's era and newest version, so that it rises over all eras; one that a JSON number can't hold is an error. A write that was answered in a later era than its row was read in does not count.

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -47,16 +47,10 @@
 	Now() time.Duration
 }
 
-// leaseRow is the value of a lease's row.
-type leaseRow struct {
-	Holder   string
-	Term     uint64
-	Released bool
-}
-
 // Lease is the right to send orders to the targets of a service. It is held by one
 // node at a time and renewed by conditional writes to one table row. Its term is
-// the fencing token: it grows with each takeover. Lease is safe for concurrent use.
+// the fencing token: it grows with each takeover, also if the store forgets takeovers.
+// Lease is safe for concurrent use.
 type Lease struct {
 	key           string
 	holder        string
@@ -70,6 +64,9 @@
 	// it was lost, released or given up.
 	term uint64
 	row  mimosatide.RowVersion
+	// claimedTerm is the term that this node has taken and has neither released nor given up
+	// since, or zero: no other node takes the lease before expiresAt.
+	claimedTerm uint64
 	// Orders may be sent from ordersFrom until expiresAt.
 	expiresAt  time.Duration
 	ordersFrom time.Duration
@@ -224,7 +221,7 @@
 	term, row := lease.term, lease.row
 	lease.lock.Unlock()
 	begun := lease.clock.Now()
-	outcome, version, err := lease.write(bounded, row, leaseRow{Holder: lease.holder, Term: term})
+	outcome, version, err := lease.write(bounded, row, leaseRow{Holder: lease.holder, Term: term, Era: row.Era()})
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
 	switch outcome {
@@ -234,10 +231,11 @@
 		lease.expiresAt = begun + leaseDuration
 		lease.signalHeld()
 	case mimosatide.CommitConflict:
-		// Either another node took the lease, or the answer to an earlier renewal was
-		// lost and this node wrote the row itself.
+		// Another node took the lease, the store was restored, or the answer to an earlier
+		// renewal was lost and this node wrote the row itself.
 		lease.log.Info("lease lost", "lease", lease.key, "term", term, "row", row)
 		lease.term = 0
+		return renewRetryDelay
 	default:
 		lease.log.Info("lease not renewed", "lease", lease.key, "term", term, "row", row, "outcome", outcome.String(),
 			"left", lease.expiresAt-lease.clock.Now(), "reason", errorText(err))
@@ -247,14 +245,14 @@
 			// lease to expire.
 			lease.log.Info("lease given up", "lease", lease.key, "term", term, "row", row)
 			lease.term = 0
+			lease.claimedTerm = 0
 		}
 		return renewRetryDelay
 	}
 	return renewInterval
 }
 
-// takeOver takes the lease if it was released or given up, if its row is this
-// machine's own, or if the row has not changed for longer than leaseDuration.
+// takeOver takes the lease if nothing says that another node may hold it.
 func (lease *Lease) takeOver(ctx context.Context) time.Duration {
 	bounded, cancel := context.WithTimeout(ctx, tableTimeout)
 	rows, newest, err := lease.table.Read(bounded, lease.key)
@@ -263,99 +261,136 @@
 		lease.log.V(1).Info("cannot read the lease row", "lease", lease.key, "reason", err.Error())
 		return renewInterval
 	}
-	var current leaseRow
-	var version mimosatide.RowVersion
-	if len(rows) > 0 {
-		version = rows[0].Version
-		if err := cbor.Unmarshal(rows[0].Value, &current); err != nil {
-			lease.log.Error(err, "cannot decode the lease row", "lease", lease.key, "row", version)
-		}
+	found, err := decodeRow(rows, newest)
+	if err != nil {
+		lease.log.Error(err, "cannot decode the lease row", "lease", lease.key, "row", found.version)
 	}
-	lease.lock.Lock()
-	lease.observeRow(version)
-	unchangedFor := lease.clock.Now() - lease.seenRowAt
-	lease.lock.Unlock()
-	own := current.Holder == lease.holder
-	lease.lock.Lock()
-	givenUp := version != 0 && version == lease.givenUpRow
-	lease.lock.Unlock()
-	if version != 0 && !current.Released && !own && !givenUp && unchangedFor < leaseDuration+clockDriftMargin {
-		lease.logWait(version, newest, current, unchangedFor)
+	vacancy, unchangedFor := lease.vacancy(found)
+	if vacancy == vacancyNone {
+		lease.logWait(found, unchangedFor)
 		return min(leaseDuration+clockDriftMargin-unchangedFor, renewInterval)
 	}
-	lease.log.Info("lease free", "lease", lease.key, "era", newest.Era(), "row", version, "before", current.Holder, "term", current.Term,
-		"released", current.Released, "own", own, "givenUp", givenUp, "unchangedFor", unchangedFor)
-	lease.take(ctx, version, current)
+	lease.log.Info("lease free", "lease", lease.key, "era", newest.Era(), "row", found.version, "rowEra", found.Era,
+		"before", found.Holder, "term", found.Term, "reason", vacancy, "unchangedFor", unchangedFor)
+	lease.take(ctx, found, vacancy)
 	return renewInterval
 }
 
+// vacancy returns why the lease may be taken, and since when its row is known not to have
+// changed. A row that doesn't belong to the store's present era says nothing about who has
+// taken the lease since it was written.
+func (lease *Lease) vacancy(found foundRow) (vacancy, time.Duration) {
+	lease.lock.Lock()
+	defer lease.lock.Unlock()
+	now := lease.clock.Now()
+	lease.observeRow(found.seenAs())
+	unchangedFor := now - lease.seenRowAt
+	switch {
+	case found.seenAs() < lease.seenRow:
+		// Another node has written the row since it was read.
+		return vacancyNone, 0
+	case found.belongsToEra() && found.version == 0:
+		return vacancyNew, unchangedFor
+	case found.belongsToEra() && found.Holder == lease.holder:
+		return vacancyOwn, unchangedFor
+	case found.belongsToEra() && found.version == lease.givenUpRow:
+		return vacancyGivenUp, unchangedFor
+	case found.belongsToEra() && found.Released:
+		return vacancyReleased, unchangedFor
+	case !found.belongsToEra() && lease.claimedTerm != 0 && now < lease.expiresAt:
+		// Before the restore no other node could take the lease, and since then none has.
+		return vacancyKept, unchangedFor
+	case unchangedFor >= leaseDuration+clockDriftMargin:
+		return vacancyExpired, unchangedFor
+	default:
+		return vacancyNone, unchangedFor
+	}
+}
+
 // logWait logs once for each version of the row that it may still be in force.
-func (lease *Lease) logWait(version, newest mimosatide.RowVersion, current leaseRow, unchangedFor time.Duration) {
-	if version == lease.waitedFor {
+func (lease *Lease) logWait(found foundRow, unchangedFor time.Duration) {
+	if found.seenAs() == lease.waitedFor {
 		return
 	}
-	lease.waitedFor = version
-	lease.log.Info("lease not free", "lease", lease.key, "era", newest.Era(), "row", version, "before", current.Holder, "term", current.Term,
-		"unchangedFor", unchangedFor)
+	lease.waitedFor = found.seenAs()
+	lease.log.Info("lease not free", "lease", lease.key, "era", found.newest.Era(), "row", found.version, "rowEra", found.Era,
+		"before", found.Holder, "term", found.Term, "unchangedFor", unchangedFor)
 }
 
 // take writes the row with the next term. After a different holder, the first order
 // waits until handoverDelay has passed since that holder may have sent its last
 // one. After a process of this machine no delay is needed: the new term and the
 // engines' count of accepted orders make its late orders void.
-func (lease *Lease) take(ctx context.Context, version mimosatide.RowVersion, before leaseRow) {
+func (lease *Lease) take(ctx context.Context, found foundRow, vacancy vacancy) {
+	term, err := lease.nextTerm(found, vacancy)
+	if err != nil {
+		lease.log.Error(err, "lease not taken", "lease", lease.key, "row", found.version)
+		return
+	}
 	begun := lease.clock.Now()
-	next := leaseRow{Holder: lease.holder, Term: before.Term + 1}
-	outcome, row, err := lease.write(ctx, version, next)
+	next := leaseRow{Holder: lease.holder, Term: term, Era: found.newest.Era()}
+	outcome, row, err := lease.write(ctx, found.version, next)
 	if outcome != mimosatide.CommitDone {
-		lease.log.Info("lease not taken", "lease", lease.key, "term", next.Term, "row", version, "outcome", outcome.String(), "reason", errorText(err))
+		lease.log.Info("lease not taken", "lease", lease.key, "term", term, "row", found.version, "outcome", outcome.String(), "reason", errorText(err))
 	}
-	if outcome == mimosatide.CommitUnknown {
+	switch outcome {
+	case mimosatide.CommitDone:
+		if lease.recordTaken(found, vacancy, term, row, begun) {
+			// The node began to drain while the row was written.
+			lease.Release(ctx)
+		}
+	case mimosatide.CommitUnknown:
 		// If the row was written, this node will find it to be its own.
 		lease.lock.Lock()
-		lease.delayOrders(version, before)
+		lease.delayOrders(vacancy)
 		lease.lock.Unlock()
 	}
-	if outcome != mimosatide.CommitDone {
-		return
+}
+
+// nextTerm returns the term of a takeover. A lease that this node has kept goes on with its own:
+// the orders under way are still its own.
+func (lease *Lease) nextTerm(found foundRow, vacancy vacancy) (uint64, error) {
+	if vacancy != vacancyKept {
+		return found.nextTerm()
 	}
-	if lease.recordTaken(version, row, begun, before) {
-		// The node began to drain while the row was written.
-		lease.Release(ctx)
+	lease.lock.Lock()
+	defer lease.lock.Unlock()
+	if lease.claimedTerm == 0 {
+		return 0, errors.New("the lease was released since its row was read")
 	}
+	return lease.claimedTerm, nil
 }
 
 // recordTaken records that this node has taken the lease, and reports whether Release was
-// called meanwhile. version and before are those of the row before, begun is when the
-// write of the new row began.
-func (lease *Lease) recordTaken(version, row mimosatide.RowVersion, begun time.Duration, before leaseRow) bool {
+// called meanwhile. found is the row before, begun is when the write of the new row began.
+func (lease *Lease) recordTaken(found foundRow, vacancy vacancy, term uint64, row mimosatide.RowVersion, begun time.Duration) bool {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
-	lease.term = before.Term + 1
+	lease.term = term
+	lease.claimedTerm = term
 	lease.failedRenewals = 0
 	lease.row = row
 	lease.expiresAt = begun + leaseDuration
-	lease.delayOrders(version, before)
+	lease.delayOrders(vacancy)
 	lease.signalHeld()
-	lease.log.Info("lease taken", "lease", lease.key, "term", lease.term, "row", row, "before", before.Holder,
-		"released", before.Released, "ordersIn", lease.ordersFrom-lease.clock.Now())
+	lease.log.Info("lease taken", "lease", lease.key, "term", lease.term, "row", row, "before", found.Holder,
+		"released", found.Released, "reason", vacancy, "ordersIn", lease.ordersFrom-lease.clock.Now())
 	return lease.released
 }
 
-// delayOrders sets the earliest time of the next order after a takeover. version and before
-// are those of the row before; what this node waits for stays if the row was its own.
-func (lease *Lease) delayOrders(version mimosatide.RowVersion, before leaseRow) {
-	if version != 0 && before.Holder == lease.holder {
-		return
-	}
-	from := lease.clock.Now()
-	if version != 0 {
-		from += lease.handoverDelay + clockDriftMargin
-	}
-	if version != 0 && version == lease.givenUpRow {
-		from -= min(lease.givenUpIdle, lease.handoverDelay)
+// delayOrders sets the earliest time of the next order after a takeover.
+func (lease *Lease) delayOrders(vacancy vacancy) {
+	now := lease.clock.Now()
+	switch vacancy {
+	case vacancyOwn, vacancyKept:
+		// What this node waits for has not changed.
+	case vacancyNew:
+		lease.ordersFrom = max(lease.ordersFrom, now)
+	case vacancyGivenUp:
+		lease.ordersFrom = max(lease.ordersFrom, now+lease.handoverDelay+clockDriftMargin-min(lease.givenUpIdle, lease.handoverDelay))
+	default:
+		lease.ordersFrom = max(lease.ordersFrom, now+lease.handoverDelay+clockDriftMargin)
 	}
-	lease.ordersFrom = max(lease.ordersFrom, from)
 }
 
 // Release gives up the lease for good, so that another node can take it before it expires.
@@ -364,12 +399,13 @@
 	lease.lock.Lock()
 	term, row := lease.term, lease.row
 	lease.term = 0
+	lease.claimedTerm = 0
 	lease.released = true
 	lease.lock.Unlock()
 	if term == 0 {
 		return
 	}
-	outcome, _, err := lease.write(ctx, row, leaseRow{Holder: lease.holder, Term: term, Released: true})
+	outcome, _, err := lease.write(ctx, row, leaseRow{Holder: lease.holder, Term: term, Released: true, Era: row.Era()})
 	lease.log.Info("lease released", "lease", lease.key, "term", term, "row", row, "outcome", outcome.String(), "reason", errorText(err))
 	if outcome != mimosatide.CommitDone {
 		// The other nodes cannot learn of the release from the table, so GivenUp
@@ -380,7 +416,8 @@
 	}
 }
 
-// write replaces the row on the condition that it still has the given version.
+// write replaces the row on the condition that it still has the given version. The outcome is
+// unknown if the store was restored meanwhile.
 func (lease *Lease) write(
 	ctx context.Context, row mimosatide.RowVersion, content leaseRow,
 ) (mimosatide.CommitOutcome, mimosatide.RowVersion, error) {
@@ -390,10 +427,14 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	return lease.table.Commit(bounded, mimosatide.Transaction{
+	outcome, version, err := lease.table.Commit(bounded, mimosatide.Transaction{
 		Conditions: []mimosatide.Condition{{Key: lease.key, Version: row}},
 		Writes:     []mimosatide.Write{{Key: lease.key, Value: value}},
 	})
+	if outcome == mimosatide.CommitDone && version.Era() != content.Era {
+		return mimosatide.CommitUnknown, 0, errors.Errorf("row %s was written in a later era than %d", version, content.Era)
+	}
+	return outcome, version, errors.Trace(err)
 }
 
 func errorText(err error) string {
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -31,10 +32,12 @@
 	clock.now += by
 }
 
-// memoryTable is an in-memory table that can refuse calls or lose the answers to commits.
+// memoryTable is an in-memory table that can refuse calls, lose the answers to commits, and be
+// restored from an older copy.
 type memoryTable struct {
-	lock    sync.Mutex
-	rows    map[string]mimosatide.Row
+	lock sync.Mutex
+	rows map[string]mimosatide.Row
+	// version is the newest version of the store, in its present era.
 	version mimosatide.RowVersion
 	// refuse fails all calls; loseAnswers applies commits but reports no outcome.
 	refuse      bool
@@ -85,6 +88,38 @@
 	return mimosatide.CommitDone, table.version, nil
 }
 
+// copy returns a copy of the table that it can be restored from.
+func (table *memoryTable) copy() *memoryTable {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return &memoryTable{rows: maps.Clone(table.rows), version: table.version}
+}
+
+// restore replaces the table by a copy, in the next era.
+func (table *memoryTable) restore(t *testing.T, earlier *memoryTable) {
+	t.Helper()
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.restoreToEra(t, earlier, max(table.version.Era(), 1)+1)
+}
+
+func (table *memoryTable) restoreToEra(t *testing.T, earlier *memoryTable, era uint64) {
+	t.Helper()
+	inEra := func(version mimosatide.RowVersion) mimosatide.RowVersion {
+		moved, err := mimosatide.NewRowVersion(era, version.Number())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return moved
+	}
+	table.rows = map[string]mimosatide.Row{}
+	for key, row := range earlier.rows {
+		row.Version = inEra(row.Version)
+		table.rows[key] = row
+	}
+	table.version = inEra(earlier.version)
+}
+
 // hookedTable calls beforeAnswer, if it is set, once a commit is done and not yet answered.
 type hookedTable struct {
 	*memoryTable
