--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -71,6 +71,9 @@
 	// Recovering is true during an outage of the store and shortly after it: a
 	// deletion may then be an effect of the outage.
 	Recovering bool
+	// Restored is true if the rows are those to which the store was restored: some may be
+	// older than those known before.
+	Restored bool
 }
 
 // State describes how current a follower's copy is.
@@ -362,11 +365,12 @@
 }
 
 // Confirm records that a peer's copy, whose newest change has the given version, was
-// current at a clock reading. It has no effect if this copy lacks that change.
+// current at a clock reading. It has no effect if this copy lacks that change, or is of
+// another era of the store.
 func (follower *Follower) Confirm(version mimosatide.RowVersion, at time.Duration) {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
-	if follower.state.Synced && follower.state.Version >= version {
+	if follower.state.Synced && follower.state.Version >= version && follower.state.Version.Era() == version.Era() {
 		follower.state.ConfirmedAt = max(follower.state.ConfirmedAt, at)
 	}
 }
