Save quarantines again after a restore of the store

What callers saw: nothing yet. Found by reading: the rows that hold the quarantines are written once. After the store came back from an older copy, quarantines of the lost seconds are missing, and lifted ones are back: after a restart of all nodes a deadly part crashes as many targets again, and a sound one is refused for minutes.

Change: once the era of the store has risen, each node that remembers a quarantine or its end reads the rows, at a moment of its own within 20 s, and marks what differs as unsaved. The first node writes, at most 100 rows a call as before; the others find nothing to write. New quarantines are saved meanwhile.

Evidence: without the look at the era TestQuarantineThatTheStoreHasLostIsSavedAgain, TestLiftedQuarantineThatTheStoreHasBackIsDeleted and TestOneNodeSavesLostQuarantinesForAll fail (nothing within 20 s); with it the package's tests pass.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -58,6 +58,9 @@
 	// stallThreshold is the delay of a sweep above which the process must have been
 	// suspended or got no processor time.
 	stallThreshold = time.Second
+	// archiveSpread is the time over which the hosts compare the saved quarantines with their
+	// own after a restore of the store. The rows matter only once all hosts have restarted.
+	archiveSpread = 20 * time.Second
 	// engineIdleTimeout is how long an idle connection for orders is kept; engines close idle ones.
 	engineIdleTimeout = 2 * time.Second
 )
@@ -172,7 +175,8 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable), node.log)
+	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable),
+		quarantine.ArchiveSettings{Era: node.store.Era, Spread: archiveSpread}, node.log)
 	background := []func(context.Context){node.hub.Run, node.fleet.run, node.fleet.watchRelay, node.loader.run, node.housekeep, archive.Run}
 	for _, follower := range node.followers {
 		background = append(background, follower.Run)
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,9 @@
 	rows     map[string][]byte
 	failures int
 	commits  int
+	reads    int
+	// era is that of the store, zero in a store that names none.
+	era uint64
 }
 
 func newMemoryTable() *memoryTable {
@@ -34,6 +38,7 @@
 		table.failures--
 		return nil, errUnavailable
 	}
+	table.reads++
 	var rows []mimosatide.Row
 	for key, value := range table.rows {
 		rows = append(rows, mimosatide.Row{Key: key, Value: value, Version: 1})
@@ -75,13 +80,42 @@
 	table.failures = calls
 }
 
+// storeEra returns the era of the store.
+func (table *memoryTable) storeEra() uint64 {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return table.era
+}
+
+// copy returns the rows.
+func (table *memoryTable) copy() map[string][]byte {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return maps.Clone(table.rows)
+}
+
+// restore replaces the rows by those of an earlier copy, in an era of the store.
+func (table *memoryTable) restore(rows map[string][]byte, era uint64) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.rows, table.era = rows, era
+}
+
+// counts returns the numbers of reads and writes.
+func (table *memoryTable) counts() (reads, commits int) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return table.reads, table.commits
+}
+
 // startArchived returns a tracker whose archive runs until the test ends.
-func startArchived(t *testing.T, table quarantine.Table) *quarantine.Tracker {
+func startArchived(t *testing.T, table *memoryTable) *quarantine.Tracker {
 	t.Helper()
 	tracker := quarantine.New(logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go quarantine.NewArchive(tracker, table, logr.Discard()).Run(ctx)
+	settings := quarantine.ArchiveSettings{Era: table.storeEra}
+	go quarantine.NewArchive(tracker, table, settings, logr.Discard()).Run(ctx)
 	return tracker
 }
 
@@ -178,3 +212,53 @@
 	tookPart.Apply(decider.Report(time.Now()), time.Now())
 	eventually(t, "the row of the part", func() bool { return table.has("part-deadly") })
 }
+
+// TestQuarantineThatTheStoreHasLostIsSavedAgain guards against a deadly part that crashes targets
+// again after a restart of all nodes, because the store came back from an older copy.
+func TestQuarantineThatTheStoreHasLostIsSavedAgain(t *testing.T) {
+	table := newMemoryTable()
+	earlier := table.copy()
+	crashThrice(startArchived(t, table))
+	eventually(t, "the row of the part", func() bool { return table.has("part-deadly") })
+	table.restore(earlier, 2)
+	eventually(t, "the row of the part after the restore", func() bool { return table.has("part-deadly") })
+}
+
+// TestLiftedQuarantineThatTheStoreHasBackIsDeleted guards against a sound part that is refused
+// after a restart of all nodes, for the same reason.
+func TestLiftedQuarantineThatTheStoreHasBackIsDeleted(t *testing.T) {
+	table := newMemoryTable()
+	tracker := startArchived(t, table)
+	crashThrice(tracker)
+	eventually(t, "the row of the part", func() bool { return table.has("part-deadly") })
+	earlier := table.copy()
+	tracker.Acquit(request(10, "deadly"), time.Now())
+	eventually(t, "the end of the row", func() bool { return !table.has("part-deadly") })
+	table.restore(earlier, 2)
+	eventually(t, "the end of the row after the restore", func() bool { return !table.has("part-deadly") })
+	if held(tracker, time.Now(), "deadly") {
+		t.Error("part that was acquitted before the restore: got quarantined, want not")
+	}
+}
+
+// TestOneNodeSavesLostQuarantinesForAll guards against a write of each node of a large fleet
+// after a restore.
+func TestOneNodeSavesLostQuarantinesForAll(t *testing.T) {
+	own, others := newMemoryTable(), newMemoryTable()
+	tracker, peer := startArchived(t, own), startArchived(t, others)
+	crashThrice(tracker)
+	eventually(t, "the row of the part", func() bool { return own.has("part-deadly") })
+	peer.Apply(tracker.Report(time.Now()), time.Now())
+	for era := range uint64(3) {
+		before, _ := others.counts()
+		// Another node has saved the quarantine again.
+		others.restore(own.copy(), era+2)
+		eventually(t, "a look at the rows", func() bool {
+			reads, _ := others.counts()
+			return reads > before
+		})
+	}
+	if _, commits := others.counts(); commits > 0 {
+		t.Errorf("node whose quarantines the store has: got %d writes, want none", commits)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -26,7 +26,7 @@
 //	tracker.Suspect(crash, features, time.Now())
 //	tracker.Acquit(features, time.Now())
 //	peer.Apply(tracker.Report(time.Now()), time.Now())
-//	go quarantine.NewArchive(tracker, table, log).Run(ctx)
+//	go quarantine.NewArchive(tracker, table, quarantine.ArchiveSettings{Era: store.Era}, log).Run(ctx)
 package quarantine
 
 import (
--- a/internal/quarantine/saved.go
+++ b/internal/quarantine/saved.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// saveTolerance is how far the nodes' times of the same begin of a quarantine may differ: far
+// less than the time between two of its begins.
+const saveTolerance = 30 * time.Second
+
 // recordChange marks a feature whose quarantine has begun or ended as one to be saved, if
 // this node has cut requests with it or has saved it before: all nodes come to the same
 // decisions, and those that took part are enough.
@@ -93,3 +97,38 @@
 	tracker.log.Info("requests quarantined", "feature", feature, "restored", true, "age", now.Sub(since))
 	tracker.expire(now)
 }
+
+// remembers reports whether there is anything that the store should hold, or hold no more.
+func (tracker *Tracker) remembers() bool {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	return len(tracker.quarantined)+len(tracker.ended)+len(tracker.lifted) > 0
+}
+
+// compare marks the quarantines as unsaved that are lost from the rows of the store, and those
+// of which the rows are outdated: they began again or were lifted since.
+func (tracker *Tracker) compare(rows map[Feature]time.Time) (lost, outdated int) {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	for _, features := range []map[Feature]time.Time{tracker.quarantined, tracker.ended} {
+		for feature := range features {
+			since, found := rows[feature]
+			switch {
+			case !found:
+				lost++
+			case tracker.begin(feature).Sub(since).Abs() > saveTolerance:
+				outdated++
+			default:
+				continue
+			}
+			tracker.markUnsaved(feature)
+		}
+	}
+	for feature, since := range rows {
+		if tracker.begin(feature).IsZero() && tracker.lifted[feature].at.After(since) {
+			outdated++
+			tracker.markUnsaved(feature)
+		}
+	}
+	return lost, outdated
+}
