--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -40,6 +40,8 @@
 	lastDigest time.Time
 	// timeoutStart is when the host's row last changed or its removal was last attempted.
 	timeoutStart time.Time
+	// rowLost is true if a restore of the store took the host's row away.
+	rowLost bool
 	// relaysTables is true if the host forwards the changes of all tables to its zone.
 	relaysTables bool
 }
@@ -162,6 +164,7 @@
 			fleet.node.loader.sendUsage(now)
 			fleet.updateWatch()
 			fleet.removeSilentHosts(ctx, now)
+			fleet.dropLostHosts(now)
 		}
 	}
 }
@@ -204,6 +207,8 @@
 		StoreOutage:  fleet.storeOutage(time.Now()),
 		Steady:       fleet.steady(),
 		Limits:       gossip.EncodeLimits(node.limits.Heard(time.Now()), time.Now()),
+
+		NewerConfiguration: node.newerConfiguration(),
 	}
 	for id, born := range node.targets.ToldLeaving(time.Now()) {
 		if digest.Leaving == nil {
@@ -295,6 +300,9 @@
 		// That node read the change without an outage, so that deletions up to it are final.
 		node.targets.ConfirmDeletions(mimosatide.RowVersion(digest.Tables[platform.TargetTable]))
 	}
+	if digest.NewerConfiguration != 0 {
+		node.requestConfiguration(from, digest.NewerConfiguration, now)
+	}
 	fleet.requestNewerRows(from, digest.Tables, now)
 }
 
