--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -300,8 +300,8 @@
 func (lease *Lease) vacancy(found foundRow) (vacancy, time.Duration) {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
-	now := lease.clock.Now()
 	lease.observeRow(found.seenAs())
+	now := lease.clock.Now()
 	unchangedFor := now - lease.seenRowAt
 	switch {
 	case found.seenAs() < lease.seenRow:
