--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -62,6 +62,9 @@
 	// answerMemoryShare is the share of the process's memory in which answers of targets are
 	// buffered.
 	answerMemoryShare = 0.125
+	// archiveSpread is the time over which the hosts compare the saved quarantines with their
+	// own after a restore of the store. The rows matter only once all hosts have restarted.
+	archiveSpread = 20 * time.Second
 	// engineIdleTimeout is how long an idle connection for reports is kept; engines close idle ones.
 	engineIdleTimeout = 2 * time.Second
 )
@@ -180,7 +183,8 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable), node.log)
+	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable),
+		quarantine.ArchiveSettings{Era: node.store.Era, Spread: archiveSpread}, node.log)
 	background := []func(context.Context){node.hub.Run, node.fleet.run, node.fleet.watchRelay, node.loader.run, node.housekeep, archive.Run}
 	for _, follower := range node.followers {
 		background = append(background, follower.Run)
@@ -296,6 +300,12 @@
 	return bootClock{}.Now() - node.followers[platform.ConfigurationTable].State().ConfirmedAt
 }
 
+// storeAnsweredAt returns a reading of the clock after which the store has answered this node
+// or a peer.
+func (node *Node) storeAnsweredAt() time.Duration {
+	return node.followers[platform.ConfigurationTable].State().ConfirmedAt
+}
+
 // recordCopies sets the gauges of the tables' copies and of the store's era.
 func (node *Node) recordCopies() {
 	now := bootClock{}.Now()
