Test that a node keeps a removed target away over a restore

The test fails if the node puts restored rows as others. A node without a configuration no longer answers a request for the one in force with an empty row.

--- a/internal/entrynode/configuration.go
+++ b/internal/entrynode/configuration.go
@@ -108,6 +108,9 @@
 	node.configuration.lock.Lock()
 	row := node.configuration.row
 	node.configuration.lock.Unlock()
+	if row.Version == 0 {
+		return
+	}
 	batch := mimosatide.RowBatch{Version: row.Version, Rows: []mimosatide.RowChange{{Row: row}}}
 	message, err := node.compressor.EncodeRows(request, batch)
 	if err != nil {
--- a/internal/entrynode/restore_test.go
+++ b/internal/entrynode/restore_test.go
@@ -72,6 +72,27 @@
 	eventually(t, "version 3", func() bool { return started.request("k3") == http.StatusOK })
 }
 
+// TestRemovedTargetStaysAwayOverARestore guards against requests at a target whose deletion a
+// node knew, because the store forgot it.
+func TestRemovedTargetStaysAwayOverARestore(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	row, _ := store.Row("servers", "d-1")
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "an answer of the target", func() bool { return node.request("k1") == http.StatusOK })
+	before := store.Copy()
+	store.Remove("servers", "d-1")
+	eventually(t, "the end of the target", func() bool { return node.logged("target gone") })
+	store.Restore(before)
+	eventually(t, "the restore", func() bool { return node.logged("store restored", `"table"="servers"`) })
+	if status := node.request("k1"); status == http.StatusOK {
+		t.Errorf("target whose row is back by the restore: got status %d, want no answer of the target", status)
+	}
+	store.Put("servers", "d-1", string(row.Value))
+	eventually(t, "an answer of the target that has written its row again", func() bool { return node.request("k1") == http.StatusOK })
+}
+
 // TestHostWhoseRowARestoreTookStaysKnown guards against hosts that take over the shares of the
 // quotas of others which are still there, and against messages that nobody sends them.
 func TestHostWhoseRowARestoreTookStaysKnown(t *testing.T) {
