soak: Let targets send bytes without end

A faulty target may send bytes without end in the head or the body of an answer until the caller closes. In a third of the runs targets now do so for up to a quarter of their answers, those to orders and reports too; -soak.endless=false leaves it out. A node whose process has used more memory than its settings allow fails the run.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sort"
 	"strings"
 	"time"
@@ -79,6 +80,7 @@
 	violations = append(violations, testbed.checkPauses(results)...)
 	violations = append(violations, testbed.checkLimits(results)...)
 	violations = append(violations, testbed.checkDeadly(results)...)
+	violations = append(violations, testbed.checkMemory()...)
 	return append(violations, testbed.checkQuota()...)
 }
 
@@ -393,3 +395,41 @@
 	}
 	return ""
 }
+
+// memoryLimit is the memory that a node may use, as its settings say, in kilobytes.
+const memoryLimit = 284 << 10
+
+// checkMemory describes the nodes whose process has used more memory than it may, as far as
+// the system tells it.
+func (testbed *testbed) checkMemory() []string {
+	var violations []string
+	most := 0
+	for _, node := range testbed.nodes {
+		peak := node.peakMemory()
+		most = max(most, peak)
+		if peak > memoryLimit {
+			violations = append(violations, fmt.Sprintf("%s used %d KB of memory, want at most %d", node.name, peak, memoryLimit))
+		}
+	}
+	testbed.t.Logf("no node used more than %d KB of memory", most)
+	return violations
+}
+
+// peakMemory returns the most memory that the node's process has used, in kilobytes; zero if
+// the system doesn't tell it.
+func (node *node) peakMemory() int {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", node.process.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	peak := 0
+	for _, line := range strings.Split(string(status), "\n") {
+		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
+			// A field that can't be read leaves zero.
+			_, _ = fmt.Sscan(rest, &peak)
+		}
+	}
+	return peak
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -111,6 +111,14 @@
 				}
 			}})
 	}
+	if random.IntN(3) == 0 && *sendEndless {
+		drawn = append(drawn,
+			fault{"let a target send bytes without end", func(testbed *testbed, _ string) func() {
+				target := testbed.targets[random.IntN(len(testbed.targets))]
+				target.SendWithoutEnd(random.Float64() / 4)
+				return func() { target.SendWithoutEnd(0) }
+			}})
+	}
 	return drawn
 }
 
@@ -278,6 +286,7 @@
 		target.SetLimit(0)
 		target.SendAnswersTwice(0)
 		target.RefuseRequests(0)
+		target.SendWithoutEnd(0)
 		testbed.replaceLeaving(target)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	nodeCount       = flag.Int("soak.nodes", 4, "number of nodes, 59 at most; relays are used from 22 on")
 	runKnownFailing = flag.Bool("soak.red", false, "also run the seeds that are listed in KNOWN-RED.txt")
 	sendTwice       = flag.Bool("soak.twice", true, "let targets send answers and refusals twice in some runs")
+	sendEndless     = flag.Bool("soak.endless", true, "let targets send bytes without end in some runs")
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
 
