soak: Restore the store from older copies

A store that came back from a copy some seconds old left callers with an older configuration, and engines with two holders of one fencing token. With -soak.restore half of the runs now restore the store again and again: in the seconds that it forgets, while it is away and before the operator and the targets have written again, keys are rotated, the holder of the lease restarts, and targets leave or restart, beside all other faults. A caller also uses the key before the current one.

Three checks are new: a node must not fall back behind a configuration that it had in force, a key that is written again has to be in force in the time that a new one has, and a holder must not go on to order with a fencing token that was refused as stale. That two holders never use the same token holds for the whole run, over all eras, as before.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -80,6 +80,8 @@
 	violations = append(violations, testbed.checkPauses(results)...)
 	violations = append(violations, testbed.checkLimits(results)...)
 	violations = append(violations, testbed.checkDeadly(results)...)
+	violations = append(violations, testbed.checkConfigurations(results)...)
+	violations = append(violations, testbed.checkStaleOrders()...)
 	violations = append(violations, testbed.checkMemory()...)
 	return append(violations, testbed.checkQuota()...)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,6 +21,7 @@
 	runKnownFailing = flag.Bool("soak.red", false, "also run the seeds that are listed in KNOWN-RED.txt")
 	sendTwice       = flag.Bool("soak.twice", true, "let targets send answers and refusals twice in some runs")
 	sendEndless     = flag.Bool("soak.endless", true, "let targets send bytes without end in some runs")
+	restoreStore    = flag.Bool("soak.restore", false, "restore the store from older copies in some runs")
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
 
@@ -94,9 +95,13 @@
 		injected = append(injected, fmt.Sprintf("%s %s", time.Since(began).Round(time.Millisecond), name))
 	}
 	// Faults with a source of randomness of their own leave the others of a seed as they were.
-	answers := rand.New(rand.NewPCG(seed, 2))
+	answers, restores := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	var added sync.WaitGroup
 	added.Go(func() { testbed.injectFaults(ctx, program, answerFaults(answers), answers, onFault) })
+	if restores.IntN(2) == 0 && *restoreStore {
+		added.Go(func() { testbed.injectRestores(ctx, program, restores, onFault) })
+		testbed.runOldKeyCaller(ctx, &callers, rand.New(rand.NewPCG(seed, 4)))
+	}
 	testbed.injectFaults(ctx, program, faults(), testbed.random, onFault)
 	added.Wait()
 	callers.Wait()
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -54,6 +54,8 @@
 	// version is that of the configuration, key the current key of the account school.
 	version int
 	key     string
+	// previousKey is the key before that.
+	previousKey string
 	// keys holds all keys that the account school has had.
 	keys    map[string]keyLifetime
 	results []result
@@ -61,9 +63,12 @@
 	violations []string
 }
 
-// keyLifetime is when the configuration with a key was confirmed, and when the next
-// one, which lacks the key, was written; zero while there is none.
+// keyLifetime is when the configuration with a key was confirmed, or written again after the
+// store had lost it, and when the next one, which lacks the key, was written; zero while there
+// is none.
 type keyLifetime struct {
+	// version is that of the configuration with the key.
+	version   int
 	added     time.Time
 	withdrawn time.Time
 }
@@ -188,13 +193,19 @@
 
 // rotateKey writes a configuration in which the account school has a new key.
 func (testbed *testbed) rotateKey() {
+	testbed.rotateKeyBy(1 + testbed.random.IntN(3))
+}
+
+// rotateKeyBy is rotateKey with a step of the configuration's version.
+func (testbed *testbed) rotateKeyBy(step int) {
 	testbed.lock.Lock()
 	defer testbed.lock.Unlock()
 	if previous, found := testbed.keys[testbed.key]; found {
 		previous.withdrawn = time.Now()
 		testbed.keys[testbed.key] = previous
 	}
-	testbed.version += 1 + testbed.random.IntN(3)
+	testbed.version += step
+	testbed.previousKey = testbed.key
 	testbed.key = fmt.Sprintf("school-%d", testbed.version)
 	models := ""
 	for index := range modelCount {
@@ -218,7 +229,7 @@
 		route("look", "idempotent", "desk", 2, false), route("buy", "non_idempotent", "desk", 1, false),
 		route("chat", "stream", "llm", 1, false), route("draft", "stream", "llm", 2, true),
 		models, testbed.key, clubRate, clubBurst))
-	testbed.keys[testbed.key] = keyLifetime{added: time.Now()}
+	testbed.keys[testbed.key] = keyLifetime{version: testbed.version, added: time.Now()}
 }
 
 func (testbed *testbed) schoolKey() string {
