soak: Change the holder and restart a target around restores

The holder of the lease now restarts together with a target, so that the next one has models to load, and a restore takes back up to 6 s.

--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -10,13 +10,15 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mimosatide.example/mimosatide/platform/emulator"
 )
 
 const (
 	// maxRestorePause is the longest pause between two restores, maxLostTime the longest
 	// time that a restore takes back, and maxRestoreOutage the longest outage before it.
 	maxRestorePause  = 2 * time.Second
-	maxLostTime      = 4 * time.Second
+	maxLostTime      = 6 * time.Second
 	maxRestoreOutage = 1500 * time.Millisecond
 	// maxRewriteDelay is the longest time until the operator and the targets write again.
 	maxRewriteDelay = 1500 * time.Millisecond
@@ -68,45 +70,53 @@
 	group.Wait()
 }
 
-// changeAroundRestore rotates the key, restarts the holder of the lease on orders, lets a
-// target leave or restarts it.
+// changeAroundRestore rotates the key, changes the holder of the lease on orders, lets a
+// target leave or restarts it. A target that restarts lacks all models, so that orders follow.
 func (testbed *testbed) changeAroundRestore(program string, random *rand.Rand, group *sync.WaitGroup, onFault func(name string)) {
 	duration := time.Duration(random.Int64N(int64(maxFaultDuration)))
 	target := testbed.targets[random.IntN(len(testbed.targets))]
-	var end func()
-	switch random.IntN(5) {
+	var ends []func()
+	switch random.IntN(6) {
 	case 0, 1:
 		onFault("change the configuration around a restore")
 		testbed.rotateKeyBy(1 + random.IntN(3))
-	case 2:
-		onFault("restart the holder of the lease around a restore")
+	case 2, 3:
+		onFault("restart the holder of the lease and a target around a restore")
 		signal := syscall.SIGTERM
 		if random.IntN(2) == 0 {
 			signal = syscall.SIGKILL
 		}
 		for _, node := range testbed.nodes {
 			if strings.HasPrefix(testbed.recorder.LastHolder(), node.name+"@") {
-				end = node.restart(program, signal)
+				ends = append(ends, node.restart(program, signal))
 			}
 		}
-	case 3:
+		ends = append(ends, testbed.restartTarget(target))
+	case 4:
 		onFault("let a target leave around a restore")
 		target.Leave(random.IntN(2) == 0)
-		end = func() { testbed.replaceLeaving(target) }
+		ends = append(ends, func() { testbed.replaceLeaving(target) })
 	default:
 		onFault("restart a target around a restore")
-		target.Crash()
-		end = func() {
-			if err := target.Restart(); err != nil {
-				testbed.t.Logf("restart target %s: %v", target.Address(), err)
-			}
+		ends = append(ends, testbed.restartTarget(target))
+	}
+	for _, end := range ends {
+		if end != nil {
+			group.Go(func() {
+				time.Sleep(duration)
+				end()
+			})
 		}
 	}
-	if end != nil {
-		group.Go(func() {
-			time.Sleep(duration)
-			end()
-		})
+}
+
+// restartTarget crashes a target and returns a function that starts it again.
+func (testbed *testbed) restartTarget(target *emulator.Target) func() {
+	target.Crash()
+	return func() {
+		if err := target.Restart(); err != nil {
+			testbed.t.Logf("restart target %s: %v", target.Address(), err)
+		}
 	}
 }
 
