soak: Restart the node that last sent an order

The restart of the holder around a restore looked for the holder of the lease, but orders name the node, so that no node was ever restarted.

--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -86,8 +86,10 @@
 		if random.IntN(2) == 0 {
 			signal = syscall.SIGKILL
 		}
+		// The name of the node begins the holder's.
+		holder, _, _ := strings.Cut(testbed.recorder.LastHolder(), "@")
 		for _, node := range testbed.nodes {
-			if strings.HasPrefix(testbed.recorder.LastHolder(), node.name+"@") {
+			if node.name == holder {
 				ends = append(ends, node.restart(program, signal))
 			}
 		}
