soak: Don't end a body without end regularly

The body had no length and ends with its connection; its target crashed, and the emulator and then the proxy closed the connections regularly, which is the sound end of such a body, so that no node could have seen the fault. The check is as before.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,9 +1,11 @@
 package soak_test
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -146,6 +148,10 @@
 	for {
 		count, err := from.Read(buffer)
 		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+				// A reset must not look like the regular end of an answer.
+				_ = tcp.SetLinger(0)
+			}
 			if direction == toClient && !accepts(proxy.server) {
 				proxy.refuse()
 			}
