--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -2,8 +2,9 @@
 // once and reports how far a failed request got.
 //
 // Connections are pooled, but a connection is only reused once the whole request
-// was written, the whole answer was read and no other bytes have arrived. The
-// client never retries; that is left to its caller.
+// was written, the whole answer was read and no other bytes have arrived. It is not used
+// for one of the latest requests that it has carried: a late copy of the first answer could
+// not be told from the second one. The client never retries; that is left to its caller.
 //
 // # Usage
 //
@@ -23,9 +24,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,11 +51,19 @@
 	maxIdlePerTarget  = 16
 	readBufferBytes   = 4 << 10
 	// maxHeadBytes bounds the head of an answer, with the informational ones before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 32 << 10
+	// maxHeadLines bounds its lines and its fields: in memory a short field takes many times
+	// its bytes.
+	maxHeadLines = 256
 	// maxDiscardBytes and discardTimeout bound the body that Discard reads, so that the
 	// connection can be reused.
 	maxDiscardBytes = 4 << 10
 	discardTimeout  = 10 * time.Millisecond
+	// maxSkippedBytes and skipTimeout bound the body of a late answer that Skip reads. It was
+	// written whole: what is missing will not come, and the bytes of the next answer would
+	// be taken for it.
+	maxSkippedBytes = 64 << 10
+	skipTimeout     = 100 * time.Millisecond
 	// maxInlineWriteBytes is the largest message that is written before the answer is
 	// read: it can't block, even if the target does not read.
 	maxInlineWriteBytes = 2 << 10
@@ -64,6 +75,9 @@
 	Address string
 	// Method decides whether the answer has a body.
 	Method string
+	// Request is the ID by which the target's answers name the request. A connection that has
+	// recently carried a request with this ID is not used.
+	Request string
 	// Message is the complete HTTP request, head and body.
 	Message []byte
 	// LimitReuse restricts pooled connections to those idle for less than half of
@@ -71,7 +85,7 @@
 	// target has closed the connection.
 	LimitReuse bool
 	// NewConnection forbids a pooled connection. It is meant for a request that was sent to
-	// the target before, whose earlier answer may be repeated on the same connection.
+	// the address before, however many other requests the connection has carried since.
 	NewConnection bool
 	// Permitted is called once a connection is open, directly before the message is
 	// written. If it returns false, nothing is sent; nil always permits.
@@ -86,6 +100,8 @@
 	dialer *net.Dialer
 	lock   sync.Mutex
 	idle   map[string][]*connection
+	// opened is the number of connections opened so far.
+	opened atomic.Uint64
 }
 
 type connection struct {
@@ -93,27 +109,13 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// reused says that the connection has carried an earlier call.
-	reused bool
-	// headLimit is how many bytes may still be read for the head of an answer; nil while no
-	// head is read.
-	headLimit *int
-}
-
-// errHeadTooLarge is the error of an answer whose head exceeds maxHeadBytes.
-var errHeadTooLarge = errors.New("the head of the answer is too large")
-
-// Read reads from the connection, within the limit while the head of an answer is read.
-func (open *connection) Read(buffer []byte) (int, error) {
-	if open.headLimit == nil {
-		return open.Conn.Read(buffer)
-	}
-	if *open.headLimit <= 0 {
-		return 0, errHeadTooLarge
-	}
-	count, err := open.Conn.Read(buffer[:min(len(buffer), *open.headLimit)])
-	*open.headLimit -= count
-	return count, err
+	// number identifies the connection in logs, calls counts the calls that it has carried.
+	number uint64
+	calls  int
+	// carried are the requests of the latest calls.
+	carried recentRequests
+	// headLimit is what may still be read for the head of an answer; nil while no head is read.
+	headLimit *headLimit
 }
 
 // New returns a client with an empty pool.
@@ -124,9 +126,11 @@
 // Reply is the answer to a call. The caller has to call Close or Abort.
 type Reply struct {
 	Response *http.Response
-	// Reused says that the connection carried an earlier call, so that an answer which does
-	// not name its request may be a late one to that call.
-	Reused bool
+	// Connection identifies the connection among those of the client.
+	Connection uint64
+	// EarlierCalls is how many calls the connection has carried before this one. If there are
+	// any, an answer that does not name its request may be a late one to one of them.
+	EarlierCalls int
 
 	client     *Client
 	address    string
@@ -151,6 +155,9 @@
 		_ = acquired.Close()
 		return nil, mimosatide.CallNotSent, errors.Trace(ErrNotPermitted)
 	}
+	earlierCalls := acquired.calls
+	acquired.calls++
+	acquired.carried.add(call.Request)
 	stop := context.AfterFunc(ctx, func() { _ = acquired.Close() })
 	written, failure, err := write(acquired, call.Message)
 	if failure != mimosatide.CallSucceeded {
@@ -168,13 +175,14 @@
 		return nil, mimosatide.CallCut, errors.Annotate(err, "answer")
 	}
 	return &Reply{
-		Response:   response,
-		Reused:     acquired.reused,
-		client:     client,
-		address:    call.Address,
-		connection: acquired,
-		stopWatch:  stop,
-		written:    written,
+		Response:     response,
+		Connection:   acquired.number,
+		EarlierCalls: earlierCalls,
+		client:       client,
+		address:      call.Address,
+		connection:   acquired,
+		stopWatch:    stop,
+		written:      written,
 	}, mimosatide.CallSucceeded, nil
 }
 
@@ -200,26 +208,10 @@
 	return nil, mimosatide.CallCut, errors.Trace(err)
 }
 
-// readHead reads the head of the final answer and skips informational (1xx) answers.
-func (open *connection) readHead(method string) (*http.Response, error) {
-	limit := maxHeadBytes
-	open.headLimit = &limit
-	defer func() { open.headLimit = nil }()
-	for {
-		response, err := http.ReadResponse(open.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // acquire returns a reusable connection from the pool, or a new one.
 func (client *Client) acquire(ctx context.Context, call Call) (*connection, error) {
 	for !call.NewConnection {
-		pooled := client.popIdle(call.Address)
+		pooled := client.popIdle(call.Address, call.Request)
 		if pooled == nil {
 			break
 		}
@@ -228,7 +220,6 @@
 			age *= 2
 		}
 		if age < pooled.idleTimeout && pooled.noPendingInput() {
-			pooled.reused = true
 			return pooled, nil
 		}
 		_ = pooled.Close()
@@ -239,32 +230,35 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	opened := &connection{Conn: dialled}
+	opened := &connection{Conn: dialled, number: client.opened.Add(1)}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
 }
 
-// popIdle takes the most recently used connection to an address from the pool, nil if there is none.
-func (client *Client) popIdle(address string) *connection {
+// popIdle takes the most recently used connection to an address from the pool that has not
+// carried the request, nil if there is none.
+func (client *Client) popIdle(address, request string) *connection {
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	list := client.idle[address]
-	if len(list) == 0 {
-		return nil
+	for index := len(list) - 1; index >= 0; index-- {
+		if pooled := list[index]; !pooled.carried.has(request) {
+			client.idle[address] = slices.Delete(list, index, index+1)
+			return pooled
+		}
 	}
-	pooled := list[len(list)-1]
-	client.idle[address] = list[:len(list)-1]
-	return pooled
+	return nil
 }
 
-// CloseExpired closes the pooled connections whose idle timeout has passed.
+// CloseExpired closes the pooled connections whose idle timeout has passed, and those that
+// can't be used again because bytes or their end have arrived.
 func (client *Client) CloseExpired() {
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	for address, list := range client.idle {
 		remaining := list[:0]
 		for _, pooled := range list {
-			if time.Since(pooled.idleSince) < pooled.idleTimeout {
+			if time.Since(pooled.idleSince) < pooled.idleTimeout && pooled.noPendingInput() {
 				remaining = append(remaining, pooled)
 				continue
 			}
@@ -315,6 +309,40 @@
 	return false
 }
 
+// AnswersEarlier reports whether the answer, which names the given request, is a late one to
+// an earlier call of the connection.
+func (reply *Reply) AnswersEarlier(request string) bool {
+	return reply.EarlierCalls > 0 && reply.connection.carried.has(request)
+}
+
+// Skip reads a late answer to its end and replaces it by the next one on the connection. An
+// answer that is long, that stops short or that ends with the connection is an error. After an error the caller
+// still has to call Close or Abort.
+func (reply *Reply) Skip() error {
+	if reply.Response.Close || reply.Response.ContentLength > maxSkippedBytes {
+		return errors.New("a late answer can't be skipped")
+	}
+	if err := reply.connection.SetReadDeadline(time.Now().Add(skipTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	count, err := io.Copy(io.Discard, io.LimitReader(reply.Response.Body, maxSkippedBytes+1))
+	if err != nil {
+		return errors.Annotate(err, "late answer")
+	}
+	if count > maxSkippedBytes {
+		return errors.New("a late answer is too long")
+	}
+	if err := reply.connection.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Trace(err)
+	}
+	response, err := reply.connection.readHead(reply.Response.Request.Method)
+	if err != nil {
+		return errors.Annotate(err, "answer after a late one")
+	}
+	reply.Response = response
+	return nil
+}
+
 // Body returns the answer's body.
 func (reply *Reply) Body() io.Reader {
 	return reply.Response.Body
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -71,8 +72,13 @@
 	// pooled reuses connections. It is for requests that may run more than once.
 	pooled *client.Client
 	// unpooled opens a connection for each call. It is for requests that must run at
-	// most once: the HTTP library retries a call if its pooled connection was closed.
+	// most once: the HTTP library retries a call if its pooled connection was closed. It is
+	// for orders, reports and cancellations, too: their answers name nothing, so that on a
+	// connection that has carried another call they may be repeated ones to that call.
 	unpooled *client.Client
+	// unnamed holds the addresses of targets whose last answer named no request. They are
+	// sent nothing over pooled connections, where such an answer may be a repeated one.
+	unnamed sync.Map
 }
 
 // New returns a client with the given settings.
@@ -90,7 +96,7 @@
 
 func newHTTPClient(settings Settings, keepAlive bool) (*client.Client, error) {
 	return client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(boundedDialer{Dialer: standard.NewDialer(), maxAnswer: settings.MaxAnswer}),
 		client.WithDialTimeout(settings.DialTimeout),
 		client.WithClientReadTimeout(settings.ProgressTimeout),
 		client.WithResponseBodyStream(true),
@@ -107,19 +113,31 @@
 	defer protocol.ReleaseRequest(request)
 	defer protocol.ReleaseResponse(response)
 	target.setRequest(request, spec, call)
-	httpClient := target.pooled
-	if call.FreshConnection {
-		httpClient = target.unpooled
+	_, unnamed := target.unnamed.Load(spec.Address)
+	mayReuse := !call.FreshConnection && !unnamed && call.Request != ""
+	httpClient := target.unpooled
+	if mayReuse {
+		httpClient = target.pooled
 	}
 	if err := httpClient.Do(ctx, request, response); err != nil {
 		return failedAnswer(ctx, err)
 	}
+	if response.StatusCode() < 200 {
+		// The library returns an informational answer if the final one is cut.
+		forceClose(response)
+		return mimosatide.Answer{Failure: mimosatide.CallCut, Detail: "no answer after an informational one"}
+	}
 	answered := string(response.Header.Peek(RequestHeader))
 	if answered != "" && answered != call.Request {
 		forceClose(response)
 		return mimosatide.Answer{Failure: mimosatide.CallMismatched, Detail: "the answer names request " + answered}
 	}
-	if answered == "" && !call.FreshConnection && response.StatusCode() != 200 {
+	if answered == "" {
+		target.unnamed.Store(spec.Address, true)
+	} else {
+		target.unnamed.Delete(spec.Address)
+	}
+	if answered == "" && mayReuse {
 		forceClose(response)
 		return mimosatide.Answer{Failure: mimosatide.CallMismatched, Detail: "the answer names no request and may be that to an earlier one"}
 	}
@@ -214,8 +232,8 @@
 	_, _ = target.exchange(ctx, "DELETE", spec, "/v1/requests/"+request, nil)
 }
 
-// exchange sends a request to a target and returns the body of the answer. A status
-// other than 200 is an error.
+// exchange sends a request to a target over a new connection and returns the body of the
+// answer. A status other than 200 is an error.
 func (target *Client) exchange(
 	ctx context.Context, method string, spec mimosatide.TargetSpec, path string, body []byte,
 ) ([]byte, error) {
@@ -229,7 +247,7 @@
 		request.Header.SetContentTypeBytes([]byte("application/json"))
 		request.SetBody(body)
 	}
-	if err := target.pooled.Do(ctx, request, response); err != nil {
+	if err := target.unpooled.Do(ctx, request, response); err != nil {
 		return nil, errors.Trace(err)
 	}
 	answer := target.readBody(ctx, response)
