Stop a node by the time since its signal, whatever the store answers

Cause: a planned stop released the leases one after the other before its other steps, up to 1.5 s each, while its end counts from the signal.

Evidence: TestRequestThatComesLateInAGracePeriodIsNotCut now stops a node that holds two leases, with a store that answers, is silent, is slow or loses its answers. Before the change the silent and the slow store failed: 504 for a request that was passed on, 503 wanted.

Change: leases are released at once and beside the other steps; only leaving the list of hosts waits for them.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -393,7 +393,7 @@
 	return false
 }
 
-// releaseAll releases all leases that this node holds.
+// releaseAll releases all leases that this node holds, at the same time.
 func (loader *loader) releaseAll(ctx context.Context) {
 	loader.lock.Lock()
 	services := make([]*serviceState, 0, len(loader.services))
@@ -401,7 +401,9 @@
 		services = append(services, service)
 	}
 	loader.lock.Unlock()
+	var group sync.WaitGroup
 	for _, service := range services {
-		service.controller.Lease().Release(ctx)
+		group.Go(func() { service.controller.Lease().Release(ctx) })
 	}
+	group.Wait()
 }
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -83,9 +83,10 @@
 	}
 }
 
-// drain stops reporting readiness, releases the leases, waits until the platform
-// sends no more connections, answers the requests in flight and leaves the list of
-// hosts.
+// drain stops reporting readiness, waits until the platform sends no more connections,
+// answers the requests in flight and leaves the list of hosts. What callers get depends on
+// the time since its start only: the leases are released meanwhile, and the store may not
+// answer.
 func (node *Node) drain(callers *callerServer) {
 	start := time.Now()
 	node.draining.Store(true)
@@ -93,7 +94,11 @@
 	node.log.Info("node drains", "node", node.settings.Node, "grace", grace)
 	drainCtx, cancel := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
 	defer cancel()
-	node.loader.releaseAll(drainCtx)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		node.loader.releaseAll(drainCtx)
+	}()
 	callers.server.SetKeepAlivesEnabled(false)
 	rotation := time.Duration(float64(grace-shutdownMargin) * maxRotationShare)
 	time.Sleep(min(rotationDelay, rotation))
@@ -102,6 +107,7 @@
 	if err := callers.finish(drainCtx); err != nil {
 		node.log.Info("connections still open at the end of the grace period", "reason", err.Error())
 	}
+	<-released
 	leaveCtx, cancelLeave := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin/2))
 	defer cancelLeave()
 	node.fleet.leave(leaveCtx)
