Keep a removed target away over a second restore of the store

What callers could see: requests at a target that had ended, after two restores in a row.

Cause: the first restored row ended the mark of the removal, and a row of a second restore found neither that nor the hold taken into account.

Change: a target that is held back counts as removed. TestRemovedTargetIsNotBackByASecondRestore failed before.

--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -34,7 +34,12 @@
 				"born", instance.Born.UnixMilli(), "known", known.Born.UnixMilli())
 			continue
 		}
-		if mark, removed := registry.removed[instance.ID]; removed && !instance.Born.After(mark.born) {
+		mark, removed := registry.removed[instance.ID]
+		if _, heldBack := registry.heldBack[instance.ID]; heldBack {
+			// An earlier restore has brought it back already.
+			mark.born, removed = registry.instances[instance.ID].Born, true
+		}
+		if removed && !instance.Born.After(mark.born) {
 			held[instance.ID] = true
 		}
 		taken = append(taken, instance)
