Don't let a late row replace the configuration that a peer sent

What callers could see: requests handled by an older configuration, after a peer had sent a newer one of the same era and a late answer of the store brought the row before. Found by the review.

Cause: document versions were compared only over a restore, and versions of rows not at all.

Change: within an era an earlier row does not replace a later one. TestLateRowDoesNotReplaceTheConfigurationOfAPeer failed before.

--- a/internal/entrynode/configuration.go
+++ b/internal/entrynode/configuration.go
@@ -54,6 +54,11 @@
 	state.lock.Lock()
 	defer state.lock.Unlock()
 	inForce := node.deployment.Load() != nil
+	if inForce && row.Version.Era() == state.row.Version.Era() && row.Version < state.row.Version {
+		node.log.Info("late configuration ignored", "version", deployment.Version, "row", row.Version,
+			"inForce", state.version, "inForceRow", state.row.Version, "peer", peer)
+		return
+	}
 	if inForce && deployment.Version < state.version && row.Version.Era() > state.row.Version.Era() {
 		state.ahead = true
 		node.log.Info("older configuration ignored", "version", deployment.Version, "row", row.Version,
