Hand the configuration on when the restored store has none

What callers could see: hosts that started after a restore to before the first configuration served nothing until the operator wrote again.

Cause: only an older configuration told a node that it is ahead of the store, not a missing one.

Change: so does a deletion that comes with a restore. TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt failed before.

--- a/internal/entrynode/configuration.go
+++ b/internal/entrynode/configuration.go
@@ -34,12 +34,24 @@
 // applyConfiguration puts a new configuration in force; after one that can't be decoded the last one stays.
 func (node *Node) applyConfiguration(update feed.Update) {
 	for _, change := range update.Rows {
-		if change.Key == platform.ConfigurationKey && !change.Deleted {
+		switch {
+		case change.Key != platform.ConfigurationKey:
+		case !change.Deleted:
 			node.configure(change.Row, "")
+		case update.Restored:
+			node.markAhead()
 		}
 	}
 }
 
+// markAhead records that the restored store has no configuration: peers that start now get
+// the one in force from this node.
+func (node *Node) markAhead() {
+	node.configuration.lock.Lock()
+	defer node.configuration.lock.Unlock()
+	node.configuration.ahead = node.deployment.Load() != nil
+}
+
 // configure puts the configuration of a row in force unless it is older than the one that is;
 // peer is the peer address of the node that sent the row, or empty for the row of the table.
 func (node *Node) configure(row mimosatide.Row, peer string) {
--- a/internal/entrynode/configuration_test.go
+++ b/internal/entrynode/configuration_test.go
@@ -56,3 +56,18 @@
 	time.Sleep(500 * time.Millisecond)
 	node.staysInForce(t, "k3", "k2")
 }
+
+// TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt guards against hosts that serve
+// nothing until the operator writes again, because the restored store has no configuration.
+func TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt(t *testing.T) {
+	store := emulator.NewStore()
+	startTarget(t, store)
+	before := store.Copy()
+	store.Put("op", "config", configuration(1, "k1"))
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "version 1", func() bool { return node.request("k1") == http.StatusOK })
+	store.Restore(before)
+	eventually(t, "the restore", func() bool { return node.logged("store restored", `"table"="op"`) })
+	started := startNode(t, "n2", "127.0.1.2", store)
+	eventually(t, "version 1 from the other host", func() bool { return started.request("k1") == http.StatusOK })
+}
