Tell other zones of a configuration that is newer than the store's

What callers could see: a host alone in its zone of a large fleet, or a zone that starts anew after a restore, serves the older configuration with its withdrawn keys until the operator writes again. Found by the review.

Cause: the version went into digests only, which don't cross zones.

Change: it is in the summary of a zone, too (key 13, which nodes of the build before ignore).

--- a/internal/entrynode/configuration_test.go
+++ b/internal/entrynode/configuration_test.go
@@ -1,6 +1,7 @@
 package entrynode_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -24,6 +25,42 @@
 	}
 }
 
+// TestHostAloneInItsZoneGetsTheConfigurationInForce guards against a host of a large fleet that
+// starts after a restore and hears of the other zones in summaries only.
+func TestHostAloneInItsZoneGetsTheConfigurationInForce(t *testing.T) {
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration(1, "k1"))
+	startTarget(t, store)
+	nodes := startFleet(t, store)
+	for name, node := range nodes {
+		eventually(t, "version 1 at "+name, func() bool { return node.request("k1") == http.StatusOK })
+	}
+	before := store.Copy()
+	changeConfiguration(t, store, nodes, 2)
+	store.Restore(before)
+	for name, node := range nodes {
+		eventually(t, "the restore at "+name, func() bool { return node.logged("store restored", `"table"="op"`) })
+	}
+	started := startNodeIn(t, "c", "c-99", fmt.Sprintf("127.0.1.%d", fleetSize+1), store)
+	eventually(t, "version 2 from the other zones", func() bool { return started.request("k2") == http.StatusOK })
+	started.staysInForce(t, "k2", "k1")
+}
+
+// TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt guards against hosts that serve
+// nothing until the operator writes again, because the restored store has no configuration.
+func TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt(t *testing.T) {
+	store := emulator.NewStore()
+	startTarget(t, store)
+	before := store.Copy()
+	store.Put("op", "config", configuration(1, "k1"))
+	node := startNode(t, "n1", "127.0.1.1", store)
+	eventually(t, "version 1", func() bool { return node.request("k1") == http.StatusOK })
+	store.Restore(before)
+	eventually(t, "the restore", func() bool { return node.logged("store restored", `"table"="op"`) })
+	started := startNode(t, "n2", "127.0.1.2", store)
+	eventually(t, "version 1 from the other host", func() bool { return started.request("k1") == http.StatusOK })
+}
+
 // TestLateRowDoesNotReplaceTheConfigurationOfAPeer guards against a configuration that goes back
 // because a late answer of the store brings an earlier row of the same era.
 func TestLateRowDoesNotReplaceTheConfigurationOfAPeer(t *testing.T) {
@@ -56,18 +93,3 @@
 	time.Sleep(500 * time.Millisecond)
 	node.staysInForce(t, "k3", "k2")
 }
-
-// TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt guards against hosts that serve
-// nothing until the operator writes again, because the restored store has no configuration.
-func TestHostThatStartsAfterARestoreThatTookTheConfigurationGetsIt(t *testing.T) {
-	store := emulator.NewStore()
-	startTarget(t, store)
-	before := store.Copy()
-	store.Put("op", "config", configuration(1, "k1"))
-	node := startNode(t, "n1", "127.0.1.1", store)
-	eventually(t, "version 1", func() bool { return node.request("k1") == http.StatusOK })
-	store.Restore(before)
-	eventually(t, "the restore", func() bool { return node.logged("store restored", `"table"="op"`) })
-	started := startNode(t, "n2", "127.0.1.2", store)
-	eventually(t, "version 1 from the other host", func() bool { return started.request("k1") == http.StatusOK })
-}
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -158,11 +158,14 @@
 
 // flush sends the collected batches to this zone and to the relays of the other zones.
 func (fleet *fleet) flush() {
+	newerConfiguration := fleet.node.newerConfiguration()
 	fleet.lock.Lock()
 	zoneBatch, remoteBatch := fleet.zoneBatch, fleet.remoteBatch
 	now := time.Now()
 	if fleet.summaryDue {
-		remoteBatch.Summaries = []gossip.Summary{fleet.summaryLocked(now)}
+		summary := fleet.summaryLocked(now)
+		summary.NewerConfiguration = newerConfiguration
+		remoteBatch.Summaries = []gossip.Summary{summary}
 	}
 	fleet.zoneBatch, fleet.remoteBatch, fleet.summaryDue, fleet.summaryActive = gossip.Batch{}, gossip.Batch{}, false, false
 	fleet.stopFlushTimerLocked()
--- a/internal/entrynode/summary.go
+++ b/internal/entrynode/summary.go
@@ -128,5 +128,8 @@
 	if version := summary.SteadyTables[platform.TargetTable]; version > 0 {
 		node.targets.ConfirmDeletions(mimosatide.RowVersion(version))
 	}
+	if summary.NewerConfiguration != 0 {
+		node.requestConfiguration(from, summary.NewerConfiguration, now)
+	}
 	fleet.requestNewerRows(from, summary.Tables, now)
 }
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -27,4 +27,7 @@
 	ConfigurationAgeMillis map[uint64]int64 `cbor:"10,keyasint,omitempty"`
 	// Idle says that all digests since the last summary were idle.
 	Idle bool `cbor:"11,keyasint,omitempty"`
+	// NewerConfiguration is the version of the configuration that the relay has in force if the
+	// store was restored to an older one; otherwise zero. Key 12 is the era of the versions.
+	NewerConfiguration int64 `cbor:"13,keyasint,omitempty"`
 }
