--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -104,7 +104,8 @@
 // minimum time between the last order of one holder and the first order of the
 // next. holder must be unique to this machine: a machine that replaces another one
 // under the same name needs a different holder. answeredAt returns a reading of the clock
-// after which the store has answered this node or another one.
+// after which the store has answered this node or another one; it is called without the
+// lease's lock.
 func NewLease(
 	key, holder string, handoverDelay time.Duration, table LeaseTable, clock Clock, answeredAt func() time.Duration, log logr.Logger,
 ) *Lease {
