Let a taker's next process wait for the holder before, too

Cause: that the new holder still waited was known to its process only. The next one found the row to be its own and waited for nothing. The class is that of the restored store: who may act was worked out from what a process remembers.

Change: the row says that its holder still waits; a next process of the same machine then waits for the whole handover. One that finds a row without the mark need not.

--- a/internal/loading/lease_model_test.go
+++ b/internal/loading/lease_model_test.go
@@ -22,7 +22,7 @@
 	modelSchedules = flag.Int("lease.schedules", 4000, "number of schedules of the search")
 	modelRestores  = flag.Bool("lease.restores", true, "restore the store from earlier copies")
 	// modelQuickRestarts lets a holder's next process start at once: it knows neither when its
-	// machine last sent an order nor what the process before was waiting for (KNOWN-RED.txt).
+	// machine last sent an order nor what the process before was waiting for.
 	modelQuickRestarts = flag.Bool("lease.quickrestarts", false, "start the next process of a killed or released holder at once")
 )
 
--- a/internal/loading/lease_row.go
+++ b/internal/loading/lease_row.go
@@ -22,6 +22,9 @@
 	Holder   string
 	Term     uint64
 	Released bool
+	// Waiting says that the holder may not order yet, because one before it may have ordered
+	// until shortly before the row was written.
+	Waiting bool `cbor:",omitempty"`
 	// Era is the era of the store in which the row was written, as far as its writer knew.
 	Era uint64
 }
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -427,3 +427,21 @@
 		t.Errorf("got %s between the orders of two machines, want at least the handover delay", gap)
 	}
 }
+
+// TestNextProcessOfATakerWaitsForTheHolderBefore guards against orders of two machines within the
+// lease's time, because the process that took the lease is killed before its first order.
+func TestNextProcessOfATakerWaitsForTheHolderBefore(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	first, second := newLease("a", table, clock), newLease("b", table, clock)
+	first.Step(context.Background(), 0)
+	first.RecordOrder()
+	first.Release(context.Background())
+	second.Step(context.Background(), 0)
+	clock.advance(time.Second)
+	second.Step(context.Background(), 0)
+	next := newLease("b", table, clock)
+	next.Step(context.Background(), 0)
+	if mayOrder(next) {
+		t.Error("next process of a machine that was waiting: got orders allowed after 1s, want them after the handover")
+	}
+}
