Count the orders of a machine's earlier processes when a lease is given up

Cause: the message about a lease that was given up names the time since this process's own last order, and the new process had sent none.

Change: after a row of its own machine a process takes the moment of its takeover for that of the last order.

--- a/internal/loading/lease_model_test.go
+++ b/internal/loading/lease_model_test.go
@@ -23,7 +23,7 @@
 	modelRestores  = flag.Bool("lease.restores", true, "restore the store from earlier copies")
 	// modelQuickRestarts lets a holder's next process start at once: it knows neither when its
 	// machine last sent an order nor what the process before was waiting for.
-	modelQuickRestarts = flag.Bool("lease.quickrestarts", false, "start the next process of a killed or released holder at once")
+	modelQuickRestarts = flag.Bool("lease.quickrestarts", true, "start the next process of a killed or released holder at once")
 )
 
 const (
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -445,3 +445,26 @@
 		t.Error("next process of a machine that was waiting: got orders allowed after 1s, want them after the handover")
 	}
 }
+
+// TestNextProcessThatGivesUpCountsTheOrdersOfTheOneBefore guards against orders of two machines
+// within the lease's time, because a killed holder's next process has sent none itself.
+func TestNextProcessThatGivesUpCountsTheOrdersOfTheOneBefore(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	first, other := newLease("a", table, clock), newLease("b", table, clock)
+	first.Step(context.Background(), 0)
+	first.RecordOrder()
+	next := newLease("a", table, clock)
+	next.Step(context.Background(), 0)
+	clock.advance(200 * time.Millisecond)
+	failRenewals(clock, table, next)
+	row, idle, givenUp := next.GivenUp()
+	if !givenUp || idle > 800*time.Millisecond {
+		t.Fatalf("got given up %t, idle %s; want true and the time since the takeover at most", givenUp, idle)
+	}
+	other.ObserveGivenUp(row, idle)
+	other.Step(context.Background(), 0)
+	clock.advance(time.Second)
+	if mayOrder(other) {
+		t.Error("holder after a process that has just started: got orders allowed after 1s, want them after the handover")
+	}
+}
--- a/internal/loading/takeover.go
+++ b/internal/loading/takeover.go
@@ -164,6 +164,8 @@
 			// An earlier process of this machine has not waited to the end.
 			lease.ordersFrom = full
 		}
+		// An earlier process may have ordered until now.
+		lease.lastOrderAt = now
 	case vacancyNew:
 		lease.ordersFrom = max(lease.ordersFrom, now)
 	case vacancyGivenUp:
