--- a/internal/gossip/era.go
+++ b/internal/gossip/era.go
@@ -21,8 +21,8 @@
 	return mimosatide.RowVersion(version).Era()
 }
 
-// join turns numbers into versions of an era.
-func join(era uint64, numbers ...*uint64) error {
+// setEra turns numbers into versions of an era.
+func setEra(era uint64, numbers ...*uint64) error {
 	for _, number := range numbers {
 		version, err := mimosatide.NewRowVersion(era, *number)
 		if err != nil {
@@ -55,10 +55,10 @@
 	return numbers
 }
 
-// joinAll turns the numbers of tables into versions of an era.
-func joinAll(era uint64, tables map[string]uint64) error {
+// setEras turns the numbers of tables into versions of an era.
+func setEras(era uint64, tables map[string]uint64) error {
 	for table, version := range tables {
-		if err := join(era, &version); err != nil {
+		if err := setEra(era, &version); err != nil {
 			return errors.Annotatef(err, "table %q", table)
 		}
 		tables[table] = version
@@ -105,17 +105,17 @@
 
 func (wire digestWire) message() (Digest, error) {
 	digest := wire.Digest
-	if err := joinAll(wire.Era, digest.Tables); err != nil {
+	if err := setEras(wire.Era, digest.Tables); err != nil {
 		return Digest{}, errors.Trace(err)
 	}
 	for _, encoded := range wire.Ownerships {
-		if err := join(encoded.Era, &encoded.Row); err != nil {
+		if err := setEra(encoded.Era, &encoded.Row); err != nil {
 			return Digest{}, errors.Annotatef(err, "lease of %q", encoded.Service)
 		}
 		digest.Ownerships = append(digest.Ownerships, encoded.Ownership)
 	}
 	for _, encoded := range wire.Handovers {
-		if err := join(encoded.Era, &encoded.Row); err != nil {
+		if err := setEra(encoded.Era, &encoded.Row); err != nil {
 			return Digest{}, errors.Annotatef(err, "lease of %q", encoded.Service)
 		}
 		digest.Handovers = append(digest.Handovers, encoded.Handover)
@@ -144,7 +144,7 @@
 func (wire summaryWire) message() (Summary, error) {
 	summary := wire.Summary
 	for _, tables := range []map[string]uint64{summary.Tables, summary.SteadyTables} {
-		if err := joinAll(wire.Era, tables); err != nil {
+		if err := setEras(wire.Era, tables); err != nil {
 			return Summary{}, errors.Trace(err)
 		}
 	}
@@ -153,7 +153,7 @@
 	}
 	summary.ConfigurationAgeMillis = make(map[uint64]int64, len(wire.ConfigurationAgeMillis))
 	for version, age := range wire.ConfigurationAgeMillis {
-		if err := join(wire.Era, &version); err != nil {
+		if err := setEra(wire.Era, &version); err != nil {
 			return Summary{}, errors.Annotate(err, "age of a configuration")
 		}
 		summary.ConfigurationAgeMillis[version] = age
@@ -215,7 +215,7 @@
 
 func (wire changesWire) message() (Changes, error) {
 	changes := wire.Changes
-	if err := join(wire.Era, &changes.After, &changes.Version); err != nil {
+	if err := setEra(wire.Era, &changes.After, &changes.Version); err != nil {
 		return Changes{}, errors.Annotatef(err, "changes of table %q", changes.Table)
 	}
 	for index := range changes.Rows {
@@ -224,7 +224,7 @@
 		if row.Base != 0 {
 			versions = append(versions, &row.Base)
 		}
-		if err := join(wire.Era, versions...); err != nil {
+		if err := setEra(wire.Era, versions...); err != nil {
 			return Changes{}, errors.Annotatef(err, "row %q", row.Key)
 		}
 	}
@@ -243,7 +243,7 @@
 }
 
 func (wire rowsRequestWire) message() (RowsRequest, error) {
-	err := join(wire.Era, &wire.After)
+	err := setEra(wire.Era, &wire.After)
 	return wire.RowsRequest, errors.Annotatef(err, "request for table %q", wire.Table)
 }
 
@@ -265,11 +265,11 @@
 
 func (wire rowsResponseWire) message() (RowsResponse, error) {
 	response := wire.RowsResponse
-	if err := join(wire.Era, &response.Version); err != nil {
+	if err := setEra(wire.Era, &response.Version); err != nil {
 		return RowsResponse{}, errors.Annotatef(err, "table %q", response.Table)
 	}
 	for index := range response.Rows {
-		if err := join(wire.Era, &response.Rows[index].Version); err != nil {
+		if err := setEra(wire.Era, &response.Rows[index].Version); err != nil {
 			return RowsResponse{}, errors.Annotatef(err, "row %q", response.Rows[index].Key)
 		}
 	}
