Say at each placement what else waits for the weight store

The hypotheses on rare models that are never served could not be told apart from the logs: a placement did not say how many models without a replica were waited for, how many loads from the weight store were under way, and how many may be. A new owner says what the engines hold, have copies of, and lack.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -382,6 +382,22 @@
 	}
 }
 
+// recordRemoteLoads sets the gauges of the loads from the weight store, zero for services whose
+// lease another node holds.
+func (loader *loader) recordRemoteLoads() {
+	loader.lock.Lock()
+	defer loader.lock.Unlock()
+	for name, service := range loader.services {
+		counts := loading.RemoteCounts{}
+		if _, _, held := service.controller.Lease().Held(); held {
+			counts = service.controller.RemoteCounts()
+		}
+		loader.node.meter.SetServiceGauge(name, "weight_store_loads", float64(counts.Loads))
+		loader.node.meter.SetServiceGauge(name, "weight_store_load_limit", float64(counts.Limit))
+		loader.node.meter.SetServiceGauge(name, "models_waited_for", float64(counts.Missing))
+	}
+}
+
 func (loader *loader) holdsAnyLease() bool {
 	loader.lock.Lock()
 	defer loader.lock.Unlock()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -280,6 +280,7 @@
 			}
 			node.targetClient.CloseExpired()
 			node.recordCopies()
+			node.loader.recordRemoteLoads()
 			node.recordPeerMessages()
 			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
 			node.targets.Expire(now)
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -71,6 +72,8 @@
 	loadsPerSecond float64
 	remoteTokens   float64
 	remoteTokensAt time.Time
+	// missing is the number of models without a replica that requests waited for at the last plan.
+	missing int
 	// retryAt is the earliest time of the next attempt to load an adapter.
 	retryAt map[Need]time.Time
 }
@@ -161,7 +164,7 @@
 func (controller *Controller) plan(ctx context.Context, fencingToken mimosatide.FencingToken, class mimosatide.EngineClass, now time.Time) {
 	controller.lock.Lock()
 	defer controller.lock.Unlock()
-	controller.syncWorkers(ctx, fencingToken)
+	taken := controller.syncWorkers(ctx, fencingToken)
 	snapshot := Snapshot{
 		Class:              class,
 		Demand:             controller.demand.Models(now),
@@ -178,16 +181,62 @@
 	sort.Slice(snapshot.Engines, func(i, j int) bool {
 		return snapshot.Engines[i].Instance.ID < snapshot.Engines[j].Instance.ID
 	})
-	for _, step := range Plan(snapshot) {
+	steps := Plan(snapshot)
+	if taken {
+		controller.logCopies(snapshot)
+	}
+	controller.missing = snapshot.missing()
+	for _, step := range steps {
 		controller.start(class, step)
 	}
 	controller.startAdapters(class, now)
 }
 
+// logCopies logs how many of the configured models the engines hold, have a copy of, or would
+// have to load from the weight store.
+func (controller *Controller) logCopies(snapshot Snapshot) {
+	held, copied := map[string]bool{}, map[string]bool{}
+	for _, engine := range snapshot.Engines {
+		for _, holding := range engine.Instance.Holdings {
+			held[holding.Model] = true
+		}
+		for _, name := range slices.Concat(engine.Instance.InMemory, engine.Instance.OnDisk) {
+			copied[name] = true
+		}
+	}
+	copiedOnly, absent := 0, 0
+	for name := range snapshot.Class.Models {
+		switch {
+		case held[name]:
+		case copied[name]:
+			copiedOnly++
+		default:
+			absent++
+		}
+	}
+	controller.log.Info("models at engines", "service", controller.settings.Service, "engines", len(snapshot.Engines),
+		"models", len(snapshot.Class.Models), "held", len(held), "copiedOnly", copiedOnly, "absent", absent)
+}
+
+// RemoteCounts are the numbers of loads from the weight store under way, and of models without
+// a replica that requests wait for.
+type RemoteCounts struct {
+	Loads   int
+	Limit   int
+	Missing int
+}
+
+// RemoteCounts returns the counts of the last plan.
+func (controller *Controller) RemoteCounts() RemoteCounts {
+	controller.lock.Lock()
+	defer controller.lock.Unlock()
+	return RemoteCounts{Loads: controller.remoteLoads, Limit: controller.remoteLimit.current, Missing: controller.missing}
+}
+
 // syncWorkers keeps one worker for each engine that may be sent requests. The
 // worker of an engine that is gone or leaving stops at once, so that a model that
-// it was loading can be loaded elsewhere.
-func (controller *Controller) syncWorkers(ctx context.Context, fencingToken mimosatide.FencingToken) {
+// it was loading can be loaded elsewhere. It reports whether the lease was taken anew.
+func (controller *Controller) syncWorkers(ctx context.Context, fencingToken mimosatide.FencingToken) bool {
 	taken := fencingToken != controller.fencingToken
 	if taken {
 		// Another node may have sent orders in the meantime.
@@ -224,6 +273,7 @@
 	if taken {
 		controller.adoptProgress(time.Now())
 	}
+	return taken
 }
 
 func (controller *Controller) newWorker(ctx context.Context, instance mimosatide.Instance) *worker {
@@ -282,7 +332,8 @@
 		atLimit = controller.remoteLoads >= controller.remoteLimit.current
 	}
 	controller.log.Info("placement decided", "service", controller.settings.Service, "target", step.Instance, "model", step.Model,
-		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason)
+		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason, "waited", step.Waited,
+		"missing", controller.missing, "remoteLoads", controller.remoteLoads, "remoteLimit", controller.remoteLimit.current)
 	go func() {
 		begun := time.Now()
 		loadDuration, err := worker.place(worker.ctx, class, step)
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -78,6 +78,8 @@
 	// LoadTime is the expected time of the load.
 	LoadTime time.Duration
 	Reason   string
+	// Waited is how long requests have waited for the model.
+	Waited time.Duration
 }
 
 // Snapshot is the input of Plan.
@@ -96,15 +98,7 @@
 // Plan returns the next steps: first the models that requests wait for, then
 // replicas of busy models.
 func Plan(snapshot Snapshot) []Step {
-	planner := planner{Snapshot: snapshot, replicas: map[string]float64{}}
-	for _, engine := range snapshot.Engines {
-		for _, holding := range engine.Instance.Holdings {
-			planner.replicas[holding.Model] += engine.weight()
-		}
-	}
-	for model, count := range snapshot.Loading {
-		planner.replicas[model] += float64(count)
-	}
+	planner := newPlanner(snapshot)
 	for _, model := range planner.missing() {
 		planner.place(model, reasonWaiting)
 	}
@@ -114,6 +108,12 @@
 	return planner.steps
 }
 
+// missing returns the number of models without a replica that requests wait for.
+func (snapshot Snapshot) missing() int {
+	planner := newPlanner(snapshot)
+	return len(planner.missing())
+}
+
 // weight returns how many replicas one on this engine counts for.
 func (engine Engine) weight() float64 {
 	if engine.Limited {
@@ -204,6 +204,7 @@
 		return
 	}
 	best.Reason = reason
+	best.Waited = planner.Demand[name].Waited
 	planner.steps = append(planner.steps, best)
 	weight := planner.weightOf(best.Instance)
 	planner.replicas[name] += weight
@@ -220,6 +221,19 @@
 	}
 }
 
+func newPlanner(snapshot Snapshot) planner {
+	planner := planner{Snapshot: snapshot, replicas: map[string]float64{}}
+	for _, engine := range snapshot.Engines {
+		for _, holding := range engine.Instance.Holdings {
+			planner.replicas[holding.Model] += engine.weight()
+		}
+	}
+	for model, count := range snapshot.Loading {
+		planner.replicas[model] += float64(count)
+	}
+	return planner
+}
+
 // weightOf returns the weight of the replicas on an engine.
 func (planner *planner) weightOf(instance string) float64 {
 	for _, engine := range planner.Engines {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -175,6 +175,11 @@
 	meter.scope.Tagged(map[string]string{"table": table}).Gauge(name).Update(value)
 }
 
+// SetServiceGauge sets a gauge of a service to the current value.
+func (meter *Meter) SetServiceGauge(service, name string, value float64) {
+	meter.scope.Tagged(map[string]string{"service": service}).Gauge(name).Update(value)
+}
+
 // ObserveQueueWait records how long a request waited until it was sent to a target.
 func (meter *Meter) ObserveQueueWait(account string, wait time.Duration) {
 	meter.observe("queue_wait", map[string]string{"account": account}, wait)
