Hold no request longer for a load than its caller stays

What callers saw: a caller of a rare model was held until it left.

Cause: a request was held if its deadline, 13 s, was later than the load. The route says how long callers wait; that was not decoded.

Change: the route's patience is decoded, and a request is held only if its model is expected before the caller leaves. One that is refused is told to return as late as callers accept, if it can then wait for the rest.

TestRequestIsNotHeldLongerThanItsCallerStays failed before: the answer came at the deadline, 13 s, without that advice.

--- a/deployment.go
+++ b/deployment.go
@@ -42,6 +42,9 @@
 	LatencyObjective time.Duration
 	// EventGapObjective is the maximum time between two events of a stream that meets its objective.
 	EventGapObjective time.Duration
+	// Patience is how long callers of a stream wait for its first event before they leave, counted
+	// from the arrival; zero if that is not known.
+	Patience time.Duration
 	// Attempts is the maximum number of targets that may have run the same request;
 	// targets that did not run it do not count.
 	Attempts int
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -144,6 +144,8 @@
 	longTimeout := route("long-timeout", mimosatide.StreamRoute, "llm", 1, time.Hour)
 	longTimeout.LatencyObjective = time.Hour
 	longTimeout.EventGapObjective = 500 * time.Millisecond
+	impatient := route("impatient", mimosatide.StreamRoute, "llm", 1, 13*time.Second)
+	impatient.Patience = 5 * time.Second
 	deployment := mimosatide.Deployment{
 		Version: 3,
 		Services: map[string]mimosatide.Service{
@@ -151,8 +153,9 @@
 			"llm": {Name: "llm", Engine: &mimosatide.EngineClass{
 				MemoryMB: 200, AdapterSlots: 2,
 				Models: map[string]mimosatide.EngineModel{
-					"m":    {Name: "m", MemoryMB: 70, LoadTime: time.Second, WarmLoadTime: 50 * time.Millisecond, DiskLoadTime: 50 * time.Millisecond},
-					"slow": {Name: "slow", MemoryMB: 70, LoadTime: time.Hour, WarmLoadTime: time.Hour, DiskLoadTime: time.Hour},
+					"m":       {Name: "m", MemoryMB: 70, LoadTime: time.Second, WarmLoadTime: 50 * time.Millisecond, DiskLoadTime: 50 * time.Millisecond},
+					"lasting": {Name: "lasting", MemoryMB: 70, LoadTime: 8 * time.Second, WarmLoadTime: time.Hour, DiskLoadTime: time.Hour},
+					"slow":    {Name: "slow", MemoryMB: 70, LoadTime: time.Hour, WarmLoadTime: time.Hour, DiskLoadTime: time.Hour},
 				},
 			}},
 		},
@@ -170,6 +173,7 @@
 		route("chat", mimosatide.StreamRoute, "llm", 1, 2*time.Second),
 		resumable,
 		longTimeout,
+		impatient,
 	})
 	return &deployment
 }
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -31,6 +31,9 @@
 	// returnSpread is the time over which the requests that waited for the end of a pause,
 	// or were refused because of it, return.
 	returnSpread = 100 * time.Millisecond
+	// returnShare is the share of the time until their deadline after which callers return at the
+	// latest, whatever Retry-After they are told.
+	returnShare = 0.33
 	// noCapacityRetryAfter is the Retry-After when there is no usable target.
 	noCapacityRetryAfter = time.Second
 )
@@ -146,7 +149,7 @@
 	}
 }
 
-// refuseUnloadable refuses a request whose model can't be loaded before its deadline, as
+// refuseUnloadable refuses a request whose model can't be loaded before its caller leaves, as
 // the owner of the targets expects. If it has not said so, the load is assumed to have begun
 // when the request began to wait, and to come from the fastest cache tier of any candidate.
 func (handler *requestHandler) refuseUnloadable(candidates []mimosatide.Instance) mimosatide.Refusal {
@@ -165,22 +168,39 @@
 	if handler.waitingSince.IsZero() {
 		handler.waitingSince = time.Now()
 	}
-	if expected, known := handler.gateway.Loader.ExpectedLoad(handler.service.Name, model.Name); known {
-		if !handler.deadline.Before(expected) {
-			return mimosatide.Refusal{}
-		}
-		// The load is requested anyway, as below.
-		handler.requestLoad(loading.Need{Service: handler.service.Name, Model: handler.request.Model})
-		detail := "other models are loaded before this one, which is expected in " + time.Until(expected).Round(time.Millisecond).String()
-		return mimosatide.Refuse(mimosatide.ReasonNoCapacity, detail).WithRetryAfter(time.Until(expected))
+	detail := "the model can't be loaded in time"
+	expected := handler.waitingSince.Add(least + loadOverhead)
+	if told, known := handler.gateway.Loader.ExpectedLoad(handler.service.Name, model.Name); known {
+		expected = told
+		detail = "other models are loaded before this one, which is expected in " + time.Until(expected).Round(time.Millisecond).String()
 	}
-	remaining := least + loadOverhead - time.Since(handler.waitingSince)
-	if time.Until(handler.deadline) >= remaining {
+	if !handler.leavesAt(handler.arrived).Before(expected) {
 		return mimosatide.Refusal{}
 	}
 	// The load is requested anyway, so that a retry of the caller finds the model.
 	handler.requestLoad(loading.Need{Service: handler.service.Name, Model: handler.request.Model})
-	return mimosatide.Refuse(mimosatide.ReasonNoCapacity, "the model can't be loaded in time").WithRetryAfter(least)
+	return mimosatide.Refuse(mimosatide.ReasonNoCapacity, detail).WithRetryAfter(handler.returnAfter(expected, time.Now()))
+}
+
+// leavesAt returns until when a caller waits whose request arrives at the given time.
+func (handler *requestHandler) leavesAt(arrival time.Time) time.Time {
+	leaves := arrival.Add(handler.route.Patience)
+	if handler.route.Patience <= 0 || leaves.After(handler.deadline) {
+		return handler.deadline
+	}
+	return leaves
+}
+
+// returnAfter returns when the caller of a refused request should return, if its model is
+// expected to be loaded at the given time. A caller that is told to return before the load, as
+// late as callers accept, can wait for the rest of it.
+func (handler *requestHandler) returnAfter(expected, now time.Time) time.Duration {
+	wait := expected.Sub(now)
+	latest := time.Duration(float64(handler.deadline.Sub(now)) * returnShare)
+	if wait > latest && !handler.leavesAt(now.Add(latest)).Before(expected.Add(loadOverhead)) {
+		return latest
+	}
+	return wait
 }
 
 func (handler *requestHandler) requestLoad(need loading.Need) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -771,3 +771,24 @@
 	})
 	closeListener = fixture.closeLast()
 }
+
+// Callers leave before a long load ends. A request must not be held until then: told to return
+// while its model is being loaded, its caller can wait for the rest.
+func TestRequestIsNotHeldLongerThanItsCallerStays(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		fixture := newFixture(t)
+		fixture.addTarget("e-1", "llm", respondEvents(1, 1, true))
+		if known {
+			fixture.loader.expected = map[string]time.Time{"lasting": time.Now().Add(8 * time.Second)}
+		}
+		response, _, _ := fixture.send(newChatRequest(fixture, "/impatient/", "lasting"))
+		if response == nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("expected load known %t: got response %v, want status 503", known, response)
+			continue
+		}
+		after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		if err != nil || after < 4 || after > 13.0/3 {
+			t.Errorf("expected load known %t: got Retry-After %q, want as late as the caller accepts, 4.3 s", known, response.Header.Get("Retry-After"))
+		}
+	}
+}
