Keep in line the models that requests have found missing

Cause: the owner of the engines forgot a need 1.2 s after it was reported, and a request that can't be served in time reports it once, as it is refused. When a place at the weight store became free, the line held only the models of the last second, the one first that was waited for longest; if there was none, a busy model took the place.

Change: a request's first report is counted. Until it is loaded, a model that no engine has a copy of stays in line, the one first that most recent requests have found missing.

The two tests fail if only waiting requests put a model in line.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -145,9 +145,10 @@
 	loader.node.targets.SetHoldings(reported)
 }
 
-// AddNeed asks the owner of a service to load a model or an adapter. Without a known
+// AddNeed asks the owner of a service to load a model or an adapter; first says that it is the
+// request's first report of it. Without a known
 // lease holder the need is kept here, in case this node takes the lease.
-func (loader *loader) AddNeed(need loading.Need) {
+func (loader *loader) AddNeed(need loading.Need, first bool) {
 	loader.lock.Lock()
 	service, found := loader.services[need.Service]
 	if !found {
@@ -158,11 +159,11 @@
 	loader.lock.Unlock()
 	_, _, held := service.controller.Lease().Held()
 	if held || !fresh {
-		service.controller.AddNeed(need, time.Now())
+		service.controller.AddNeed(need, first, time.Now())
 		return
 	}
 	loader.node.hub.Send(ownerAddress, gossip.Need{
-		Service: need.Service, Model: need.Model, Adapter: need.Adapter, Instance: need.Instance,
+		Service: need.Service, Model: need.Model, Adapter: need.Adapter, Instance: need.Instance, First: first,
 	})
 }
 
@@ -174,7 +175,7 @@
 	if found {
 		service.controller.AddNeed(loading.Need{
 			Service: message.Service, Model: message.Model, Adapter: message.Adapter, Instance: message.Instance,
-		}, now)
+		}, message.First, now)
 	}
 }
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -67,7 +67,7 @@
 	expected map[string]time.Time
 }
 
-func (loader *fakeLoader) AddNeed(need loading.Need) {
+func (loader *fakeLoader) AddNeed(need loading.Need, _ bool) {
 	loader.lock.Lock()
 	defer loader.lock.Unlock()
 	loader.needs = append(loader.needs, need)
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -204,7 +204,9 @@
 }
 
 func (handler *requestHandler) requestLoad(need loading.Need) {
-	handler.gateway.Loader.AddNeed(need)
+	first := need.Adapter == "" && !handler.loadRequested
+	handler.loadRequested = handler.loadRequested || first
+	handler.gateway.Loader.AddNeed(need, first)
 }
 
 func (handler *requestHandler) query() balance.Query {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,8 @@
 // Loader loads the models and adapters that requests wait for.
 type Loader interface {
 	// AddNeed requests a model or an adapter. It returns at once; a waiting request
-	// repeats the call.
-	AddNeed(need loading.Need)
+	// repeats the call, and first is set at the first one.
+	AddNeed(need loading.Need, first bool)
 	// ExpectedLoad returns when a model is expected to be loaded, and whether that is known:
 	// only of models that are being loaded or wait for the weight store.
 	ExpectedLoad(service, model string) (time.Time, bool)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,6 +46,8 @@
 	sent time.Time
 	// waitingSince is when the request began to wait for its model.
 	waitingSince time.Time
+	// loadRequested says that the owner of the targets was told that the request needs its model.
+	loadRequested bool
 
 	// tried are the ids of the targets that the request was sent to, triedAddresses their
 	// addresses: a target may have another id at the same address.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -165,6 +165,8 @@
 	Adapter string `cbor:"3,keyasint,omitempty"`
 	// Instance is the target that is to load the adapter.
 	Instance string `cbor:"4,keyasint,omitempty"`
+	// First says that the request reports the need for the first time.
+	First bool `cbor:"5,keyasint,omitempty"`
 }
 
 // HoldingsReport says what a target holds, published by its owner to all nodes.
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -117,9 +117,10 @@
 	return controller.lease
 }
 
-// AddNeed records that a request waits for a model or an adapter. It does not block.
-func (controller *Controller) AddNeed(need Need, now time.Time) {
-	if controller.demand.AddNeed(need, now) {
+// AddNeed records that a request waits for a model or an adapter; first says that it is the
+// request's first report of it. It does not block.
+func (controller *Controller) AddNeed(need Need, first bool, now time.Time) {
+	if controller.demand.AddNeed(need, first, now) {
 		select {
 		case controller.wake <- struct{}{}:
 		default:
@@ -332,7 +333,7 @@
 		atLimit = controller.remoteLoads >= controller.remoteLimit.current
 	}
 	controller.log.Info("placement decided", "service", controller.settings.Service, "target", step.Instance, "model", step.Model,
-		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason, "waited", step.Waited,
+		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason, "waited", step.Waited, "asked", step.Asked,
 		"missing", controller.missing, "remoteLoads", controller.remoteLoads, "remoteLimit", controller.remoteLimit.current)
 	go func() {
 		begun := time.Now()
@@ -377,6 +378,9 @@
 		return
 	}
 	delete(controller.underWay, step.Instance)
+	if step.loadDuration > 0 {
+		controller.demand.Met(step.Model)
+	}
 	if controller.loading[step.Model] > 0 {
 		controller.loading[step.Model]--
 	}
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -9,6 +9,12 @@
 const (
 	// needTTL is how long a need is kept after it was last reported.
 	needTTL = 1200 * time.Millisecond
+	// refusedTimeConstant is the time constant by which the requests are forgotten that found no
+	// replica of their model. It spans a few loads from the weight store: a model stays in line
+	// while others are loaded, though none of its requests can wait for so long.
+	refusedTimeConstant = 20 * time.Second
+	// minAsked is the number of such requests below which a model is no longer in line.
+	minAsked = 0.3
 	// prefillTimeConstant is the time constant of the moving average of prefill time.
 	prefillTimeConstant = 2 * time.Second
 )
@@ -29,6 +35,9 @@
 	// how long requests have been waiting.
 	Waiting bool
 	Waited  time.Duration
+	// Asked is the number of recent requests that found no replica of the model, older ones
+	// counting less.
+	Asked float64
 	// PrefillLoad is the engine time spent on the model's prompts, in seconds per second.
 	PrefillLoad float64
 	// Idle is the time since the model was last requested.
@@ -53,6 +62,17 @@
 	return usage.prefillLoad * math.Exp(-now.Sub(usage.updatedAt).Seconds()/prefillTimeConstant.Seconds())
 }
 
+// fadingCount counts events, older ones less.
+type fadingCount struct {
+	count     float64
+	updatedAt time.Time
+}
+
+// value returns the count at the given time.
+func (fading fadingCount) value(now time.Time) float64 {
+	return fading.count * math.Exp(-now.Sub(fading.updatedAt).Seconds()/refusedTimeConstant.Seconds())
+}
+
 // needTimes holds when a need was first and last reported.
 type needTimes struct {
 	first time.Time
@@ -64,6 +84,8 @@
 type Demand struct {
 	lock  sync.Mutex
 	needs map[Need]needTimes
+	// asked counts, by model, the requests that found no replica since it was last loaded.
+	asked map[string]fadingCount
 	usage map[string]*modelUsage
 	// totals holds the last reported running totals of prefill time, in seconds, by
 	// node and model.
@@ -83,16 +105,21 @@
 func NewDemand() *Demand {
 	return &Demand{
 		needs:    map[Need]needTimes{},
+		asked:    map[string]fadingCount{},
 		usage:    map[string]*modelUsage{},
 		totals:   map[string]map[string]float64{},
 		adapters: map[AdapterAt]time.Time{},
 	}
 }
 
-// AddNeed records a need and reports whether it is new.
-func (demand *Demand) AddNeed(need Need, now time.Time) bool {
+// AddNeed records a need and reports whether it is new. first says that the request that has
+// it reports it for the first time.
+func (demand *Demand) AddNeed(need Need, first bool, now time.Time) bool {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
+	if first && need.Adapter == "" {
+		demand.asked[need.Model] = fadingCount{count: demand.asked[need.Model].value(now) + 1, updatedAt: now}
+	}
 	times, known := demand.needs[need]
 	if !known {
 		times.first = now
@@ -173,6 +200,13 @@
 	delete(demand.needs, need)
 }
 
+// Met forgets the requests that found no replica of a model: it has been loaded.
+func (demand *Demand) Met(model string) {
+	demand.lock.Lock()
+	defer demand.lock.Unlock()
+	delete(demand.asked, model)
+}
+
 // Models returns the demand for every model that has ever been requested.
 func (demand *Demand) Models(now time.Time) map[string]ModelDemand {
 	demand.lock.Lock()
@@ -181,6 +215,19 @@
 	for name, usage := range demand.usage {
 		models[name] = ModelDemand{PrefillLoad: usage.value(now), Idle: now.Sub(usage.lastUsed)}
 	}
+	for name, asked := range demand.asked {
+		value := asked.value(now)
+		if value < minAsked {
+			delete(demand.asked, name)
+			continue
+		}
+		known, used := models[name]
+		if !used {
+			known.Idle = now.Sub(asked.updatedAt)
+		}
+		known.Asked = value
+		models[name] = known
+	}
 	for need, times := range demand.needs {
 		if need.Adapter == "" {
 			known := models[need.Model]
--- a/internal/loading/doc.go
+++ b/internal/loading/doc.go
@@ -14,5 +14,5 @@
 //	controller := loading.New(loading.Settings{...}, lease, engines, targets, class, publish, log)
 //	go lease.Run(ctx, rank)
 //	go controller.Run(ctx)
-//	controller.AddNeed(loading.Need{Service: "llm", Model: "translate"}, time.Now())
+//	controller.AddNeed(loading.Need{Service: "llm", Model: "translate"}, true, time.Now())
 package loading
--- a/internal/loading/forecast_test.go
+++ b/internal/loading/forecast_test.go
@@ -75,7 +75,7 @@
 		need := func(controller *loading.Controller, steps int) {
 			for range steps {
 				for _, model := range engines.missing(10) {
-					controller.AddNeed(loading.Need{Service: "llm", Model: model}, time.Now())
+					controller.AddNeed(loading.Need{Service: "llm", Model: model}, true, time.Now())
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -1,6 +1,7 @@
 package loading
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -78,8 +79,10 @@
 	// LoadTime is the expected time of the load.
 	LoadTime time.Duration
 	Reason   string
-	// Waited is how long requests have waited for the model.
+	// Waited is how long requests have waited for the model, and Asked how many have recently
+	// found no replica of it, older ones counting less.
 	Waited time.Duration
+	Asked  float64
 }
 
 // Snapshot is the input of Plan.
@@ -139,26 +142,44 @@
 	return min(replicaThresholdBase+replicaThresholdSpread/float64(max(len(planner.Engines), 1)), replicaThresholdMax)
 }
 
-// missing returns the models that requests wait for and that have no replica, the one that
-// has been waited for longest first: another order keeps some models from ever being loaded
-// while the weight store is busy.
+// missing returns the models in line: those without a replica that requests wait for, or that
+// recent requests have found missing, if they can only be loaded from the weight store. The one
+// that most requests have found missing is first, then the one that has been waited for longest.
 func (planner *planner) missing() []string {
+	copied := planner.copied()
 	var models []string
 	for name, demand := range planner.Demand {
-		if demand.Waiting && planner.replicas[name] == 0 {
+		if planner.replicas[name] == 0 && (demand.Waiting || demand.Asked > 0 && !copied[name]) {
 			models = append(models, name)
 		}
 	}
 	sort.Slice(models, func(i, j int) bool {
-		first, second := planner.Demand[models[i]].Waited, planner.Demand[models[j]].Waited
-		if first != second {
-			return first > second
+		first, second := planner.Demand[models[i]], planner.Demand[models[j]]
+		if first.Asked != second.Asked {
+			return first.Asked > second.Asked
+		}
+		if first.Waited != second.Waited {
+			return first.Waited > second.Waited
 		}
 		return models[i] < models[j]
 	})
 	return models
 }
 
+// copied returns the models of which an engine has a copy of the weights.
+func (planner *planner) copied() map[string]bool {
+	copied := map[string]bool{}
+	for _, engine := range planner.Engines {
+		if engine.Instance.Leaving {
+			continue
+		}
+		for _, name := range slices.Concat(engine.Instance.InMemory, engine.Instance.OnDisk) {
+			copied[name] = true
+		}
+	}
+	return copied
+}
+
 // busy returns the models that need another replica, the busiest first.
 func (planner *planner) busy() []string {
 	var models []string
@@ -204,7 +225,7 @@
 		return
 	}
 	best.Reason = reason
-	best.Waited = planner.Demand[name].Waited
+	best.Waited, best.Asked = planner.Demand[name].Waited, planner.Demand[name].Asked
 	planner.steps = append(planner.steps, best)
 	weight := planner.weightOf(best.Instance)
 	planner.replicas[name] += weight
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -157,7 +157,7 @@
 	demand := loading.NewDemand()
 	now := time.Unix(1_700_000_000, 0)
 	for range 4 {
-		demand.AddNeed(loading.Need{Service: "s", Model: "m"}, now)
+		demand.AddNeed(loading.Need{Service: "s", Model: "m"}, true, now)
 		now = now.Add(300 * time.Millisecond)
 	}
 	if waited := demand.Models(now)["m"].Waited; waited != 1200*time.Millisecond {
@@ -200,3 +200,47 @@
 		t.Errorf("a model without a replica beside limited engines only: got steps %+v, want one", steps)
 	}
 }
+
+// A model that many requests have found missing must not wait behind one that was asked for
+// last, or it is never loaded while the weight store is busy.
+func TestOftenRefusedModelIsLoadedBeforeOneAskedForOnce(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	demand := loading.NewDemand()
+	for second := range 6 {
+		demand.AddNeed(loading.Need{Service: "s", Model: "m3"}, true, now.Add(time.Duration(second)*2*time.Second))
+	}
+	now = now.Add(14 * time.Second)
+	demand.AddNeed(loading.Need{Service: "s", Model: "m0"}, true, now.Add(-time.Second))
+	demand.AddNeed(loading.Need{Service: "s", Model: "m0"}, false, now)
+	demand.Needs(now)
+	input := snapshot([]loading.Engine{engine("e0"), engine("e1")}, demand.Models(now))
+	if steps := loading.Plan(input); len(steps) != 1 || steps[0].Model != "m3" {
+		t.Errorf("got steps %+v, want one that loads m3, which was refused six times", steps)
+	}
+}
+
+// A further replica of a busy model must not take the weight store's place of a model that was
+// refused a moment ago and that nobody can use yet.
+func TestBusyModelLeavesTheWeightStoreToMissingModels(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	demand := loading.NewDemand()
+	demand.AddNeed(loading.Need{Service: "s", Model: "m1"}, true, now.Add(-5*time.Second))
+	demand.Needs(now)
+	models := demand.Models(now)
+	models["m0"] = loading.ModelDemand{PrefillLoad: 0.9}
+	steps := loading.Plan(snapshot([]loading.Engine{engine("e0", "m0"), engine("e1"), engine("e2")}, models))
+	if len(steps) != 1 || steps[0].Model != "m1" {
+		t.Errorf("got steps %+v, want one that loads m1", steps)
+	}
+}
+
+// A model that is found missing once is forgotten in time, so that an idle model is not loaded
+// for nobody.
+func TestRefusedRequestsAreForgotten(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	demand := loading.NewDemand()
+	demand.AddNeed(loading.Need{Service: "s", Model: "m0"}, true, now)
+	if models := demand.Models(now.Add(time.Minute)); models["m0"].Asked != 0 {
+		t.Errorf("a minute after one request: got %+v, want nothing asked", models["m0"])
+	}
+}
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -323,7 +323,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				controller, _ := runCandidate(ctx, engines, fmt.Sprintf("n%d", turn), table)
 				for range 80 + random.IntN(100) {
-					controller.AddNeed(loading.Need{Service: "llm", Model: fmt.Sprintf("m%d", random.IntN(5))}, time.Now())
+					controller.AddNeed(loading.Need{Service: "llm", Model: fmt.Sprintf("m%d", random.IntN(5))}, true, time.Now())
 					time.Sleep(100 * time.Millisecond)
 				}
 				if random.IntN(2) == 0 {
@@ -356,7 +356,7 @@
 		controller, targets := runController(ctx, engines)
 		first := ""
 		for range 100 {
-			controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, time.Now())
+			controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, true, time.Now())
 			time.Sleep(100 * time.Millisecond)
 			engines.lock.Lock()
 			for id, engine := range engines.engines {
@@ -391,7 +391,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		controller, targets := runController(ctx, engines)
 		for range 100 {
-			controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, time.Now())
+			controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, true, time.Now())
 			time.Sleep(100 * time.Millisecond)
 		}
 		if held, _ := targets.View().Instance("e1"); !held.Holds("m0") {
@@ -417,7 +417,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			controller, targets := runController(ctx, engines)
 			for range 100 {
-				controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, time.Now())
+				controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, true, time.Now())
 				time.Sleep(100 * time.Millisecond)
 			}
 			holders := 0
@@ -460,7 +460,7 @@
 			controller, _ := runController(ctx, engines)
 			for range 500 {
 				for _, model := range engines.missing(40) {
-					controller.AddNeed(loading.Need{Service: "llm", Model: model}, time.Now())
+					controller.AddNeed(loading.Need{Service: "llm", Model: model}, true, time.Now())
 				}
 				time.Sleep(200 * time.Millisecond)
 			}
@@ -491,12 +491,12 @@
 			}
 		}
 		if holder == "" {
-			controller.AddNeed(loading.Need{Service: "llm", Model: model}, time.Now())
+			controller.AddNeed(loading.Need{Service: "llm", Model: model}, true, time.Now())
 			continue
 		}
 		met++
 		adapter := fmt.Sprintf("a%d", random.IntN(6))
-		controller.AddNeed(loading.Need{Service: "llm", Model: model, Adapter: adapter, Instance: holder}, time.Now())
+		controller.AddNeed(loading.Need{Service: "llm", Model: model, Adapter: adapter, Instance: holder}, true, time.Now())
 	}
 	cancel()
 	time.Sleep(time.Minute)
