Don't load again what the last holder is loading

Cause: a new holder knows from its predecessor's messages which engines are busy, but not with which model: it counted no replica of it. When the load ended, its own copy of the engine's state stayed the old one.

Change: the models of these loads count as loading, are told on to the next holder, and the engine's report is published once it is idle.

TestNextHolderDoesNotRepeatTheLoadsOfTheLast failed before: two loads of m1, and the first one's end was not known.

--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -59,8 +60,10 @@
 	// loading counts the loads under way by model, underWay holds them by engine.
 	loading  map[string]int
 	underWay map[string]loadUnderWay
-	// busyUntil holds, by engine, when loads of the holder before were expected to end.
+	// busyUntil holds, by engine, when loads of the holder before were expected to end, adopted
+	// their models.
 	busyUntil map[string]time.Time
+	adopted   map[string]string
 	// observed is the progress that another holder of the lease last reported, at observedAt.
 	observed   Progress
 	observedAt time.Time
@@ -103,6 +106,7 @@
 		loading:     map[string]int{},
 		underWay:    map[string]loadUnderWay{},
 		busyUntil:   map[string]time.Time{},
+		adopted:     map[string]string{},
 		retryAt:     map[Need]time.Time{},
 	}
 }
@@ -169,7 +173,7 @@
 	snapshot := Snapshot{
 		Class:              class,
 		Demand:             controller.demand.Models(now),
-		Loading:            controller.loading,
+		Loading:            controller.allLoading(),
 		RemoteLoadsToStart: controller.remoteLoadsToStart(class, now),
 		Now:                now,
 	}
@@ -249,6 +253,7 @@
 		controller.loading = map[string]int{}
 		controller.underWay = map[string]loadUnderWay{}
 		controller.busyUntil = map[string]time.Time{}
+		controller.adopted = map[string]string{}
 		controller.remoteLoads = 0
 		controller.remoteLimit = newRemoteLoadLimit()
 		controller.remoteTokens = 0
@@ -297,6 +302,19 @@
 	}
 }
 
+// allLoading counts the loads under way by model, including those of the holder before.
+func (controller *Controller) allLoading() map[string]int {
+	loading := maps.Clone(controller.loading)
+	for id, model := range controller.adopted {
+		if worker := controller.workers[id]; worker == nil || !worker.isBusy() {
+			delete(controller.adopted, id)
+			continue
+		}
+		loading[model]++
+	}
+	return loading
+}
+
 // remoteLoadsToStart refills the token bucket and returns the number of loads from
 // the weight store that may start now.
 func (controller *Controller) remoteLoadsToStart(class mimosatide.EngineClass, now time.Time) int {
--- a/internal/loading/forecast.go
+++ b/internal/loading/forecast.go
@@ -119,6 +119,9 @@
 		case worker.isBusy():
 			freeIn = max(controller.busyUntil[id].Sub(now), minRemaining)
 			line.RemoteEnds = append(line.RemoteEnds, freeIn)
+			if model, adopted := controller.adopted[id]; adopted {
+				line.Loads = append(line.Loads, LoadUnderWay{Instance: id, Model: model, Remaining: freeIn})
+			}
 		}
 		for _, holding := range instance.Holdings {
 			planner.replicas[holding.Model]++
@@ -158,6 +161,7 @@
 	for _, load := range controller.observed.Loads {
 		if worker := controller.workers[load.Instance]; worker != nil {
 			worker.awaitIdle()
+			controller.adopted[load.Instance] = load.Model
 			controller.busyUntil[load.Instance] = controller.observedAt.Add(load.Remaining)
 		}
 	}
--- a/internal/loading/forecast_test.go
+++ b/internal/loading/forecast_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,3 +107,54 @@
 		synctest.Wait()
 	})
 }
+
+// TestNextHolderDoesNotRepeatTheLoadsOfTheLast hands the lease over while models are being loaded.
+// A second load of such a model would take the weight store's place of another.
+func TestNextHolderDoesNotRepeatTheLoadsOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		models := map[string]mimosatide.EngineModel{}
+		for _, name := range []string{"m0", "m1"} {
+			models[name] = mimosatide.EngineModel{Name: name, MemoryMB: 100, LoadTime: 10 * time.Second}
+		}
+		engines := newEngines(1, "e0", "e1", "e2", "e3")
+		engines.class = mimosatide.EngineClass{MemoryMB: 160, LoadsPerSecond: 10, Models: models}
+		engines.storeCapacity = 2
+		table := newTable()
+		ctx, cancel := context.WithCancel(context.Background())
+		need := func(controller *loading.Controller, steps int) {
+			for range steps {
+				for model := range models {
+					controller.AddNeed(loading.Need{Service: "llm", Model: model}, true, time.Now())
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		firstCtx, stop := context.WithCancel(ctx)
+		first, _ := runCandidate(firstCtx, engines, "a", table)
+		need(first, 30)
+		progress := first.Progress(time.Now())
+		first.Lease().Release(firstCtx)
+		stop()
+		second, targets := runCandidate(ctx, engines, "b", table)
+		second.ObserveProgress(progress, time.Now())
+		need(second, 150)
+		for model := range models {
+			replicas := 0
+			for _, engine := range engines.engines {
+				if _, held := engine.holdings[model]; held {
+					replicas++
+				}
+			}
+			if replicas != 1 {
+				t.Errorf("model %s: got %d loads, want the one of the first holder only", model, replicas)
+			}
+			known := slices.ContainsFunc(targets.View().Service("llm"), func(instance mimosatide.Instance) bool { return instance.Holds(model) })
+			if !known {
+				t.Errorf("model %s: its load has ended, but the next holder does not know it", model)
+			}
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -108,7 +108,7 @@
 }
 
 // awaitIdle leaves the engine out of plans until its report says that it carries out no
-// order. It returns at once.
+// order, and publishes what it then holds. It returns at once.
 func (worker *worker) awaitIdle() {
 	worker.lock.Lock()
 	waiting := worker.busy
@@ -120,9 +120,13 @@
 	go func() {
 		for sleep(worker.ctx, engineBackoff); worker.ctx.Err() == nil; sleep(worker.ctx, engineBackoff) {
 			report, err := worker.report(worker.ctx)
-			if err == nil && !report.Busy {
-				break
+			if err != nil || report.Busy {
+				continue
+			}
+			if report.Orders >= worker.current().Orders {
+				worker.applyReport(report)
 			}
+			break
 		}
 		worker.lock.Lock()
 		defer worker.lock.Unlock()
