Don't fetch a model again whose copy is about to be usable

Cause: after requests have waited for a second, a model is fetched from the weight store if the engine with its copy is occupied. It is mostly occupied by another load, whose end is known and comes before the second delivery.

Change: the plan knows when a load under way at an engine is expected to end, and waits for that engine unless the load is overdue.

TestModelIsNotFetchedAgainWhileItsCopyIsAboutToBeUsable failed before.

--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -177,10 +177,14 @@
 		RemoteLoadsToStart: controller.remoteLoadsToStart(class, now),
 		Now:                now,
 	}
-	for _, worker := range controller.workers {
+	for id, worker := range controller.workers {
 		known, occupied, placedAt := worker.view()
+		freeIn, _ := controller.freeIn(id, worker, now)
+		if controller.overdue(id, now) {
+			freeIn = 0
+		}
 		snapshot.Engines = append(snapshot.Engines, Engine{
-			Instance: known, Occupied: occupied, Limited: controller.limited(worker.instance), PlacedAt: placedAt,
+			Instance: known, Occupied: occupied, Limited: controller.limited(worker.instance), PlacedAt: placedAt, FreeIn: freeIn,
 		})
 	}
 	sort.Slice(snapshot.Engines, func(i, j int) bool {
--- a/internal/loading/forecast.go
+++ b/internal/loading/forecast.go
@@ -11,6 +11,8 @@
 	// minRemaining is the expected rest of a load that has taken longer than expected, and of
 	// an order of an earlier holder.
 	minRemaining = 300 * time.Millisecond
+	// overdueAfter is how long after its expected end a load may still be about to end.
+	overdueAfter = 2 * time.Second
 	// progressLifetime is how long the last progress of a holder that is gone counts: its
 	// loads may go on for several times as long as they should.
 	progressLifetime = time.Minute
@@ -107,21 +109,14 @@
 	planner := planner{Snapshot: Snapshot{Class: class, Demand: demand}, replicas: map[string]float64{}}
 	for id, worker := range controller.workers {
 		instance, _, _ := worker.view()
-		freeIn := time.Duration(0)
-		load, loads := controller.underWay[id]
-		switch {
-		case loads:
-			freeIn = max(load.LoadTime-now.Sub(load.begun), minRemaining)
-			line.Loads = append(line.Loads, LoadUnderWay{Instance: id, Model: load.Model, Remaining: freeIn})
-			if load.Tier == mimosatide.TierRemote {
-				line.RemoteEnds = append(line.RemoteEnds, freeIn)
-			}
-		case worker.isBusy():
-			freeIn = max(controller.busyUntil[id].Sub(now), minRemaining)
+		freeIn, remote := controller.freeIn(id, worker, now)
+		if remote {
 			line.RemoteEnds = append(line.RemoteEnds, freeIn)
-			if model, adopted := controller.adopted[id]; adopted {
-				line.Loads = append(line.Loads, LoadUnderWay{Instance: id, Model: model, Remaining: freeIn})
-			}
+		}
+		if load, loads := controller.underWay[id]; loads {
+			line.Loads = append(line.Loads, LoadUnderWay{Instance: id, Model: load.Model, Remaining: freeIn})
+		} else if model, adopted := controller.adopted[id]; adopted && freeIn > 0 {
+			line.Loads = append(line.Loads, LoadUnderWay{Instance: id, Model: model, Remaining: freeIn})
 		}
 		for _, holding := range instance.Holdings {
 			planner.replicas[holding.Model]++
@@ -141,6 +136,28 @@
 	return Progress{Loads: line.Loads, RemoteLimit: line.Limit, Expected: Forecast(line)}
 }
 
+// freeIn returns the expected time until a load under way at an engine ends, zero if there is
+// none, and whether it may be one from the weight store.
+func (controller *Controller) freeIn(id string, worker *worker, now time.Time) (time.Duration, bool) {
+	if load, loads := controller.underWay[id]; loads {
+		return max(load.LoadTime-now.Sub(load.begun), minRemaining), load.Tier == mimosatide.TierRemote
+	}
+	if worker.isBusy() {
+		return max(controller.busyUntil[id].Sub(now), minRemaining), true
+	}
+	return 0, false
+}
+
+// overdue reports whether a load at an engine has taken so much longer than expected that its end
+// can't be foreseen.
+func (controller *Controller) overdue(id string, now time.Time) bool {
+	end := controller.busyUntil[id]
+	if load, loads := controller.underWay[id]; loads {
+		end = load.begun.Add(load.LoadTime)
+	}
+	return now.Sub(end) > overdueAfter
+}
+
 // ObserveProgress records the progress of the lease's holder, for the case that this node is
 // the next one.
 func (controller *Controller) ObserveProgress(progress Progress, now time.Time) {
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -25,8 +25,8 @@
 	limitedReplica = 0.25
 	// urgentAfter is how long requests wait for a model before it is urgent: it may
 	// then displace a model in use, or be fetched from the weight store although an
-	// engine has a copy. By then no idle model could be evicted, and no engine with a
-	// copy has become free.
+	// engine has a copy, unless that engine will be free before. By then no idle model could
+	// be evicted, and no engine with a copy has become free.
 	urgentAfter = time.Second
 	// evictionCooldown is how long nothing is evicted from an engine after a model
 	// was placed on it, or after its report was applied to bring its state up to date.
@@ -50,6 +50,8 @@
 	Instance mimosatide.Instance
 	// Occupied engines have an order under way or do not answer; they are not used.
 	Occupied bool
+	// FreeIn is the expected time until a load under way at the engine ends; zero if there is none.
+	FreeIn time.Duration
 	// Limited engines limit their requests. Their replicas count for limitedReplica of one,
 	// and busy models get no further replicas there.
 	Limited bool
@@ -292,11 +294,15 @@
 // waitForCopy reports whether a model without a replica should wait for an engine
 // that has a copy of its weights instead of being fetched from the weight store.
 func (planner *planner) waitForCopy(model mimosatide.EngineModel, reason string) bool {
-	if planner.urgent || reason != reasonWaiting {
+	if reason != reasonWaiting {
 		return false
 	}
 	for _, engine := range planner.Engines {
-		if tier, _ := Tier(engine.Instance, model); tier != mimosatide.TierRemote && !engine.Instance.Leaving {
+		tier, loadTime := Tier(engine.Instance, model)
+		if tier == mimosatide.TierRemote || engine.Instance.Leaving {
+			continue
+		}
+		if !planner.urgent || engine.FreeIn > 0 && engine.FreeIn+loadTime < model.LoadTime {
 			return true
 		}
 	}
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -244,3 +244,19 @@
 		t.Errorf("a minute after one request: got %+v, want nothing asked", models["m0"])
 	}
 }
+
+// An engine with a copy is loading another model and will be free before the weight store could
+// deliver the model once more, in the place of one that no engine has a copy of.
+func TestModelIsNotFetchedAgainWhileItsCopyIsAboutToBeUsable(t *testing.T) {
+	engines := []loading.Engine{engine("e0"), engine("e1")}
+	engines[0].Occupied, engines[0].FreeIn = true, 4*time.Second
+	engines[0].Instance.OnDisk = []string{"m0"}
+	demand := map[string]loading.ModelDemand{"m0": {Waiting: true, Waited: 2 * time.Second, Asked: 5}}
+	if steps := loading.Plan(snapshot(engines, demand)); len(steps) != 0 {
+		t.Errorf("got steps %+v, want none: e0 is free in 4 s, a load from the weight store takes 6 s", steps)
+	}
+	engines[0].FreeIn = 0
+	if steps := loading.Plan(snapshot(engines, demand)); len(steps) != 1 {
+		t.Errorf("got steps %+v, want one, as nothing says when e0 is free", steps)
+	}
+}
