Load models without a copy while the weight store is idle

Of 507 models 12 were absent when 125 of the 160 engines were known.

Change: a model that no engine holds or has a copy of is loaded while nothing waits for the weight store, in place of an idle model that has a copy or another replica. One place is kept for the next request once there are any. Where more than a tenth of the models are absent nothing says which will be asked for, and none is loaded.

A new owner also says what the engines hold only once their rows are known.

TestModelWithoutCopyIsLoadedWhileTheWeightStoreIsIdle failed before (no step).

--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -22,6 +22,11 @@
 	remoteRateFraction = 0.9
 	// remoteBurst is the number of loads that may start at once after a pause.
 	remoteBurst = 2
+	// settlingTime is how long after the lease was taken the engines, and what they hold, may
+	// still be unknown in part.
+	settlingTime = 3 * time.Second
+	// aheadInterval is the time between two plans that may load models that nobody waits for.
+	aheadInterval = time.Second
 	// adapterRetryDelay is the minimum time between two attempts to load the same adapter.
 	adapterRetryDelay = 200 * time.Millisecond
 )
@@ -77,6 +82,12 @@
 	remoteTokensAt time.Time
 	// missing is the number of models without a replica that requests waited for at the last plan.
 	missing int
+	// copiesLogged says that the copies at the engines were logged since the lease was taken, at
+	// takenAt.
+	copiesLogged bool
+	takenAt      time.Time
+	// aheadAt is when the last plan was made that could load models that nobody waits for.
+	aheadAt time.Time
 	// retryAt is the earliest time of the next attempt to load an adapter.
 	retryAt map[Need]time.Time
 }
@@ -169,7 +180,7 @@
 func (controller *Controller) plan(ctx context.Context, fencingToken mimosatide.FencingToken, class mimosatide.EngineClass, now time.Time) {
 	controller.lock.Lock()
 	defer controller.lock.Unlock()
-	taken := controller.syncWorkers(ctx, fencingToken)
+	controller.syncWorkers(ctx, fencingToken)
 	snapshot := Snapshot{
 		Class:              class,
 		Demand:             controller.demand.Models(now),
@@ -190,12 +201,18 @@
 	sort.Slice(snapshot.Engines, func(i, j int) bool {
 		return snapshot.Engines[i].Instance.ID < snapshot.Engines[j].Instance.ID
 	})
-	steps := Plan(snapshot)
-	if taken {
+	if now.Sub(controller.aheadAt) > aheadInterval && now.Sub(controller.takenAt) > settlingTime {
+		controller.aheadAt = now
+		snapshot.LoadAhead, snapshot.Quiet = true, len(snapshot.Demand) == 0
+	}
+	planner := newPlanner(snapshot)
+	controller.missing = len(planner.missing())
+	planner.plan()
+	if !controller.copiesLogged && now.Sub(controller.takenAt) > settlingTime {
+		controller.copiesLogged = true
 		controller.logCopies(snapshot)
 	}
-	controller.missing = snapshot.missing()
-	for _, step := range steps {
+	for _, step := range planner.steps {
 		controller.start(class, step)
 	}
 	controller.startAdapters(class, now)
@@ -244,8 +261,8 @@
 
 // syncWorkers keeps one worker for each engine that may be sent requests. The
 // worker of an engine that is gone or leaving stops at once, so that a model that
-// it was loading can be loaded elsewhere. It reports whether the lease was taken anew.
-func (controller *Controller) syncWorkers(ctx context.Context, fencingToken mimosatide.FencingToken) bool {
+// it was loading can be loaded elsewhere.
+func (controller *Controller) syncWorkers(ctx context.Context, fencingToken mimosatide.FencingToken) {
 	taken := fencingToken != controller.fencingToken
 	if taken {
 		// Another node may have sent orders in the meantime.
@@ -258,6 +275,7 @@
 		controller.underWay = map[string]loadUnderWay{}
 		controller.busyUntil = map[string]time.Time{}
 		controller.adopted = map[string]string{}
+		controller.copiesLogged, controller.takenAt = false, time.Now()
 		controller.remoteLoads = 0
 		controller.remoteLimit = newRemoteLoadLimit()
 		controller.remoteTokens = 0
@@ -283,7 +301,6 @@
 	if taken {
 		controller.adoptProgress(time.Now())
 	}
-	return taken
 }
 
 func (controller *Controller) newWorker(ctx context.Context, instance mimosatide.Instance) *worker {
--- a/internal/loading/forecast.go
+++ b/internal/loading/forecast.go
@@ -106,7 +106,7 @@
 	defer controller.lock.Unlock()
 	line := Line{Limit: controller.remoteLimit.current}
 	local := map[string]time.Duration{}
-	planner := planner{Snapshot: Snapshot{Class: class, Demand: demand}, replicas: map[string]float64{}}
+	planner := newPlanner(Snapshot{Class: class, Demand: demand})
 	for id, worker := range controller.workers {
 		instance, _, _ := worker.view()
 		freeIn, remote := controller.freeIn(id, worker, now)
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -36,13 +36,20 @@
 	// starts at the scale, falls with idle time and has halved after evictionIdleScale.
 	evictionCostScale = 4 * time.Second
 	evictionIdleScale = 4 * time.Second
+	// maxAbsentShare is the share of the models without a copy at any engine up to which they are
+	// loaded before a request comes.
+	maxAbsentShare = 0.1
+	// aheadIdle is how long a model must have been idle to be evicted for one that nobody has
+	// asked for.
+	aheadIdle = 10 * time.Second
 )
 
-// The reasons of a step: requests wait for a model without a replica, or the replicas
-// of a model are busy.
+// The reasons of a step: requests wait for a model without a replica, the replicas
+// of a model are busy, or no engine has a copy of a model.
 const (
 	reasonWaiting = "Waiting"
 	reasonBusy    = "Busy"
+	reasonAhead   = "Ahead"
 )
 
 // Engine is an engine as Plan sees it.
@@ -97,28 +104,22 @@
 	Loading map[string]int
 	// RemoteLoadsToStart is the number of loads from the weight store that may start now.
 	RemoteLoadsToStart int
-	Now                time.Time
+	// LoadAhead allows loads of models that nobody waits for, Quiet says that no request has come
+	// yet.
+	LoadAhead bool
+	Quiet     bool
+	Now       time.Time
 }
 
 // Plan returns the next steps: first the models that requests wait for, then
-// replicas of busy models.
+// replicas of busy models, then models that could be loaded from nowhere else when a request
+// comes.
 func Plan(snapshot Snapshot) []Step {
 	planner := newPlanner(snapshot)
-	for _, model := range planner.missing() {
-		planner.place(model, reasonWaiting)
-	}
-	for _, model := range planner.busy() {
-		planner.place(model, reasonBusy)
-	}
+	planner.plan()
 	return planner.steps
 }
 
-// missing returns the number of models without a replica that requests wait for.
-func (snapshot Snapshot) missing() int {
-	planner := newPlanner(snapshot)
-	return len(planner.missing())
-}
-
 // weight returns how many replicas one on this engine counts for.
 func (engine Engine) weight() float64 {
 	if engine.Limited {
@@ -132,7 +133,9 @@
 	// replicas counts the replicas by model, each by the weight of its engine, including
 	// those that are loading and the changes that the steps make.
 	replicas map[string]float64
-	steps    []Step
+	// copies are the models of which an engine has a copy, nil until they are needed.
+	copies map[string]bool
+	steps  []Step
 	// urgent says that requests have waited longer than urgentAfter for the model
 	// that is being placed.
 	urgent bool
@@ -148,10 +151,9 @@
 // recent requests have found missing, if they can only be loaded from the weight store. The one
 // that most requests have found missing is first, then the one that has been waited for longest.
 func (planner *planner) missing() []string {
-	copied := planner.copied()
 	var models []string
 	for name, demand := range planner.Demand {
-		if planner.replicas[name] == 0 && (demand.Waiting || demand.Asked > 0 && !copied[name]) {
+		if planner.replicas[name] == 0 && (demand.Waiting || demand.Asked > 0 && !planner.copied()[name]) {
 			models = append(models, name)
 		}
 	}
@@ -170,6 +172,9 @@
 
 // copied returns the models of which an engine has a copy of the weights.
 func (planner *planner) copied() map[string]bool {
+	if planner.copies != nil {
+		return planner.copies
+	}
 	copied := map[string]bool{}
 	for _, engine := range planner.Engines {
 		if engine.Instance.Leaving {
@@ -179,6 +184,7 @@
 			copied[name] = true
 		}
 	}
+	planner.copies = copied
 	return copied
 }
 
@@ -244,8 +250,8 @@
 	}
 }
 
-func newPlanner(snapshot Snapshot) planner {
-	planner := planner{Snapshot: snapshot, replicas: map[string]float64{}}
+func newPlanner(snapshot Snapshot) *planner {
+	planner := &planner{Snapshot: snapshot, replicas: map[string]float64{}}
 	for _, engine := range snapshot.Engines {
 		for _, holding := range engine.Instance.Holdings {
 			planner.replicas[holding.Model] += engine.weight()
@@ -257,6 +263,46 @@
 	return planner
 }
 
+// plan adds all steps.
+func (planner *planner) plan() {
+	for _, model := range planner.missing() {
+		planner.place(model, reasonWaiting)
+	}
+	for _, model := range planner.busy() {
+		planner.place(model, reasonBusy)
+	}
+	planner.loadAhead()
+}
+
+// loadAhead adds loads of models that no engine holds or has a copy of, while the weight store
+// has nothing else to do. It adds none if there are too many of them to tell which will be
+// asked for, and leaves a place to the next request unless there are no requests yet.
+func (planner *planner) loadAhead() {
+	if !planner.LoadAhead || planner.RemoteLoadsToStart <= 0 || len(planner.missing()) > 0 {
+		return
+	}
+	var absent []string
+	for name := range planner.Class.Models {
+		if planner.replicas[name] == 0 && !planner.copied()[name] {
+			absent = append(absent, name)
+		}
+	}
+	if float64(len(absent)) > maxAbsentShare*float64(len(planner.Class.Models)) {
+		return
+	}
+	sort.Strings(absent)
+	kept := 1
+	if planner.Quiet {
+		kept = 0
+	}
+	for _, name := range absent {
+		if planner.RemoteLoadsToStart <= kept {
+			return
+		}
+		planner.place(name, reasonAhead)
+	}
+}
+
 // weightOf returns the weight of the replicas on an engine.
 func (planner *planner) weightOf(instance string) float64 {
 	for _, engine := range planner.Engines {
@@ -326,6 +372,9 @@
 	}
 	var candidates []candidate
 	for _, holding := range engine.Instance.Holdings {
+		if reason == reasonAhead && !planner.evictableAhead(engine, holding.Model) {
+			continue
+		}
 		cost, evictable := planner.evictionCost(holding.Model, engine.weight(), reason)
 		if evictable {
 			candidates = append(candidates, candidate{holding: holding, cost: cost})
@@ -350,6 +399,16 @@
 	return victims, totalCost, free >= memoryMB
 }
 
+// evictableAhead reports whether a model may be evicted for one that nobody has asked for: it is
+// idle and has another replica or a copy at the engine.
+func (planner *planner) evictableAhead(engine Engine, name string) bool {
+	if demand, known := planner.Demand[name]; known && demand.Idle < aheadIdle {
+		return false
+	}
+	tier, _ := Tier(engine.Instance, planner.Class.Models[name])
+	return tier != mimosatide.TierRemote || planner.replicas[name] > engine.weight()
+}
+
 // evictionCost returns the cost of evicting one replica of a model, which counts for
 // weight, as load time. It
 // reports false if the replica may not be evicted: requests wait for the model, the
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -260,3 +260,47 @@
 		t.Errorf("got steps %+v, want one, as nothing says when e0 is free", steps)
 	}
 }
+
+// aheadSnapshot has 20 models, of which no engine has m19, and two places at the weight store.
+func aheadSnapshot(demand map[string]loading.ModelDemand) loading.Snapshot {
+	models := map[string]mimosatide.EngineModel{}
+	engines := []loading.Engine{engine("e0", "m00", "m01"), engine("e1", "m00", "m02")}
+	for index := range 20 {
+		name := fmt.Sprintf("m%02d", index)
+		models[name] = mimosatide.EngineModel{Name: name, MemoryMB: 70, LoadTime: 6 * time.Second, DiskLoadTime: 450 * time.Millisecond}
+		if index < 19 {
+			engines[1].Instance.OnDisk = append(engines[1].Instance.OnDisk, name)
+		}
+	}
+	input := snapshot(engines, demand)
+	input.Class.Models, input.RemoteLoadsToStart, input.LoadAhead, input.Quiet = models, 2, true, len(demand) == 0
+	return input
+}
+
+// The weight store has nothing to do before the first requests come. A model that no engine has
+// a copy of must not wait for them: their callers leave before it is loaded.
+func TestModelWithoutCopyIsLoadedWhileTheWeightStoreIsIdle(t *testing.T) {
+	steps := loading.Plan(aheadSnapshot(nil))
+	if len(steps) != 1 || steps[0].Model != "m19" || steps[0].Instance != "e1" && steps[0].Victims[0] != "m00" {
+		t.Errorf("got steps %+v, want one that loads m19 in place of a model with a copy or another replica", steps)
+	}
+}
+
+func TestModelIsNotLoadedAheadOfDemand(t *testing.T) {
+	demand := map[string]loading.ModelDemand{"m00": {}, "m01": {}, "m02": {}, "m03": {Waiting: true}}
+	for _, step := range loading.Plan(aheadSnapshot(demand)) {
+		if step.Model == "m19" {
+			t.Errorf("got step %+v, want none for m19 while requests wait for m03 and all others are in use", step)
+		}
+	}
+	input := aheadSnapshot(nil)
+	input.Engines[1].Instance.OnDisk = input.Engines[1].Instance.OnDisk[:10]
+	if steps := loading.Plan(input); len(steps) != 0 {
+		t.Errorf("got steps %+v, want none: half of the models have no copy, and nothing says which will be asked for", steps)
+	}
+	input = aheadSnapshot(map[string]loading.ModelDemand{"m00": {Idle: time.Minute}})
+	input.RemoteLoadsToStart = 1
+	if steps := loading.Plan(input); len(steps) != 0 {
+		t.Errorf("got steps %+v, want none: the last place is kept for the next request", steps)
+	}
+}
