Leave an engine out of plans after it refused an order

Cause: an order that ends unanswered keeps the engine out of plans for a second, one that is refused as misdirected or fenced did not.

TestEngineThatRefusesOrdersIsNotChosenAtOnceAgain failed before.

--- a/internal/loading/order.go
+++ b/internal/loading/order.go
@@ -52,6 +52,7 @@
 		return errors.Annotate(errConflict, worker.instance.ID)
 	default:
 		worker.markUnsynced()
+		worker.backOff()
 		return errors.Errorf("engine %s refused the order: %s", worker.instance.ID, outcome)
 	}
 }
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -35,6 +35,8 @@
 	sends   map[string]int
 	// silentSends is how many orders to each engine get no answer at first.
 	silentSends int
+	// misdirected is an engine whose address belongs to another target by now.
+	misdirected string
 	// loseFirstAnswer makes the engine carry out the first order without an answer.
 	loseFirstAnswer bool
 	// storeCapacity is the number of loads that the weight store serves at full speed;
@@ -90,6 +92,9 @@
 	}
 	engines.lock.Lock()
 	defer engines.lock.Unlock()
+	if instance.ID == engines.misdirected {
+		return mimosatide.OrderMisdirected, nil
+	}
 	if engines.random.Float64() < engines.late {
 		wait := time.Duration(2+engines.random.IntN(10)) * time.Second
 		time.AfterFunc(wait, func() {
@@ -406,6 +411,31 @@
 	})
 }
 
+// TestEngineThatRefusesOrdersIsNotChosenAtOnceAgain has another target at the address of the engine
+// that the plan prefers. The model must be loaded on the other one, and not be ordered here again
+// and again until the row of the first has lapsed.
+func TestEngineThatRefusesOrdersIsNotChosenAtOnceAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := newEngines(1, "e0", "e1")
+		engines.misdirected = "e0"
+		ctx, cancel := context.WithCancel(context.Background())
+		controller, targets := runController(ctx, engines)
+		for range 100 {
+			controller.AddNeed(loading.Need{Service: "llm", Model: "m0"}, true, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		if held, _ := targets.View().Instance("e1"); !held.Holds("m0") {
+			t.Error("other engine: got m0 not held, want it held")
+		}
+		if engines.sends["e0"] > 2 {
+			t.Errorf("got %d orders in ten seconds to the engine that refuses them, want at most 2", engines.sends["e0"])
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 // TestUnansweredOrderIsSentAgainToTheSameEngine has engines leave their first orders without
 // an answer, carried out or not. Each order must be sent again to the same engine: giving up
 // the load there costs the waiting requests a second, and the next engine may be as silent.
