Say which software a target has and which stream a request resumes

The hypotheses on streams joined from two versions could not be told apart: the version in a target's row and the name of the first attempt of a resumed stream were not decoded.

--- a/instance.go
+++ b/instance.go
@@ -20,6 +20,9 @@
 	Service string
 	Address string
 	Zone    string
+	// Software is the version of the target's software; empty if it is not known. Streams of two
+	// versions don't fit together.
+	Software string
 	// Born is the start time of the incarnation by the target's clock.
 	Born    time.Time
 	Leaving bool
@@ -137,6 +140,9 @@
 	// LastEvent is the ID of the last event that the caller has received of a stream
 	// that it resumes; empty for a new request.
 	LastEvent string
+	// Begun is the ID of the caller's request that brought the first event of the stream that this
+	// one resumes; empty if the caller does not name it.
+	Begun string
 	// Headers are the header fields that are forwarded unchanged.
 	Headers []Header
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -183,7 +183,7 @@
 	}
 	for _, instance := range known {
 		log.Info("target known", "target", instance.ID, "service", instance.Service,
-			"address", instance.Address, "zone", instance.Zone, "leaving", instance.Leaving)
+			"address", instance.Address, "zone", instance.Zone, "software", instance.Software, "leaving", instance.Leaving)
 	}
 }
 
