Know no software of a target whose rows name two

A row of another writer may name another version for a target that goes on serving. An incarnation's software can't change, so that neither is believed; a row that leaves the version out changes nothing. The view of the targets names the versions of a service, also those of targets that leave.

TestIncarnationThatNamesTwoVersionsHasNone: the last row was believed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -80,6 +80,18 @@
 	return *instance, true
 }
 
+// Software returns the versions of the software that the targets of a service have, including
+// those that are leaving.
+func (view *View) Software(service string) []string {
+	versions := map[string]bool{}
+	for _, instance := range view.byID {
+		if instance.Service == service {
+			versions[instance.Software] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
 // Registry holds the known targets. It is safe for concurrent use.
 type Registry struct {
 	log logr.Logger
@@ -99,6 +111,8 @@
 	// removed targets are kept away whose rows came back with a restore of the store.
 	removed  map[string]removedMark
 	heldBack map[string]time.Time
+	// disputed are the targets whose incarnation has named two versions of its software.
+	disputed map[string]bool
 	changed  chan struct{}
 }
 
@@ -128,6 +142,7 @@
 		leaving:     map[string]leavingMark{},
 		removed:     map[string]removedMark{},
 		heldBack:    map[string]time.Time{},
+		disputed:    map[string]bool{},
 		changed:     make(chan struct{}),
 	}
 	return registry
@@ -191,6 +206,11 @@
 // has a new address or state.
 func (registry *Registry) putLocked(instance mimosatide.Instance) bool {
 	before, found := registry.instances[instance.ID]
+	if found && before.Born.Equal(instance.Born) {
+		instance.Software = registry.settleSoftware(before, instance.Software)
+	} else {
+		delete(registry.disputed, instance.ID)
+	}
 	delete(registry.removals, instance.ID)
 	delete(registry.removed, instance.ID)
 	delete(registry.heldBack, instance.ID)
@@ -207,6 +227,21 @@
 	return !found || before.Leaving != instance.Leaving || !before.Born.Equal(instance.Born) || before.Address != instance.Address
 }
 
+// settleSoftware returns the version of an incarnation's software, which can't change: one that its
+// row leaves out is the one known before, and of an incarnation whose rows name two it is not known.
+func (registry *Registry) settleSoftware(before mimosatide.Instance, software string) string {
+	if registry.disputed[before.ID] || software == "" || software == before.Software {
+		return before.Software
+	}
+	if before.Software == "" {
+		return software
+	}
+	registry.disputed[before.ID] = true
+	registry.log.Info("target names another software", "target", before.ID, "service", before.Service,
+		"software", software, "before", before.Software, "born", before.Born)
+	return ""
+}
+
 // Delete removes a target whose row was deleted. If the store is recovering from an
 // outage, the row may have expired although the target is live; a target that was
 // not leaving is then kept until Expire or ConfirmDeletions removes it, or Put
@@ -330,6 +365,7 @@
 	registry.log.Info("target gone", "target", id, "service", registry.instances[id].Service)
 	registry.removed[id] = removedMark{born: registry.instances[id].Born, at: time.Now()}
 	delete(registry.heldBack, id)
+	delete(registry.disputed, id)
 	delete(registry.instances, id)
 	delete(registry.reported, id)
 	delete(registry.removals, id)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -260,3 +260,26 @@
 		t.Error("the deletion itself confirmed: got the target kept, want it removed")
 	}
 }
+
+// A row of another writer names another version for a target that goes on serving. Neither may be
+// believed: a stream would go on at the wrong version.
+func TestIncarnationThatNamesTwoVersionsHasNone(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	put := func(software string, born int64) string {
+		targets.Put(mimosatide.Instance{ID: "i-1", Service: "llm", Software: software, Born: time.UnixMilli(born)})
+		instance, _ := targets.View().Instance("i-1")
+		return instance.Software
+	}
+	for _, step := range []struct {
+		software string
+		born     int64
+		want     string
+	}{{"v1", 1, "v1"}, {"", 1, "v1"}, {"v2", 1, ""}, {"v1", 1, ""}, {"v2", 2, "v2"}, {"v2", 2, "v2"}} {
+		if got := put(step.software, step.born); got != step.want {
+			t.Errorf("row with software %q, born %d: got %q, want %q", step.software, step.born, got, step.want)
+		}
+	}
+	if got := targets.View().Software("llm"); len(got) != 1 || got[0] != "v2" {
+		t.Errorf("got versions %v, want v2", got)
+	}
+}
