Load a model at the version that a stream needs

What callers will see once streams keep to their version: a stream is taken up whose model has no replica at that version any more, because its target crashed, while targets of the other version hold it. The plan would see a replica and load nothing.

Change: a need names the version of the software; the owner loads the model on an engine of that version unless one has it or is loading it.

TestModelIsLoadedAtTheVersionThatAStreamNeeds fails if the version is left out of the need.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -163,7 +163,7 @@
 		return
 	}
 	loader.node.hub.Send(ownerAddress, gossip.Need{
-		Service: need.Service, Model: need.Model, Adapter: need.Adapter, Instance: need.Instance, First: first,
+		Service: need.Service, Model: need.Model, Adapter: need.Adapter, Instance: need.Instance, First: first, Software: need.Software,
 	})
 }
 
@@ -174,7 +174,7 @@
 	loader.lock.Unlock()
 	if found {
 		service.controller.AddNeed(loading.Need{
-			Service: message.Service, Model: message.Model, Adapter: message.Adapter, Instance: message.Instance,
+			Service: message.Service, Model: message.Model, Adapter: message.Adapter, Instance: message.Instance, Software: message.Software,
 		}, message.First, now)
 	}
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -167,6 +167,9 @@
 	Instance string `cbor:"4,keyasint,omitempty"`
 	// First says that the request reports the need for the first time.
 	First bool `cbor:"5,keyasint,omitempty"`
+	// Software is the version of the target's software that the model is needed at; empty if any
+	// will do.
+	Software string `cbor:"6,keyasint,omitempty"`
 }
 
 // HoldingsReport says what a target holds, published by its owner to all nodes.
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -196,6 +196,7 @@
 		}
 		snapshot.Engines = append(snapshot.Engines, Engine{
 			Instance: known, Occupied: occupied, Limited: controller.limited(worker.instance), PlacedAt: placedAt, FreeIn: freeIn,
+			Loading: controller.loadingAt(id),
 		})
 	}
 	sort.Slice(snapshot.Engines, func(i, j int) bool {
@@ -323,6 +324,14 @@
 	}
 }
 
+// loadingAt returns the model that an engine is loading; empty if there is none.
+func (controller *Controller) loadingAt(id string) string {
+	if load, loads := controller.underWay[id]; loads {
+		return load.Model
+	}
+	return controller.adopted[id]
+}
+
 // allLoading counts the loads under way by model, including those of the holder before.
 func (controller *Controller) allLoading() map[string]int {
 	loading := maps.Clone(controller.loading)
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -27,6 +27,9 @@
 	Adapter string
 	// Instance is the target at which the adapter is needed.
 	Instance string
+	// Software is the version of the engine's software that the model is needed at, to go on with a
+	// stream; empty if any will do.
+	Software string
 }
 
 // ModelDemand is the demand for a model over all nodes.
@@ -38,6 +41,9 @@
 	// Asked is the number of recent requests that found no replica of the model, older ones
 	// counting less.
 	Asked float64
+	// Bound holds how long streams that only engines of a version of the software can go on with
+	// have been waiting for the model, by version.
+	Bound map[string]time.Duration
 	// PrefillLoad is the engine time spent on the model's prompts, in seconds per second.
 	PrefillLoad float64
 	// Idle is the time since the model was last requested.
@@ -117,7 +123,7 @@
 func (demand *Demand) AddNeed(need Need, first bool, now time.Time) bool {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
-	if first && need.Adapter == "" {
+	if first && need.Adapter == "" && need.Software == "" {
 		demand.asked[need.Model] = fadingCount{count: demand.asked[need.Model].value(now) + 1, updatedAt: now}
 	}
 	times, known := demand.needs[need]
@@ -231,9 +237,16 @@
 	for need, times := range demand.needs {
 		if need.Adapter == "" {
 			known := models[need.Model]
-			known.Waiting = true
-			known.Waited = now.Sub(times.first)
 			known.Idle = 0
+			waited := now.Sub(times.first)
+			if need.Software == "" {
+				known.Waiting, known.Waited = true, waited
+			} else {
+				if known.Bound == nil {
+					known.Bound = map[string]time.Duration{}
+				}
+				known.Bound[need.Software] = waited
+			}
 			models[need.Model] = known
 		}
 	}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -1,6 +1,7 @@
 package loading
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -59,6 +60,8 @@
 	Occupied bool
 	// FreeIn is the expected time until a load under way at the engine ends; zero if there is none.
 	FreeIn time.Duration
+	// Loading is the model of a load under way; empty if there is none.
+	Loading string
 	// Limited engines limit their requests. Their replicas count for limitedReplica of one,
 	// and busy models get no further replicas there.
 	Limited bool
@@ -139,6 +142,8 @@
 	// urgent says that requests have waited longer than urgentAfter for the model
 	// that is being placed.
 	urgent bool
+	// accept says on which engines it may be placed.
+	accept func(Engine) bool
 }
 
 // replicaThreshold returns the load per replica, in seconds per second, above
@@ -209,16 +214,22 @@
 
 // place adds the cheapest step that loads the model, if any is possible.
 func (planner *planner) place(name, reason string) {
+	planner.urgent = planner.Demand[name].Waited > urgentAfter
+	planner.placeWhere(name, reason, func(Engine) bool { return true })
+}
+
+// placeWhere adds the cheapest step that loads the model on an engine that accept accepts.
+func (planner *planner) placeWhere(name, reason string, accept func(Engine) bool) {
 	model, known := planner.Class.Models[name]
 	if !known {
 		return
 	}
-	planner.urgent = planner.Demand[name].Waited > urgentAfter
+	planner.accept = accept
 	best, found := Step{}, false
 	var lowestCost time.Duration
 	for index := range planner.Engines {
 		engine := &planner.Engines[index]
-		if engine.Occupied || engine.Instance.Leaving || engine.Instance.Holds(name) {
+		if engine.Occupied || engine.Instance.Leaving || engine.Instance.Holds(name) || !accept(*engine) {
 			continue
 		}
 		if engine.Limited && reason == reasonBusy {
@@ -268,12 +279,30 @@
 	for _, model := range planner.missing() {
 		planner.place(model, reasonWaiting)
 	}
+	planner.placeBound()
 	for _, model := range planner.busy() {
 		planner.place(model, reasonBusy)
 	}
 	planner.loadAhead()
 }
 
+// placeBound adds loads of models that streams wait for which only engines of one version of the
+// software can go on with, if none of these has the model.
+func (planner *planner) placeBound() {
+	for _, name := range slices.Sorted(maps.Keys(planner.Demand)) {
+		for software, waited := range planner.Demand[name].Bound {
+			serves := func(engine Engine) bool {
+				return engine.Instance.Software == software && (engine.Instance.Holds(name) || engine.Loading == name)
+			}
+			if slices.ContainsFunc(planner.Engines, serves) {
+				continue
+			}
+			planner.urgent = waited > urgentAfter
+			planner.placeWhere(name, reasonWaiting, func(engine Engine) bool { return engine.Instance.Software == software })
+		}
+	}
+}
+
 // loadAhead adds loads of models that no engine holds or has a copy of, while the weight store
 // has nothing else to do. It adds none if there are too many of them to tell which will be
 // asked for, and leaves a place to the next request unless there are no requests yet.
@@ -345,7 +374,7 @@
 	}
 	for _, engine := range planner.Engines {
 		tier, loadTime := Tier(engine.Instance, model)
-		if tier == mimosatide.TierRemote || engine.Instance.Leaving {
+		if tier == mimosatide.TierRemote || engine.Instance.Leaving || !planner.accept(engine) {
 			continue
 		}
 		if !planner.urgent || engine.FreeIn > 0 && engine.FreeIn+loadTime < model.LoadTime {
@@ -419,7 +448,7 @@
 	if !known {
 		demand.Idle = time.Hour
 	}
-	if demand.Waiting {
+	if demand.Waiting || len(demand.Bound) > 0 {
 		return 0, false
 	}
 	if others := planner.replicas[name] - weight; others > 0 {
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -304,3 +304,21 @@
 		t.Errorf("got steps %+v, want none: the last place is kept for the next request", steps)
 	}
 }
+
+// A stream that is taken up waits for its model at the version that began it. The replica of
+// another version is no use to it.
+func TestModelIsLoadedAtTheVersionThatAStreamNeeds(t *testing.T) {
+	engines := []loading.Engine{engine("e0", "m0"), engine("e1"), engine("e2")}
+	engines[0].Instance.Software, engines[1].Instance.Software, engines[2].Instance.Software = "v2", "v2", "v1"
+	now := time.Unix(1_700_000_000, 0)
+	demand := loading.NewDemand()
+	demand.AddNeed(loading.Need{Service: "s", Model: "m0", Software: "v1"}, true, now)
+	steps := loading.Plan(snapshot(engines, demand.Models(now)))
+	if len(steps) != 1 || steps[0].Instance != "e2" || steps[0].Model != "m0" {
+		t.Errorf("got steps %+v, want one that loads m0 on e2", steps)
+	}
+	engines[2].Loading = "m0"
+	if steps := loading.Plan(snapshot(engines, demand.Models(now))); len(steps) != 0 {
+		t.Errorf("got steps %+v, want none while e2 is loading m0", steps)
+	}
+}
