Let streams go on only at the version that began them

After all hosts were killed nothing was known of the streams before.

Cause: the version in a target's row and the attempt that a taken-up stream names were not known to the choice of a target.

Change: a request that goes on with a stream is sent only to targets of the version that began it. A host remembers its own streams. For the others it asks the store: one row a service names all versions that may have begun streams, and no stream begins at a version before the row names it, so that a service with one version needs no more than that, also after all hosts have been killed and if the old version's targets have left meanwhile. Only while there are several, one row a stream is written, in the calls of a tenth of the store's rate. A stream of unknown origin is refused as not run.

--- a/deployment.go
+++ b/deployment.go
@@ -1,6 +1,8 @@
 package mimosatide
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -136,16 +138,24 @@
 	routesByHost map[string][]PathRoute
 	// shortestEventGaps maps each service to the shortest event gap objective of its routes.
 	shortestEventGaps map[string]time.Duration
+	// resumable holds the longest timeout of the resumable streams of each service that has any.
+	resumable map[string]time.Duration
 }
 
 // WithRoutes returns a copy with the given routes in place of its own.
 func (deployment Deployment) WithRoutes(routes []PathRoute) Deployment {
 	deployment.routesByHost = map[string][]PathRoute{}
 	deployment.shortestEventGaps = map[string]time.Duration{}
+	deployment.resumable = map[string]time.Duration{}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		deployment.routesByHost[host] = append(deployment.routesByHost[host], route)
 		deployment.recordEventGap(route)
+		if route.Kind == StreamRoute && route.Resumable {
+			for _, share := range route.Services {
+				deployment.resumable[share.Service] = max(deployment.resumable[share.Service], route.Timeout)
+			}
+		}
 	}
 	for _, list := range deployment.routesByHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -171,6 +181,22 @@
 	return deployment.shortestEventGaps[service]
 }
 
+// ResumableServices returns the services with streams that may be resumed, in the order of their
+// names.
+func (deployment Deployment) ResumableServices() []string {
+	return slices.Sorted(maps.Keys(deployment.resumable))
+}
+
+// LongestStream returns the longest timeout of the streams that may be resumed, or zero if there
+// are none.
+func (deployment Deployment) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for _, timeout := range deployment.resumable {
+		longest = max(longest, timeout)
+	}
+	return longest
+}
+
 // Match returns the route of the host with the longest prefix of the path. The
 // host is compared without regard to case.
 func (deployment Deployment) Match(host, path string) (PathRoute, bool) {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -21,6 +21,7 @@
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/origin"
 	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
@@ -33,6 +34,10 @@
 	hostTable       = "mimosatide-hosts"
 	leaseTable      = "mimosatide-leases"
 	quarantineTable = "mimosatide-quarantines"
+	// softwareTable holds the versions of each service's software, streamTable the streams that may
+	// have begun at one of several.
+	softwareTable = "mimosatide-software"
+	streamTable   = "mimosatide-streams"
 )
 
 // Limits of callers' connections.
@@ -89,6 +94,7 @@
 	answers       *buffer.Budget
 	retryBudget   *gateway.RetryBudget
 	quarantine    *quarantine.Tracker
+	origins       *origin.Tracker
 	meter         *metric.Meter
 	hub           *peer.Hub
 	followers     map[string]*feed.Follower
@@ -152,6 +158,7 @@
 	node.fleet = newFleet(node)
 	node.permits = permit.NewDesk(node.limits, node.issuer, node.fleet, log)
 	node.loader = newLoader(node)
+	node.origins = newOrigins(node)
 	node.addFollower(platform.ConfigurationTable, node.applyConfiguration)
 	node.addFollower(platform.TargetTable, node.applyTargets)
 	node.addFollower(hostTable, node.fleet.applyHosts)
@@ -185,7 +192,7 @@
 	var group sync.WaitGroup
 	archive := quarantine.NewArchive(node.quarantine, node.store.Table(quarantineTable),
 		quarantine.ArchiveSettings{Era: node.store.Era, Spread: archiveSpread}, node.log)
-	background := []func(context.Context){node.hub.Run, node.fleet.run, node.fleet.watchRelay, node.loader.run, node.housekeep, archive.Run}
+	background := []func(context.Context){node.hub.Run, node.fleet.run, node.fleet.watchRelay, node.loader.run, node.housekeep, archive.Run, node.origins.Run}
 	for _, follower := range node.followers {
 		background = append(background, follower.Run)
 	}
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -39,6 +39,7 @@
 		Answers:       node.answers,
 		Client:        node.targetClient,
 		Loader:        node.loader,
+		Origins:       node.origins,
 		RetryBudget:   node.retryBudget,
 		Quarantine:    node.quarantine,
 		Meter:         node.meter,
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -21,6 +22,7 @@
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/origin"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
@@ -46,6 +48,7 @@
 	ledger  *allowance.Ledger
 	limits  *permit.Limits
 	loader  *fakeLoader
+	origins *fakeOrigins
 	answers *buffer.Budget
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
@@ -87,6 +90,42 @@
 
 func (loader *fakeLoader) UseAdapter(string, loading.AdapterAt) func() { return func() {} }
 
+// fakeOrigins knows the versions that began the streams of other nodes, and records those of this one.
+type fakeOrigins struct {
+	lock  sync.Mutex
+	known map[string]string
+	sent  map[string]string
+}
+
+func (origins *fakeOrigins) MayBegin(_, software string) bool { return software != "not named" }
+
+func (origins *fakeOrigins) Send(stream origin.Stream) {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	origins.sent[stream.ID] = stream.Software
+}
+
+func (origins *fakeOrigins) Begin(id string) {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	origins.known[id] = origins.sent[id]
+}
+
+func (origins *fakeOrigins) End(id string) {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	delete(origins.known, id)
+}
+
+func (origins *fakeOrigins) Find(_ context.Context, _, id string) (string, bool) {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	software, known := origins.known[id]
+	return software, known
+}
+
+func (origins *fakeOrigins) Continues(_, software string) bool { return software != "disputed" }
+
 // noPeers makes the gateway's node the home of all targets.
 type noPeers struct{}
 
@@ -105,6 +144,7 @@
 		ledger:   allowance.New(true),
 		limits:   permit.NewLimits(),
 		loader:   &fakeLoader{},
+		origins:  &fakeOrigins{known: map[string]string{}, sent: map[string]string{}},
 		answers:  buffer.NewBudget(answerMemory),
 		draining: make(chan struct{}),
 	}
@@ -121,6 +161,7 @@
 		Answers:       created.answers,
 		Client:        exchange.New(&net.Dialer{}),
 		Loader:        created.loader,
+		Origins:       created.origins,
 		RetryBudget:   gateway.NewRetryBudget(0.2, 56),
 		Quarantine:    quarantine.New(logr.Discard()),
 		Meter:         metric.New(),
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -49,7 +49,7 @@
 	}
 	for {
 		changed := handler.gateway.Targets.Changed()
-		candidates := handler.gateway.Targets.View().Service(handler.service.Name)
+		candidates := handler.candidates()
 		ready, _ := balance.Ready(handler.request, candidates)
 		unpaused, pausedUntil := handler.gateway.Tracker.Unpaused(ready, time.Now())
 		if len(unpaused) > 0 {
@@ -64,7 +64,7 @@
 		if refusal := handler.refuseUnloadable(candidates); refusal.Refused() {
 			return mimosatide.Instance{}, refusal
 		}
-		handler.requestLoad(loading.Need{Service: handler.service.Name, Model: handler.request.Model})
+		handler.requestLoad(handler.modelNeed())
 		if !handler.wait(ctx, changed, loadRequestInterval) {
 			return mimosatide.Instance{}, handler.waitRefusal(ctx)
 		}
@@ -75,7 +75,7 @@
 func (handler *requestHandler) findServiceTarget(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
 	for {
 		changed := handler.gateway.Targets.Changed()
-		candidates := handler.gateway.Targets.View().Service(handler.service.Name)
+		candidates := handler.candidates()
 		unpaused, pausedUntil := handler.gateway.Tracker.Unpaused(candidates, time.Now())
 		if pausedUntil.IsZero() {
 			instance, _, found := handler.gateway.Tracker.Choose(handler.query(), unpaused, time.Now())
@@ -118,7 +118,7 @@
 	until := time.Now().Add(adapterWait)
 	for {
 		changed := handler.gateway.Targets.Changed()
-		candidates := handler.gateway.Targets.View().Service(handler.service.Name)
+		candidates := handler.candidates()
 		_, complete := balance.Ready(handler.request, candidates)
 		complete, _ = handler.gateway.Tracker.Unpaused(complete, time.Now())
 		for _, candidate := range complete {
@@ -139,7 +139,7 @@
 			return mimosatide.Instance{}, handler.waitRefusal(ctx)
 		}
 		if !handler.gateway.permits(chosen) || time.Now().After(until) {
-			ready, _ := balance.Ready(handler.request, handler.gateway.Targets.View().Service(handler.service.Name))
+			ready, _ := balance.Ready(handler.request, handler.candidates())
 			ready, _ = handler.gateway.Tracker.Unpaused(ready, time.Now())
 			if len(ready) == 0 {
 				return handler.findTarget(ctx)
@@ -170,7 +170,8 @@
 	}
 	detail := "the model can't be loaded in time"
 	expected := handler.waitingSince.Add(least + loadOverhead)
-	if told, known := handler.gateway.Loader.ExpectedLoad(handler.service.Name, model.Name); known {
+	// What the owner expects may be a load at another version.
+	if told, known := handler.gateway.Loader.ExpectedLoad(handler.service.Name, model.Name); known && !handler.continues {
 		expected = told
 		detail = "other models are loaded before this one, which is expected in " + time.Until(expected).Round(time.Millisecond).String()
 	}
@@ -178,7 +179,7 @@
 		return mimosatide.Refusal{}
 	}
 	// The load is requested anyway, so that a retry of the caller finds the model.
-	handler.requestLoad(loading.Need{Service: handler.service.Name, Model: handler.request.Model})
+	handler.requestLoad(handler.modelNeed())
 	return mimosatide.Refuse(mimosatide.ReasonNoCapacity, detail).WithRetryAfter(handler.returnAfter(expected, time.Now()))
 }
 
@@ -203,6 +204,15 @@
 	return wait
 }
 
+// modelNeed returns the need for the request's model, at a target that the request may be sent to.
+func (handler *requestHandler) modelNeed() loading.Need {
+	need := loading.Need{Service: handler.service.Name, Model: handler.request.Model}
+	if handler.continues {
+		need.Software = handler.software
+	}
+	return need
+}
+
 func (handler *requestHandler) requestLoad(need loading.Need) {
 	first := need.Adapter == "" && !handler.loadRequested
 	handler.loadRequested = handler.loadRequested || first
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/origin"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
@@ -46,6 +47,21 @@
 	UseAdapter(service string, adapter loading.AdapterAt) func()
 }
 
+// Origins knows which version of their service's software began streams.
+type Origins interface {
+	// MayBegin reports whether streams may begin at a version by now.
+	MayBegin(service, software string) bool
+	// Send records that a new stream is sent to a version, Begin that its caller gets the first
+	// event, End that it gets the last.
+	Send(stream origin.Stream)
+	Begin(id string)
+	End(id string)
+	// Find returns the version that began the stream of a caller's request, and whether it is known.
+	Find(ctx context.Context, service, id string) (string, bool)
+	// Continues reports whether a stream of a version may go on at another target of that version.
+	Continues(service, software string) bool
+}
+
 // Dependencies are the dependencies of a Gateway.
 type Dependencies struct {
 	// Deployment returns the configuration in force. It returns nil while none is known,
@@ -68,6 +84,7 @@
 	// Client sends the requests to the targets.
 	Client      *exchange.Client
 	Loader      Loader
+	Origins     Origins
 	RetryBudget *RetryBudget
 	// Quarantine holds the requests that crash targets.
 	Quarantine *quarantine.Tracker
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -37,7 +37,7 @@
 
 // hasOtherTarget reports whether another target than instance can take the request now.
 func (handler *requestHandler) hasOtherTarget(instance mimosatide.Instance) bool {
-	candidates := handler.gateway.Targets.View().Service(handler.service.Name)
+	candidates := handler.candidates()
 	if handler.service.Engine != nil {
 		candidates, _ = balance.Ready(handler.request, candidates)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -124,6 +124,7 @@
 		handler.inFlight.PrefillDone()
 		handler.recordEvent(time.Now())
 		handler.recordAnswering(time.Now())
+		handler.recordFirstEvent()
 		if err := handler.writeEvent(outcome, event); err != nil {
 			outcome.reply.Abort()
 			handler.inFlight.End(balance.Withdrawn, time.Now())
@@ -139,6 +140,7 @@
 		handler.headSent = true
 		handler.writer.WriteHeader(outcome.head.Status)
 	}
+	handler.recordLastEvent()
 	handler.finish(outcome)
 	return outcome
 }
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/origin"
+)
+
+// bindSoftware finds the version that began the stream which the request takes up. A request whose
+// stream's version is not known is refused: its answer could not be told from a joined one.
+func (handler *requestHandler) bindSoftware(ctx context.Context) mimosatide.Refusal {
+	if handler.route.Kind != mimosatide.StreamRoute || handler.request.LastEvent == "" {
+		return mimosatide.Refusal{}
+	}
+	software, known := handler.gateway.Origins.Find(ctx, handler.service.Name, handler.request.Begun)
+	if !known {
+		return mimosatide.Refuse(mimosatide.ReasonOriginUnknown, "the software that began the stream is not known; send the request without the last event")
+	}
+	handler.continues, handler.software = true, software
+	return mimosatide.Refusal{}
+}
+
+// candidates returns the targets of the request's service that it may be sent to: those of the
+// version that began its stream, and for a new stream those of the versions that the store names.
+func (handler *requestHandler) candidates() []mimosatide.Instance {
+	all := handler.gateway.Targets.View().Service(handler.service.Name)
+	if handler.continues {
+		return withSoftware(all, func(software string) bool { return software == handler.software })
+	}
+	if !handler.beginsStream() {
+		return all
+	}
+	mayBegin := withSoftware(all, func(software string) bool {
+		return handler.gateway.Origins.MayBegin(handler.service.Name, software)
+	})
+	if len(mayBegin) == 0 {
+		return all
+	}
+	return mayBegin
+}
+
+// withSoftware returns the targets whose version is accepted, all of them without a copy.
+func withSoftware(targets []mimosatide.Instance, accept func(software string) bool) []mimosatide.Instance {
+	verdicts := map[string]bool{}
+	rejected := func(target mimosatide.Instance) bool {
+		verdict, known := verdicts[target.Software]
+		if !known {
+			verdict = accept(target.Software)
+			verdicts[target.Software] = verdict
+		}
+		return !verdict
+	}
+	if !slices.ContainsFunc(targets, rejected) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), rejected)
+}
+
+// beginsStream reports whether the request begins a stream that may be resumed.
+func (handler *requestHandler) beginsStream() bool {
+	return handler.route.Kind == mimosatide.StreamRoute && handler.route.Resumable && handler.request.LastEvent == ""
+}
+
+// recordSend records at which version a new stream may begin, before it is sent there.
+func (handler *requestHandler) recordSend(instance mimosatide.Instance) {
+	if handler.beginsStream() && !handler.continues {
+		handler.gateway.Origins.Send(origin.Stream{ID: handler.request.ID, Service: handler.service.Name, Software: instance.Software})
+	}
+}
+
+// recordFirstEvent binds the stream to the version that has begun it.
+func (handler *requestHandler) recordFirstEvent() {
+	if handler.beginsStream() && !handler.continues {
+		handler.gateway.Origins.Begin(handler.request.ID)
+		handler.continues, handler.software = true, handler.instance.Software
+	}
+}
+
+// recordLastEvent records that the stream's caller has got all of it.
+func (handler *requestHandler) recordLastEvent() {
+	if handler.beginsStream() {
+		handler.gateway.Origins.End(handler.request.ID)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,6 +71,10 @@
 	acquitted   bool
 	// buffer holds the current target's answer, or an event of it.
 	buffer *buffer.Buffer
+	// continues says that the request goes on with a stream that targets of version software
+	// have begun, within this answer or another.
+	continues bool
+	software  string
 	// headSent says that the answer to the caller has begun.
 	headSent    bool
 	lastEventID string
@@ -116,6 +120,10 @@
 	if handler.service.Engine != nil {
 		gateway.Loader.RecordUsage(handler.service.Name, handler.request.Model, handler.query().PrefillTime())
 	}
+	if refusal := handler.bindSoftware(ctx); refusal.Refused() {
+		handler.refuse(refusal)
+		return
+	}
 	for {
 		instance, refusal := handler.selectTarget(ctx)
 		if refusal.Refused() {
@@ -157,6 +165,7 @@
 	repeated := handler.triedAddresses[instance.Address]
 	handler.tried[instance.ID], handler.triedAddresses[instance.Address] = true, true
 	handler.sends++
+	handler.recordSend(instance)
 	handler.answerBegan = time.Time{}
 	if handler.sends == 1 {
 		handler.waited = time.Since(handler.arrived)
@@ -286,6 +295,9 @@
 	if ctx.Err() != nil || handler.sends >= maxSends || handler.quarantined() {
 		return false
 	}
+	if handler.continues && !handler.gateway.Origins.Continues(handler.service.Name, handler.software) {
+		return false
+	}
 	if outcome.failure == mimosatide.CallNotSent {
 		return true
 	}
--- /dev/null
+++ b/internal/origin/origin_test.go
@@ -0,0 +1,317 @@
+package origin_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/origin"
+)
+
+// lifetime is how long streams may be taken up in these tests.
+const lifetime = 10 * time.Second
+
+// fakeTable is a table of the store, which all nodes of a test share.
+type fakeTable struct {
+	lock sync.Mutex
+	rows map[string]mimosatide.Row
+	last mimosatide.RowVersion
+	// down makes all calls fail, commits counts the others.
+	down    bool
+	commits int
+}
+
+var errDown = errors.New("the store does not answer")
+
+func (table *fakeTable) Read(_ context.Context, keys ...string) ([]mimosatide.Row, mimosatide.RowVersion, error) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if table.down {
+		return nil, 0, errDown
+	}
+	var rows []mimosatide.Row
+	for _, key := range keys {
+		if row, found := table.rows[key]; found {
+			rows = append(rows, row)
+		}
+	}
+	return rows, table.last, nil
+}
+
+func (table *fakeTable) Rows(context.Context) ([]mimosatide.Row, error) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	var rows []mimosatide.Row
+	for _, row := range table.rows {
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (table *fakeTable) Commit(
+	_ context.Context, transaction mimosatide.Transaction,
+) (mimosatide.CommitOutcome, mimosatide.RowVersion, error) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if table.down {
+		return mimosatide.CommitUnknown, 0, errDown
+	}
+	for _, condition := range transaction.Conditions {
+		if table.rows[condition.Key].Version != condition.Version {
+			return mimosatide.CommitConflict, 0, nil
+		}
+	}
+	table.last++
+	table.commits++
+	for _, write := range transaction.Writes {
+		if write.Delete {
+			delete(table.rows, write.Key)
+			continue
+		}
+		table.rows[write.Key] = mimosatide.Row{Key: write.Key, Value: write.Value, Version: table.last}
+	}
+	return mimosatide.CommitDone, table.last, nil
+}
+
+// platform is what the nodes of a test have in common.
+type platform struct {
+	versions *fakeTable
+	streams  *fakeTable
+	era      uint64
+}
+
+func newPlatform() *platform {
+	return &platform{
+		versions: &fakeTable{rows: map[string]mimosatide.Row{}}, streams: &fakeTable{rows: map[string]mimosatide.Row{}}, era: 1,
+	}
+}
+
+// node is one node, with the versions that it knows of the targets.
+type node struct {
+	*origin.Tracker
+	present []string
+	fresh   bool
+	// kill ends the node's process.
+	kill context.CancelFunc
+}
+
+func (platform *platform) start(t *testing.T, firstStart bool, present ...string) *node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	started := &node{present: present, fresh: true, kill: cancel}
+	started.Tracker = origin.New(origin.Settings{
+		Present:         func(string) []string { return started.present },
+		Services:        func() []string { return []string{"llm"} },
+		Lifetime:        func() time.Duration { return lifetime },
+		Fresh:           func() bool { return started.fresh },
+		Rank:            func() int { return 0 },
+		Hosts:           func() int { return 2 },
+		WritesPerSecond: 300,
+		Era:             func() uint64 { return platform.era },
+		FirstStart:      firstStart,
+	}, platform.versions, platform.streams, logr.Discard())
+	go started.Run(ctx)
+	time.Sleep(time.Second)
+	return started
+}
+
+// stream lets a stream begin at a version.
+func (node *node) stream(id, software string) {
+	node.Send(origin.Stream{ID: id, Service: "llm", Software: software})
+	node.Begin(id)
+}
+
+// wantOrigin checks which version a node takes for the one that began a stream; an empty one is that
+// none is known.
+func wantOrigin(t *testing.T, what string, node *node, id, want string) {
+	t.Helper()
+	got, known := node.Find(context.Background(), "llm", id)
+	if !known {
+		got = ""
+	}
+	if got != want {
+		t.Errorf("%s: got the origin %q of stream %s, want %q", what, got, id, want)
+	}
+}
+
+func TestStreamOfAnotherNodeIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		first, second := platform.start(t, true, "v1", "v2"), platform.start(t, true, "v1", "v2")
+		first.stream("a", "v1")
+		first.stream("b", "v2")
+		time.Sleep(time.Second)
+		for _, node := range []*node{first, second} {
+			wantOrigin(t, "two versions", node, "a", "v1")
+			wantOrigin(t, "two versions", node, "b", "v2")
+			wantOrigin(t, "never begun", node, "c", "")
+			wantOrigin(t, "not named", node, "", "")
+		}
+	})
+}
+
+// All nodes are killed at once. The targets of the old version leave while none runs, so that
+// the next processes see the new one only.
+func TestStreamIsFoundAfterAllNodesWereKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		first := platform.start(t, true, "v1", "v2")
+		first.stream("a", "v1")
+		time.Sleep(time.Second)
+		platform.streams.down = true
+		first.stream("late", "v1")
+		time.Sleep(time.Second)
+		first.kill()
+		synctest.Wait()
+		platform.streams.down = false
+		next := platform.start(t, false, "v2")
+		wantOrigin(t, "old version gone", next, "a", "v1")
+		wantOrigin(t, "killed before it was saved", next, "late", "")
+	})
+}
+
+// A stream that began while there was one version is not saved; once there are two, it must not be
+// taken for one of the new version.
+func TestStreamFromBeforeTheSecondVersionIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		first := platform.start(t, true, "v1")
+		first.stream("a", "v1")
+		time.Sleep(time.Second)
+		if platform.streams.commits != 0 {
+			t.Errorf("got %d calls of the store for streams while there is one version, want none", platform.streams.commits)
+		}
+		first.present = []string{"v1", "v2"}
+		time.Sleep(time.Second)
+		first.kill()
+		next := platform.start(t, false, "v2")
+		wantOrigin(t, "begun before the release", next, "a", "v1")
+	})
+}
+
+// While one version serves, each stream goes on there, also after all nodes were killed.
+func TestStreamOfTheOnlyVersionNeedsNoRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		first := platform.start(t, true, "v1")
+		first.stream("a", "v1")
+		first.kill()
+		next := platform.start(t, false, "v1")
+		wantOrigin(t, "after a restart", next, "a", "v1")
+		wantOrigin(t, "not named", next, "", "v1")
+		platform.versions.down = true
+		wantOrigin(t, "store down", next, "other", "v1")
+		next.fresh = false
+		wantOrigin(t, "store down and copy old", next, "other", "")
+	})
+}
+
+// A node that has lost touch knows one version only, but the store names two.
+func TestNodeThatHasLostTouchDoesNotGuess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		lost := platform.start(t, true, "v1")
+		other := platform.start(t, true, "v1", "v2")
+		other.stream("a", "v2")
+		time.Sleep(time.Second)
+		wantOrigin(t, "lost touch", lost, "a", "v2")
+		wantOrigin(t, "lost touch, not saved", lost, "b", "")
+	})
+}
+
+// No stream may begin at a version that the store does not name: another node would take the old
+// one for the only one.
+func TestStreamBeginsOnlyAtANamedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		node := platform.start(t, true, "v1")
+		platform.versions.down = true
+		node.present = []string{"v1", "v2"}
+		time.Sleep(time.Second)
+		if node.MayBegin("llm", "v2") || !node.MayBegin("llm", "v1") {
+			t.Error("store down: got streams at v2 or none at v1, want them at v1 only")
+		}
+		platform.versions.down = false
+		time.Sleep(time.Second)
+		if !node.MayBegin("llm", "v2") {
+			t.Error("store back: got no streams at v2, want them")
+		}
+	})
+}
+
+// Nodes of the build before have saved nothing.
+func TestStreamOfTheBuildBeforeIsNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		node := platform.start(t, false, "v2")
+		wantOrigin(t, "just upgraded", node, "a", "")
+		time.Sleep(lifetime)
+		wantOrigin(t, "a stream's lifetime later", node, "a", "v2")
+	})
+}
+
+// A version that comes back is the one that it was, and targets that name none may differ.
+func TestVersionsThatComeBackOrAreNotNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		node := platform.start(t, true, "v1", "v2")
+		node.stream("a", "v1")
+		node.present = []string{"v2"}
+		time.Sleep(lifetime / 2)
+		node.present = []string{"v1", "v2"}
+		wantOrigin(t, "rolled back", node, "a", "v1")
+		node.present = []string{"", "v1"}
+		time.Sleep(time.Second)
+		node.stream("b", "")
+		wantOrigin(t, "version not named", node, "b", "")
+		unnamed := newPlatform().start(t, true, "")
+		unnamed.stream("c", "")
+		if _, known := unnamed.Find(context.Background(), "llm", "c"); !known {
+			t.Error("no target names a version: got no origin, want it known")
+		}
+	})
+}
+
+// The store comes back from a copy that names one version and no stream.
+func TestOriginsAreSavedAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		node := platform.start(t, true, "v1", "v2")
+		node.stream("a", "v1")
+		time.Sleep(time.Second)
+		clear(platform.versions.rows)
+		clear(platform.streams.rows)
+		platform.era = 2
+		time.Sleep(time.Second)
+		wantOrigin(t, "after the restore", platform.start(t, false, "v2"), "a", "v1")
+	})
+}
+
+// Rows must not pile up: neither those of complete streams nor those that a killed node has left.
+func TestRowsOfStreamsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		killed := platform.start(t, true, "v1", "v2")
+		killed.stream("left", "v1")
+		time.Sleep(time.Second)
+		killed.kill()
+		node := platform.start(t, false, "v1", "v2")
+		node.stream("ended", "v1")
+		node.stream("expired", "v1")
+		time.Sleep(time.Second)
+		node.End("ended")
+		node.present = []string{"v2"}
+		time.Sleep(5 * lifetime)
+		if len(platform.streams.rows) != 0 {
+			t.Errorf("got %d rows, want none", len(platform.streams.rows))
+		}
+		wantOrigin(t, "one version again", node, "any", "v2")
+	})
+}
--- a/refusal.go
+++ b/refusal.go
@@ -36,6 +36,9 @@
 	// that its configuration is still in force.
 	ReasonNotFresh     Reason = "NotFresh"
 	ReasonTargetFailed Reason = "TargetFailed"
+	// ReasonOriginUnknown means that the request resumes a stream, and that it is not known which
+	// version of the targets' software began it.
+	ReasonOriginUnknown Reason = "OriginUnknown"
 	// ReasonOverloaded means that the node has too many requests, or that no target ran
 	// the request: each was unreachable or rejected it.
 	ReasonOverloaded Reason = "Overloaded"
