Load a model elsewhere when its only engine is down

Cause: a request that can't connect was sent to the same target again and then refused; the owner of the engines took the model for held and loaded nothing.

Change: a target that no connection can be opened to counts as lacking the request's model for a second, so that the request asks for the model and waits. The owner checks the engines that are known to hold a model for which requests wait nevertheless, once a second at most; what one that does not answer holds is no replica. A need is over when its model has been loaded.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -792,3 +792,21 @@
 		}
 	}
 }
+
+// The only target with the model refuses connections. Sending the request there again and again
+// helps nobody: it has to wait for the model at another target.
+func TestRequestWaitsForItsModelElsewhereIfItsTargetIsDown(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.addTarget("e-1", "llm", respondEvents(1, 1, true), "m")
+	fixture.closeLast()()
+	fixture.addTarget("e-2", "llm", respondEvents(1, 1, true))
+	fixture.loader.onNeed = func(loading.Need) {
+		instance, _ := fixture.targets.View().Instance("e-2")
+		instance.Holdings = []mimosatide.Holding{{Model: "m"}}
+		fixture.targets.Put(instance)
+	}
+	response, body, _ := fixture.send(newChatRequest(fixture, "/chat/", "m"))
+	if response == nil || response.StatusCode != http.StatusOK {
+		t.Errorf("got response %v and body %q, want 200", response, body)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -204,6 +205,9 @@
 			handler.possibleRuns++
 		}
 		handler.countOversize(err, metric.OversizeHead)
+		if failedDial(err) && ctx.Err() == nil {
+			handler.recordNotLoaded()
+		}
 		if errors.Is(err, exchange.ErrNotPermitted) {
 			handler.inFlight.End(balance.Withdrawn, time.Now())
 		}
@@ -217,6 +221,12 @@
 	return handler.checkAnswer(reply)
 }
 
+// failedDial reports whether a send failed because no connection to the target could be opened.
+func failedDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // permits reports whether a target may still be sent requests: its incarnation is known,
 // does not leave and has not asked this node for a pause.
 func (gateway *Gateway) permits(instance mimosatide.Instance) bool {
@@ -279,8 +289,8 @@
 	return outcome
 }
 
-// recordNotLoaded records that the target lacks the request's model or adapter, so
-// that the request waits for the load or goes to another target instead of being
+// recordNotLoaded records that the target lacks the request's model or adapter, or can't be
+// reached, so that the request waits for the load or goes to another target instead of being
 // sent to the same target again.
 func (handler *requestHandler) recordNotLoaded() {
 	if handler.service.Engine == nil {
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -196,12 +196,13 @@
 		}
 		snapshot.Engines = append(snapshot.Engines, Engine{
 			Instance: known, Occupied: occupied, Limited: controller.limited(worker.instance), PlacedAt: placedAt, FreeIn: freeIn,
-			Loading: controller.loadingAt(id),
+			Loading: controller.loadingAt(id), Down: worker.isDown(),
 		})
 	}
 	sort.Slice(snapshot.Engines, func(i, j int) bool {
 		return snapshot.Engines[i].Instance.ID < snapshot.Engines[j].Instance.ID
 	})
+	controller.checkHolders(snapshot)
 	if now.Sub(controller.aheadAt) > aheadInterval && now.Sub(controller.takenAt) > settlingTime {
 		controller.aheadAt = now
 		snapshot.LoadAhead, snapshot.Quiet = true, len(snapshot.Demand) == 0
@@ -219,6 +220,21 @@
 	controller.startAdapters(class, now)
 }
 
+// checkHolders has the engines checked that are known to hold a model for which requests wait
+// nevertheless, and those that did not answer the last check.
+func (controller *Controller) checkHolders(snapshot Snapshot) {
+	for _, engine := range snapshot.Engines {
+		waitedFor := func(holding mimosatide.Holding) bool {
+			demand := snapshot.Demand[holding.Model]
+			_, bound := demand.Bound[engine.Instance.Software]
+			return demand.Waiting || bound
+		}
+		if engine.Down || slices.ContainsFunc(engine.Instance.Holdings, waitedFor) {
+			controller.workers[engine.Instance.ID].check()
+		}
+	}
+}
+
 // logCopies logs how many of the configured models the engines hold, have a copy of, or would
 // have to load from the weight store.
 func (controller *Controller) logCopies(snapshot Snapshot) {
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -1,6 +1,7 @@
 package loading
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -211,6 +212,9 @@
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
 	delete(demand.asked, model)
+	maps.DeleteFunc(demand.needs, func(need Need, _ needTimes) bool {
+		return need.Model == model && need.Adapter == "" && need.Software == ""
+	})
 }
 
 // Models returns the demand for every model that has ever been requested.
--- a/internal/loading/forecast.go
+++ b/internal/loading/forecast.go
@@ -118,6 +118,9 @@
 		} else if model, adopted := controller.adopted[id]; adopted && freeIn > 0 {
 			line.Loads = append(line.Loads, LoadUnderWay{Instance: id, Model: model, Remaining: freeIn})
 		}
+		if worker.isDown() {
+			continue
+		}
 		for _, holding := range instance.Holdings {
 			planner.replicas[holding.Model]++
 		}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -62,6 +62,8 @@
 	FreeIn time.Duration
 	// Loading is the model of a load under way; empty if there is none.
 	Loading string
+	// Down engines do not answer: nobody can use what they hold.
+	Down bool
 	// Limited engines limit their requests. Their replicas count for limitedReplica of one,
 	// and busy models get no further replicas there.
 	Limited bool
@@ -264,6 +266,9 @@
 func newPlanner(snapshot Snapshot) *planner {
 	planner := &planner{Snapshot: snapshot, replicas: map[string]float64{}}
 	for _, engine := range snapshot.Engines {
+		if engine.Down {
+			continue
+		}
 		for _, holding := range engine.Instance.Holdings {
 			planner.replicas[holding.Model] += engine.weight()
 		}
@@ -292,7 +297,7 @@
 	for _, name := range slices.Sorted(maps.Keys(planner.Demand)) {
 		for software, waited := range planner.Demand[name].Bound {
 			serves := func(engine Engine) bool {
-				return engine.Instance.Software == software && (engine.Instance.Holds(name) || engine.Loading == name)
+				return engine.Instance.Software == software && !engine.Down && (engine.Instance.Holds(name) || engine.Loading == name)
 			}
 			if slices.ContainsFunc(planner.Engines, serves) {
 				continue
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -88,6 +88,9 @@
 	backoffAt time.Time
 	// busy says that the engine carries out an order that this worker did not send.
 	busy bool
+	// down says that the engine did not answer when it was last checked, at checkedAt.
+	down      bool
+	checkedAt time.Time
 }
 
 // view returns the known state of the engine, whether it is occupied or left out
@@ -97,7 +100,37 @@
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	backingOff := time.Since(worker.backoffAt) < engineBackoff
-	return worker.known, worker.occupied || worker.busy || backingOff || paused, worker.placedAt
+	return worker.known, worker.occupied || worker.busy || worker.down || backingOff || paused, worker.placedAt
+}
+
+// isDown reports whether the engine did not answer when it was last checked.
+func (worker *worker) isDown() bool {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	return worker.down
+}
+
+// check asks the engine for its report if it was not checked within engineBackoff, and publishes
+// what it holds: requests wait for a model that it is known to hold. It returns at once.
+func (worker *worker) check() {
+	worker.lock.Lock()
+	due := time.Since(worker.checkedAt) >= engineBackoff && !worker.occupied && !worker.busy
+	if due {
+		worker.checkedAt = time.Now()
+	}
+	worker.lock.Unlock()
+	if !due || worker.paused() {
+		return
+	}
+	go func() {
+		report, err := worker.report(worker.ctx)
+		worker.lock.Lock()
+		worker.down = err != nil
+		worker.lock.Unlock()
+		if err == nil && !report.Busy && report.Orders >= worker.current().Orders {
+			worker.applyReport(report)
+		}
+	}()
 }
 
 // isBusy reports whether the engine carries out an order that this worker did not send.
