Use nothing of a target whose row is older than its owner's report

A target may start again under its id with other software. Until a node has its new row, the owner's report of what it holds came beside the old row: a request was sent there, and its stream was taken for one of the old version.

Cause: a report of a later incarnation than the row's was ignored, and the row's own holdings counted.

TestTargetOfAnUnknownIncarnationHoldsNothing failed before: the target held m.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -396,8 +396,14 @@
 	return view
 }
 
-// withReported overrides what the row says with reported holdings of the same incarnation.
+// withReported overrides what the row says with reported holdings of the same incarnation. A report of
+// a later one says that the target has started anew since its row was written: it holds nothing of
+// what the row says, and may have other software.
 func withReported(instance mimosatide.Instance, reported timedHoldings) mimosatide.Instance {
+	if reported.Instance != "" && reported.Born.After(instance.Born) {
+		instance.Holdings = nil
+		return instance
+	}
 	if reported.Instance == "" || !reported.Born.Equal(instance.Born) {
 		return instance
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -283,3 +283,22 @@
 		t.Errorf("got versions %v, want v2", got)
 	}
 }
+
+// A target has started anew under its id, and its owner has loaded a model there. Until its row
+// comes, nobody knows the software that writes its streams.
+func TestTargetOfAnUnknownIncarnationHoldsNothing(t *testing.T) {
+	targets := registry.New(logr.Discard())
+	targets.Put(mimosatide.Instance{
+		ID: "i-1", Service: "llm", Software: "v1", Born: time.UnixMilli(1), Holdings: []mimosatide.Holding{{Model: "m"}},
+	})
+	targets.SetHoldings(registry.ReportedHoldings{
+		Instance: "i-1", Born: time.UnixMilli(2), Orders: 1, Holdings: []mimosatide.Holding{{Model: "m"}},
+	})
+	if instance, _ := targets.View().Instance("i-1"); instance.Holds("m") {
+		t.Errorf("got %+v, want no holdings", instance)
+	}
+	targets.Put(mimosatide.Instance{ID: "i-1", Service: "llm", Software: "v2", Born: time.UnixMilli(2)})
+	if instance, _ := targets.View().Instance("i-1"); !instance.Holds("m") || instance.Software != "v2" {
+		t.Errorf("got %+v, want the model at v2", instance)
+	}
+}
