soak: Take streams up at other nodes while software is released

Emulated targets have a version, which their rows and the events of their streams name, and may start their next incarnation with another one. In half of the runs engines are replaced by such with one of three versions, by leaving or by a crash, some with all nodes killed meanwhile, and break off streams. Callers take resumable streams up at any node. No stream may hold events of two versions, in one answer or over its caller's tries.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -26,6 +26,10 @@
 	callerDeadline = 3 * time.Second
 	// clientTimeout bounds a request at the HTTP client.
 	clientTimeout = 12 * time.Second
+	// maxTakeUps is how often a caller takes up a stream that broke off, maxTakeUpPause how long it
+	// waits before each of them.
+	maxTakeUps     = 3
+	maxTakeUpPause = 600 * time.Millisecond
 )
 
 // result is one request and the answer that its caller got.
@@ -50,6 +54,12 @@
 	// limited is the incarnation of the target that named a limit in this answer; empty if
 	// it did not.
 	limited string
+	// begun is the first attempt of a stream that the request takes up after the event with the
+	// number after; empty for a new request.
+	begun string
+	after int
+	// model is the model that the request asks for, if its route has any.
+	model string
 }
 
 // routes are the names of the routes that callers use.
@@ -79,7 +89,14 @@
 	request.Header.Set("Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
 	request.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", tokens-10, 10))
 	if outcome.route == "chat" || outcome.route == "draft" {
-		request.Header.Set("Model", fmt.Sprintf("m%d", rand.IntN(modelCount)))
+		if outcome.model == "" {
+			outcome.model = fmt.Sprintf("m%d", rand.IntN(modelCount))
+		}
+		request.Header.Set("Model", outcome.model)
+		if outcome.begun != "" {
+			request.Header.Set("Resumes", outcome.begun)
+			request.Header.Set("Last-Event-Id", fmt.Sprint(outcome.after))
+		}
 		deadly := ""
 		if outcome.deadly {
 			deadly = emulator.DeadlyPart + ":5,"
@@ -125,15 +142,41 @@
 					request.key, tokens = "club", 400
 				}
 				got := send(client, request.node.callerProxy.address(), request, tokens)
-				testbed.lock.Lock()
-				testbed.results = append(testbed.results, got)
-				testbed.lock.Unlock()
+				testbed.addResult(got)
+				testbed.takeUp(client, got, tokens, random)
 				time.Sleep(time.Duration(random.Int64N(int64(2 * meanCallerPause))))
 			}
 		})
 	}
 }
 
+func (testbed *testbed) addResult(got result) {
+	testbed.lock.Lock()
+	defer testbed.lock.Unlock()
+	testbed.results = append(testbed.results, got)
+}
+
+// takeUp sends a resumable stream that broke off again, at any node, as long as its caller has got
+// events and may still try.
+func (testbed *testbed) takeUp(client *http.Client, got result, tokens int, random *rand.Rand) {
+	for try := range maxTakeUps {
+		received := got.after + strings.Count(got.body, "\n\n")
+		if got.route != "draft" || received == 0 || received == streamSize || got.err == nil && got.status == http.StatusOK {
+			return
+		}
+		if got.begun == "" {
+			got.begun = got.id
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(maxTakeUpPause))))
+		node := testbed.nodes[random.IntN(len(testbed.nodes))]
+		got = send(client, node.callerProxy.address(), result{
+			id: fmt.Sprintf("%s-again%d", got.begun, try), route: got.route, node: node, key: got.key, model: got.model,
+			begun: got.begun, after: received,
+		}, tokens)
+		testbed.addResult(got)
+	}
+}
+
 // runDeadlyCaller sends requests that crash the targets which begin to answer them, no two
 // of them alike, until the context ends.
 func (testbed *testbed) runDeadlyCaller(ctx context.Context, group *sync.WaitGroup) {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -82,6 +82,7 @@
 	violations = append(violations, testbed.checkDeadly(results)...)
 	violations = append(violations, testbed.checkConfigurations(results)...)
 	violations = append(violations, testbed.checkStaleOrders()...)
+	violations = append(violations, checkSoftware(results)...)
 	violations = append(violations, testbed.checkMemory()...)
 	return append(violations, testbed.checkQuota()...)
 }
@@ -323,10 +324,10 @@
 		return ""
 	}
 	events := strings.Split(result.body, "\n\n")
-	received := 0
+	received := result.after
 	for _, event := range events[:len(events)-1] {
-		want := fmt.Sprintf("id: %d\ndata: %s %d of %d", received+1, result.id, received+1, streamSize)
-		if event != want {
+		want := fmt.Sprintf("id: %d\ndata: %s %d of %d by ", received+1, result.id, received+1, streamSize)
+		if !strings.HasPrefix(event, want) {
 			return fmt.Sprintf("unexpected event %d: %q", received+1, event)
 		}
 		received++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 	sendTwice       = flag.Bool("soak.twice", true, "let targets send answers and refusals twice in some runs")
 	sendEndless     = flag.Bool("soak.endless", true, "let targets send bytes without end in some runs")
 	restoreStore    = flag.Bool("soak.restore", true, "restore the store from older copies in some runs")
+	releaseSoftware = flag.Bool("soak.releases", true, "replace targets by such with other software in some runs")
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
 
@@ -102,6 +103,9 @@
 		added.Go(func() { testbed.injectRestores(ctx, program, restores, onFault) })
 		testbed.runOldKeyCaller(ctx, &callers, rand.New(rand.NewPCG(seed, 4)))
 	}
+	if releases := rand.New(rand.NewPCG(seed, 5)); releases.IntN(2) == 0 && *releaseSoftware {
+		added.Go(func() { testbed.injectReleases(ctx, program, releases, onFault) })
+	}
 	testbed.injectFaults(ctx, program, faults(), testbed.random, onFault)
 	added.Wait()
 	callers.Wait()
@@ -112,6 +116,7 @@
 	testbed.waitRecovered(client, "the end of all faults", oldKey)
 	violations := testbed.check()
 	t.Logf("%d requests, %d runs, %d orders, %d faults", len(testbed.results), len(testbed.recorder.Runs()), testbed.recorder.Orders(), len(injected))
+	t.Log(describeTakeUps(testbed.results))
 	for _, violation := range violations {
 		t.Error(violation)
 	}
