--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	storeTimeout = 1500 * time.Millisecond
 	// checkInterval is how often the versions of the targets are compared with the store's rows.
 	checkInterval = 250 * time.Millisecond
+	// checkSpread is the time, for each node, over which they spread their reads of a service's row.
+	checkSpread = 10 * time.Millisecond
 	// writeShare is the share of the store's writing calls that the nodes use for streams.
 	writeShare = 0.1
 	// deleteInterval is the time between two calls that only delete rows.
@@ -84,7 +87,7 @@
 // have been gone for long.
 func (tracker *Tracker) checkVersions(ctx context.Context, service string) {
 	missing, gone := tracker.versionChanges(service, time.Now())
-	if len(missing) == 0 && len(gone) == 0 {
+	if !tracker.checkDue(service, len(missing)+len(gone) > 0, time.Now()) {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -98,6 +101,24 @@
 	}
 }
 
+// checkDue reports whether a service's row has to be read or written now. When all nodes see a new
+// version, the first one writes the row and the others spread their reads.
+func (tracker *Tracker) checkDue(service string, differs bool, now time.Time) bool {
+	first := tracker.settings.Rank() == 0
+	spread := time.Duration(tracker.settings.Hosts()) * checkSpread
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	state := tracker.service(service)
+	if !differs {
+		state.checkFrom = time.Time{}
+		return false
+	}
+	if state.checkFrom.IsZero() {
+		state.checkFrom = now.Add(checkSpread + rand.N(spread))
+	}
+	return first || !now.Before(state.checkFrom)
+}
+
 // deleteExpired deletes the rows of streams that nodes have left behind.
 func (tracker *Tracker) deleteExpired(ctx context.Context, now time.Time) {
 	rows, err := tracker.streams.Rows(ctx)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -86,8 +86,8 @@
 	named map[string]bool
 	// lastPresent holds when targets of a version were last present, by version.
 	lastPresent map[string]time.Time
-	// checking says that the row is being read or written.
-	checking bool
+	// checkFrom is the earliest time of the next look at the row; zero if none is due.
+	checkFrom time.Time
 }
 
 // Tracker knows the origins of streams. It is safe for concurrent use.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,19 @@
 	commits int
 }
 
+func (table *fakeTable) setDown(down bool) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.down = down
+}
+
+// count returns the numbers of rows and of commits.
+func (table *fakeTable) count() (rows, commits int) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return len(table.rows), table.commits
+}
+
 var errDown = errors.New("the store does not answer")
 
 func (table *fakeTable) Read(_ context.Context, keys ...string) ([]mimosatide.Row, mimosatide.RowVersion, error) {
@@ -47,6 +61,9 @@
 func (table *fakeTable) Rows(context.Context) ([]mimosatide.Row, error) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
+	if table.down {
+		return nil, errDown
+	}
 	var rows []mimosatide.Row
 	for _, row := range table.rows {
 		rows = append(rows, row)
@@ -83,38 +100,74 @@
 type platform struct {
 	versions *fakeTable
 	streams  *fakeTable
-	era      uint64
+	era      atomic.Uint64
+	// rank is that of the node that starts next.
+	rank int
 }
 
 func newPlatform() *platform {
-	return &platform{
-		versions: &fakeTable{rows: map[string]mimosatide.Row{}}, streams: &fakeTable{rows: map[string]mimosatide.Row{}}, era: 1,
+	created := &platform{
+		versions: &fakeTable{rows: map[string]mimosatide.Row{}}, streams: &fakeTable{rows: map[string]mimosatide.Row{}},
+	}
+	created.era.Store(1)
+	return created
+}
+
+// restore restores the store to a copy without rows.
+func (platform *platform) restore() {
+	for _, table := range []*fakeTable{platform.versions, platform.streams} {
+		table.lock.Lock()
+		clear(table.rows)
+		table.lock.Unlock()
 	}
+	platform.era.Store(2)
 }
 
 // node is one node, with the versions that it knows of the targets.
 type node struct {
 	*origin.Tracker
-	present []string
-	fresh   bool
 	// kill ends the node's process.
 	kill context.CancelFunc
+
+	lock    sync.Mutex
+	present []string
+	fresh   bool
+}
+
+// set sets the versions that the node knows of the targets, and whether it has kept in touch.
+func (node *node) set(present []string, fresh bool) {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	node.present, node.fresh = present, fresh
+}
+
+func (node *node) get() (present []string, fresh bool) {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	return node.present, node.fresh
 }
 
 func (platform *platform) start(t *testing.T, firstStart bool, present ...string) *node {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	rank := platform.rank
 	started := &node{present: present, fresh: true, kill: cancel}
 	started.Tracker = origin.New(origin.Settings{
-		Present:         func(string) []string { return started.present },
-		Services:        func() []string { return []string{"llm"} },
-		Lifetime:        func() time.Duration { return lifetime },
-		Fresh:           func() bool { return started.fresh },
-		Rank:            func() int { return 0 },
+		Present: func(string) []string {
+			present, _ := started.get()
+			return present
+		},
+		Services: func() []string { return []string{"llm"} },
+		Lifetime: func() time.Duration { return lifetime },
+		Fresh: func() bool {
+			_, fresh := started.get()
+			return fresh
+		},
+		Rank:            func() int { return rank },
 		Hosts:           func() int { return 2 },
 		WritesPerSecond: 300,
-		Era:             func() uint64 { return platform.era },
+		Era:             platform.era.Load,
 		FirstStart:      firstStart,
 	}, platform.versions, platform.streams, logr.Discard())
 	go started.Run(ctx)
@@ -165,12 +218,12 @@
 		first := platform.start(t, true, "v1", "v2")
 		first.stream("a", "v1")
 		time.Sleep(time.Second)
-		platform.streams.down = true
+		platform.streams.setDown(true)
 		first.stream("late", "v1")
 		time.Sleep(time.Second)
 		first.kill()
 		synctest.Wait()
-		platform.streams.down = false
+		platform.streams.setDown(false)
 		next := platform.start(t, false, "v2")
 		wantOrigin(t, "old version gone", next, "a", "v1")
 		wantOrigin(t, "killed before it was saved", next, "late", "")
@@ -185,10 +238,10 @@
 		first := platform.start(t, true, "v1")
 		first.stream("a", "v1")
 		time.Sleep(time.Second)
-		if platform.streams.commits != 0 {
-			t.Errorf("got %d calls of the store for streams while there is one version, want none", platform.streams.commits)
+		if _, commits := platform.streams.count(); commits != 0 {
+			t.Errorf("got %d calls of the store for streams while there is one version, want none", commits)
 		}
-		first.present = []string{"v1", "v2"}
+		first.set([]string{"v1", "v2"}, true)
 		time.Sleep(time.Second)
 		first.kill()
 		next := platform.start(t, false, "v2")
@@ -206,9 +259,9 @@
 		next := platform.start(t, false, "v1")
 		wantOrigin(t, "after a restart", next, "a", "v1")
 		wantOrigin(t, "not named", next, "", "v1")
-		platform.versions.down = true
+		platform.versions.setDown(true)
 		wantOrigin(t, "store down", next, "other", "v1")
-		next.fresh = false
+		next.set([]string{"v1"}, false)
 		wantOrigin(t, "store down and copy old", next, "other", "")
 	})
 }
@@ -232,13 +285,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		platform := newPlatform()
 		node := platform.start(t, true, "v1")
-		platform.versions.down = true
-		node.present = []string{"v1", "v2"}
+		platform.versions.setDown(true)
+		node.set([]string{"v1", "v2"}, true)
 		time.Sleep(time.Second)
 		if node.MayBegin("llm", "v2") || !node.MayBegin("llm", "v1") {
 			t.Error("store down: got streams at v2 or none at v1, want them at v1 only")
 		}
-		platform.versions.down = false
+		platform.versions.setDown(false)
 		time.Sleep(time.Second)
 		if !node.MayBegin("llm", "v2") {
 			t.Error("store back: got no streams at v2, want them")
@@ -263,11 +316,11 @@
 		platform := newPlatform()
 		node := platform.start(t, true, "v1", "v2")
 		node.stream("a", "v1")
-		node.present = []string{"v2"}
+		node.set([]string{"v2"}, true)
 		time.Sleep(lifetime / 2)
-		node.present = []string{"v1", "v2"}
+		node.set([]string{"v1", "v2"}, true)
 		wantOrigin(t, "rolled back", node, "a", "v1")
-		node.present = []string{"", "v1"}
+		node.set([]string{"", "v1"}, true)
 		time.Sleep(time.Second)
 		node.stream("b", "")
 		wantOrigin(t, "version not named", node, "b", "")
@@ -286,9 +339,7 @@
 		node := platform.start(t, true, "v1", "v2")
 		node.stream("a", "v1")
 		time.Sleep(time.Second)
-		clear(platform.versions.rows)
-		clear(platform.streams.rows)
-		platform.era = 2
+		platform.restore()
 		time.Sleep(time.Second)
 		wantOrigin(t, "after the restore", platform.start(t, false, "v2"), "a", "v1")
 	})
@@ -307,11 +358,35 @@
 		node.stream("expired", "v1")
 		time.Sleep(time.Second)
 		node.End("ended")
-		node.present = []string{"v2"}
+		node.set([]string{"v2"}, true)
 		time.Sleep(5 * lifetime)
-		if len(platform.streams.rows) != 0 {
-			t.Errorf("got %d rows, want none", len(platform.streams.rows))
+		if rows, _ := platform.streams.count(); rows != 0 {
+			t.Errorf("got %d rows, want none", rows)
 		}
 		wantOrigin(t, "one version again", node, "any", "v2")
 	})
 }
+
+// A release shows to all nodes at once. The store must not get a write from each of them.
+func TestManyNodesNameAVersionOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		var nodes []*node
+		for platform.rank = range 20 {
+			nodes = append(nodes, platform.start(t, true, "v1"))
+		}
+		_, before := platform.versions.count()
+		for _, node := range nodes {
+			node.set([]string{"v1", "v2"}, true)
+		}
+		time.Sleep(2 * time.Second)
+		if _, commits := platform.versions.count(); commits != before+1 {
+			t.Errorf("got %d writes for one new version, want 1", commits-before)
+		}
+		for _, node := range nodes {
+			if !node.MayBegin("llm", "v2") {
+				t.Fatal("got a node that lets no stream begin at v2, want it at all")
+			}
+		}
+	})
+}
