Let all nodes know once one version is left

Only the first node dropped a version that had long been gone; the others went on saving each of their streams. They read its row again now. A version that was present a moment before a restore of the store is named again, too, and a row that can't be read or written is tried again after a second instead of at once.

TestStreamsAreNoLongerSavedOnceOneVersionIsLeft failed before (one write).

--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,6 +20,10 @@
 	checkInterval = 250 * time.Millisecond
 	// checkSpread is the time, for each node, over which they spread their reads of a service's row.
 	checkSpread = 10 * time.Millisecond
+	// recheckInterval is the time until a service's row is looked at again if it still lacks a
+	// version, tidyInterval if it only names one that is gone.
+	recheckInterval = time.Second
+	tidyInterval    = 5 * time.Second
 	// writeShare is the share of the store's writing calls that the nodes use for streams.
 	writeShare = 0.1
 	// deleteInterval is the time between two calls that only delete rows.
@@ -73,8 +78,8 @@
 	era := max(tracker.settings.Era(), 1)
 	if tracker.era != 0 && era > tracker.era {
 		for _, state := range tracker.services {
-			clear(state.lastPresent)
 			clear(state.named)
+			state.checkFrom = time.Time{}
 		}
 		for _, known := range tracker.records {
 			known.saved = false
@@ -84,12 +89,16 @@
 }
 
 // checkVersions has the store name the versions of a service's targets, and no longer those that
-// have been gone for long.
+// have been gone for long. The first node writes; the others read what it has written.
 func (tracker *Tracker) checkVersions(ctx context.Context, service string) {
+	first := tracker.settings.Rank() == 0
 	missing, gone := tracker.versionChanges(service, time.Now())
-	if !tracker.checkDue(service, len(missing)+len(gone) > 0, time.Now()) {
+	if !tracker.checkDue(service, first, len(missing) > 0, len(gone) > 0, time.Now()) {
 		return
 	}
+	if !first {
+		gone = nil
+	}
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := tracker.updateVersions(bounded, service, missing, gone); err != nil {
@@ -101,22 +110,29 @@
 	}
 }
 
-// checkDue reports whether a service's row has to be read or written now. When all nodes see a new
-// version, the first one writes the row and the others spread their reads.
-func (tracker *Tracker) checkDue(service string, differs bool, now time.Time) bool {
-	first := tracker.settings.Rank() == 0
+// checkDue reports whether a service's row has to be read or written now, because it lacks versions
+// or names some that are gone. All nodes see a new version at the same time: the first one comes
+// first, and the others spread their calls.
+func (tracker *Tracker) checkDue(service string, first, lacks, names bool, now time.Time) bool {
 	spread := time.Duration(tracker.settings.Hosts()) * checkSpread
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state := tracker.service(service)
-	if !differs {
+	if !lacks && !names {
 		state.checkFrom = time.Time{}
 		return false
 	}
-	if state.checkFrom.IsZero() {
+	if state.checkFrom.IsZero() && !first {
 		state.checkFrom = now.Add(checkSpread + rand.N(spread))
 	}
-	return first || !now.Before(state.checkFrom)
+	if now.Before(state.checkFrom) {
+		return false
+	}
+	state.checkFrom = now.Add(recheckInterval)
+	if !lacks {
+		state.checkFrom = now.Add(tidyInterval)
+	}
+	return true
 }
 
 // deleteExpired deletes the rows of streams that nodes have left behind.
@@ -140,22 +156,27 @@
 // versionChanges returns the versions that the store has to name and those that it should forget.
 func (tracker *Tracker) versionChanges(service string, now time.Time) (missing, gone []string) {
 	present := tracker.settings.Present(service)
-	lifetime := tracker.settings.Lifetime()
-	tidies := tracker.settings.Rank() == 0 && tracker.settings.Fresh()
+	fresh := tracker.settings.Fresh()
+	term := forgetAfterLifetimes * tracker.settings.Lifetime()
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state := tracker.service(service)
 	for _, software := range present {
 		state.lastPresent[software] = now
-		if !state.named[software] {
-			missing = append(missing, software)
-		}
 	}
 	for software := range state.named {
 		if state.lastPresent[software].IsZero() {
 			state.lastPresent[software] = now
 		}
-		if tidies && now.Sub(state.lastPresent[software]) > forgetAfterLifetimes*lifetime && len(present) > 0 {
+	}
+	for _, software := range slices.Sorted(maps.Keys(state.lastPresent)) {
+		recent := now.Sub(state.lastPresent[software]) <= term
+		switch {
+		case recent && !state.named[software]:
+			missing = append(missing, software)
+		case !recent && !state.named[software]:
+			delete(state.lastPresent, software)
+		case !recent && fresh && len(present) > 0:
 			gone = append(gone, software)
 		}
 	}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -236,7 +236,7 @@
 		all[software] = true
 	}
 	state := tracker.service(service)
-	for software := range state.named {
+	for software := range state.lastPresent {
 		all[software] = true
 	}
 	for _, software := range tracker.settings.Present(service) {
@@ -249,7 +249,7 @@
 }
 
 // inferAlone returns the version of a service if there is one only, without the store: this node's
-// copy of the targets is fresh and has had no other version for as long as streams last.
+// copy of the targets is fresh, and neither it nor the store's row, as last read, has another one.
 func (tracker *Tracker) inferAlone(service string) (string, bool) {
 	if !tracker.settings.Fresh() {
 		return "", false
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -292,7 +292,7 @@
 			t.Error("store down: got streams at v2 or none at v1, want them at v1 only")
 		}
 		platform.versions.setDown(false)
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 		if !node.MayBegin("llm", "v2") {
 			t.Error("store back: got no streams at v2, want them")
 		}
@@ -390,3 +390,24 @@
 		}
 	})
 }
+
+// A version is no longer named once its last target has been gone for long. All nodes have to know:
+// as long as one takes the service for mixed, it saves each of its streams.
+func TestStreamsAreNoLongerSavedOnceOneVersionIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		first := platform.start(t, true, "v1", "v2")
+		platform.rank = 1
+		second := platform.start(t, true, "v1", "v2")
+		for _, node := range []*node{first, second} {
+			node.set([]string{"v2"}, true)
+		}
+		time.Sleep(5 * lifetime)
+		_, before := platform.streams.count()
+		second.stream("a", "v2")
+		time.Sleep(time.Second)
+		if _, after := platform.streams.count(); after != before {
+			t.Errorf("got %d writes for a stream of the only version, want none", after-before)
+		}
+	})
+}
