Save streams at once after a pause in a large fleet

Cause: the nodes shared a tenth of the writes evenly, so that each waited 3 s between two calls, also after a long pause; what its node had not saved was lost when it was killed.

Change: the share is 0.3, far from what the table's part takes beside the targets' heartbeats, and a node may make three calls at once after a pause.

TestStreamOfALargeFleetIsFoundAfterItsNodeWasKilled failed before.

--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -25,7 +25,10 @@
 	recheckInterval = time.Second
 	tidyInterval    = 5 * time.Second
 	// writeShare is the share of the store's writing calls that the nodes use for streams.
-	writeShare = 0.1
+	writeShare = 0.3
+	// writeBurst is the number of calls that a node may make at once after a pause: a stream that is
+	// saved late is refused if its node ends before.
+	writeBurst = 3
 	// deleteInterval is the time between two calls that only delete rows.
 	deleteInterval = 5 * time.Second
 	// maxWrites is the largest number of rows that one call writes.
@@ -322,13 +325,15 @@
 }
 
 // pendingWrites returns the rows to write now, and the versions of those that are saved by ID. The
-// nodes share the calls of the store; a call that comes too early waits for the next one.
+// nodes share the calls of the store; what comes too early waits for the next call.
 func (tracker *Tracker) pendingWrites(now time.Time) ([]mimosatide.Write, map[string]string) {
-	spacing := time.Duration(float64(tracker.settings.Hosts()) / (writeShare * tracker.settings.WritesPerSecond) * float64(time.Second))
+	rate := writeShare * tracker.settings.WritesPerSecond / float64(tracker.settings.Hosts())
 	expires := now.Add(tracker.settings.Lifetime()).UnixMilli()
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
-	if now.Before(tracker.saveFrom) {
+	tracker.writeTokens = min(tracker.writeTokens+rate*now.Sub(tracker.writeTokensAt).Seconds(), writeBurst)
+	tracker.writeTokensAt = now
+	if tracker.writeTokens < 1 {
 		return nil, nil
 	}
 	var writes []mimosatide.Write
@@ -359,7 +364,7 @@
 		writes = append(writes, mimosatide.Write{Key: id, Delete: true})
 	}
 	if len(writes) > 0 {
-		tracker.saveFrom = now.Add(spacing)
+		tracker.writeTokens--
 	}
 	return writes, saving
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -105,9 +105,11 @@
 	ended    map[string]bool
 	services map[string]*serviceState
 	era      uint64
-	// saveFrom is the earliest time of the next write, deleteFrom that of one that only deletes.
-	saveFrom   time.Time
-	deleteFrom time.Time
+	// writeTokens is the number of calls that may write now, as of writeTokensAt, deleteFrom the
+	// earliest time of the next one that only deletes.
+	writeTokens   float64
+	writeTokensAt time.Time
+	deleteFrom    time.Time
 }
 
 // New returns a tracker that saves nothing before Run is called. versions and streams are tables
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -101,8 +102,9 @@
 	versions *fakeTable
 	streams  *fakeTable
 	era      atomic.Uint64
-	// rank is that of the node that starts next.
-	rank int
+	// rank is that of the node that starts next, hosts the number of nodes that it knows.
+	rank  int
+	hosts int
 }
 
 func newPlatform() *platform {
@@ -151,7 +153,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	rank := platform.rank
+	rank, hosts := platform.rank, max(platform.hosts, 2)
 	started := &node{present: present, fresh: true, kill: cancel}
 	started.Tracker = origin.New(origin.Settings{
 		Present: func(string) []string {
@@ -165,7 +167,7 @@
 			return fresh
 		},
 		Rank:            func() int { return rank },
-		Hosts:           func() int { return 2 },
+		Hosts:           func() int { return hosts },
 		WritesPerSecond: 300,
 		Era:             platform.era.Load,
 		FirstStart:      firstStart,
@@ -411,3 +413,29 @@
 		}
 	})
 }
+
+// In a large fleet a node may write seldom. A stream that begins after a pause must be saved at once
+// all the same, as its node may be killed.
+func TestStreamOfALargeFleetIsFoundAfterItsNodeWasKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		platform.hosts = 300
+		node, other := platform.start(t, true, "v1", "v2"), platform.start(t, true, "v1", "v2")
+		time.Sleep(20 * time.Second)
+		for _, id := range []string{"a", "b"} {
+			node.stream(id, "v1")
+			time.Sleep(100 * time.Millisecond)
+		}
+		node.kill()
+		wantOrigin(t, "after a pause", other, "a", "v1")
+		wantOrigin(t, "right behind it", other, "b", "v1")
+		_, before := platform.streams.count()
+		for count := range 100 {
+			other.stream(fmt.Sprint("c", count), "v2")
+			time.Sleep(100 * time.Millisecond)
+		}
+		if _, after := platform.streams.count(); after-before > 8 {
+			t.Errorf("got %d writes in ten seconds, want at most the node's share of 0.3 a second and a burst of 3", after-before)
+		}
+	})
+}
