--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"mimosatide.example/mimosatide/internal/gateway"
+	"mimosatide.example/mimosatide/internal/ingress"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -26,7 +27,7 @@
 
 // listen starts the servers for callers, readiness checks and metrics. It returns
 // the server for callers, or an error if an address can't be bound.
-func (node *Node) listen(ctx context.Context) (*callerServer, error) {
+func (node *Node) listen(ctx context.Context) (*ingress.Server, error) {
 	handler := gateway.New(gateway.Dependencies{
 		Deployment:    node.activeDeployment,
 		DeploymentAge: node.configurationAge,
@@ -46,7 +47,7 @@
 		Draining:      node.refuseWaiting,
 		EndsBy:        func() time.Time { return node.endsBy },
 	}, node.log)
-	callers := newCallerServer(handler)
+	callers := ingress.New(ingress.Settings{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeader: maxHeaderBytes}, handler)
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
 		if !node.ready() {
@@ -57,9 +58,9 @@
 	metrics.Handle("/metrics", node.meter.Handler())
 	servers := []struct {
 		address string
-		server  *http.Server
+		server  interface{ Serve(listener net.Listener) error }
 	}{
-		{node.settings.Listen.Callers, callers.server},
+		{node.settings.Listen.Callers, callers},
 		{node.settings.Listen.Readiness, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
 		{node.metricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
 	}
@@ -69,16 +70,13 @@
 		if err != nil {
 			return nil, errors.Annotatef(err, "listen on %s", endpoint.address)
 		}
-		if endpoint.server == callers.server {
-			callers.listener = listener
-		}
 		go node.serve(endpoint.server, listener)
 	}
 	return callers, nil
 }
 
 // serve runs a server until it is shut down.
-func (node *Node) serve(server *http.Server, listener net.Listener) {
+func (node *Node) serve(server interface{ Serve(listener net.Listener) error }, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		node.log.Error(err, "HTTP server failed", "address", listener.Addr().String())
 	}
@@ -88,7 +86,7 @@
 // answers the requests in flight and leaves the list of hosts. What callers get depends on
 // the time since its start only: the leases are released meanwhile, and the store may not
 // answer.
-func (node *Node) drain(callers *callerServer) {
+func (node *Node) drain(callers *ingress.Server) {
 	start := time.Now()
 	node.draining.Store(true)
 	grace := node.settings.Bounds.Grace
@@ -100,12 +98,12 @@
 		defer close(released)
 		node.loader.releaseAll(drainCtx)
 	}()
-	callers.server.SetKeepAlivesEnabled(false)
+	callers.CloseIdle()
 	rotation := time.Duration(float64(grace-shutdownMargin) * maxRotationShare)
 	time.Sleep(min(rotationDelay, rotation))
 	node.endsBy = start.Add(grace - shutdownMargin)
 	close(node.refuseWaiting)
-	if err := callers.finish(drainCtx); err != nil {
+	if err := callers.Finish(drainCtx); err != nil {
 		node.log.Info("connections still open at the end of the grace period", "reason", err.Error())
 	}
 	<-released
