Time a stop by when its signal was sent, not by when it was handled

What callers saw: requests that a node takes 3 s and more after a freeze in a planned stop are passed on and cut at the end of the grace period (LOST).

Change: internal/shutdown works the schedule out anew for each request, from the time of the signal by the boot clock; a signal that is handled at the end of a stall counts from the stall's begin. The process itself ends by the later time, so that nothing in flight is cut early.

--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -17,12 +17,10 @@
 	// rotationDelay is how long the platform may still send new connections to a node
 	// that is not ready: two readiness checks one second apart, and their answers.
 	rotationDelay = 2500 * time.Millisecond
-	// maxRotationShare is the largest share of the time for the requests in flight that may
-	// be spent on waiting for new connections.
-	maxRotationShare = 0.5
-	// shutdownMargin is the part of the grace period that is left for ending the process,
-	// half of it for leaving the list of hosts.
+	// shutdownMargin is the part of the grace period that is left for ending the process.
 	shutdownMargin = 500 * time.Millisecond
+	// leaveShare is the share of the margin that is left after leaving the list of hosts.
+	leaveShare = 0.5
 )
 
 // listen starts the servers for callers, readiness checks and metrics. It returns
@@ -45,7 +43,7 @@
 		Quarantine:    node.quarantine,
 		Meter:         node.meter,
 		Draining:      node.refuseWaiting,
-		EndsBy:        func() time.Time { return node.endsBy },
+		EndsBy:        node.shutdown.EndsBy,
 	}, node.log)
 	callers := ingress.New(ingress.Settings{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeader: maxHeaderBytes}, handler)
 	ready := http.NewServeMux()
@@ -58,7 +56,9 @@
 	metrics.Handle("/metrics", node.meter.Handler())
 	servers := []struct {
 		address string
-		server  interface{ Serve(listener net.Listener) error }
+		server  interface {
+			Serve(listener net.Listener) error
+		}
 	}{
 		{node.settings.Listen.Callers, callers},
 		{node.settings.Listen.Readiness, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
@@ -76,7 +76,9 @@
 }
 
 // serve runs a server until it is shut down.
-func (node *Node) serve(server interface{ Serve(listener net.Listener) error }, listener net.Listener) {
+func (node *Node) serve(server interface {
+	Serve(listener net.Listener) error
+}, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		node.log.Error(err, "HTTP server failed", "address", listener.Addr().String())
 	}
@@ -88,10 +90,10 @@
 // answer.
 func (node *Node) drain(callers *ingress.Server) {
 	start := time.Now()
+	node.shutdown.Begin()
 	node.draining.Store(true)
-	grace := node.settings.Bounds.Grace
-	node.log.Info("node drains", "node", node.settings.Node, "grace", grace)
-	drainCtx, cancel := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
+	node.log.Info("node drains", "node", node.settings.Node, "grace", node.settings.Bounds.Grace)
+	drainCtx, cancel := node.shutdown.WithEnd(context.Background(), 1)
 	defer cancel()
 	released := make(chan struct{})
 	go func() {
@@ -99,15 +101,13 @@
 		node.loader.releaseAll(drainCtx)
 	}()
 	callers.CloseIdle()
-	rotation := time.Duration(float64(grace-shutdownMargin) * maxRotationShare)
-	time.Sleep(min(rotationDelay, rotation))
-	node.endsBy = start.Add(grace - shutdownMargin)
+	node.shutdown.AwaitRotation()
 	close(node.refuseWaiting)
 	if err := callers.Finish(drainCtx); err != nil {
 		node.log.Info("connections still open at the end of the grace period", "reason", err.Error())
 	}
 	<-released
-	leaveCtx, cancelLeave := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin/2))
+	leaveCtx, cancelLeave := node.shutdown.WithEnd(context.Background(), leaveShare)
 	defer cancelLeave()
 	node.fleet.leave(leaveCtx)
 	node.log.Info("node drained", "took", time.Since(start))
--- a/internal/gateway/copies_stress_test.go
+++ b/internal/gateway/copies_stress_test.go
@@ -236,7 +236,7 @@
 		Permits: permit.NewDesk(limits, permit.NewIssuer(), noPeers{}, logr.Discard()), Ledger: allowance.New(true),
 		Client: exchange.New(&net.Dialer{}), Loader: &fakeLoader{}, Origins: &fakeOrigins{known: map[string]string{}, sent: map[string]string{}}, RetryBudget: gateway.NewRetryBudget(4, 100000),
 		Quarantine: quarantine.New(logr.Discard()), Meter: metric.New(), Answers: buffer.NewBudget(16 << 20),
-		Draining: make(chan struct{}), EndsBy: time.Now,
+		Draining: make(chan struct{}), EndsBy: func() (time.Time, bool) { return time.Time{}, false },
 	}, logr.Discard())
 	server := httptest.NewServer(gate)
 	t.Cleanup(server.Close)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -166,13 +166,23 @@
 		Quarantine:    quarantine.New(logr.Discard()),
 		Meter:         metric.New(),
 		Draining:      created.draining,
-		EndsBy:        time.Now,
+		EndsBy:        created.endsBy,
 	}, logr.Discard())
 	created.server = httptest.NewServer(gate)
 	t.Cleanup(created.server.Close)
 	return created
 }
 
+// endsBy is that of a process which ends at once when draining is closed.
+func (fixture *fixture) endsBy() (time.Time, bool) {
+	select {
+	case <-fixture.draining:
+		return time.Now(), true
+	default:
+		return time.Time{}, false
+	}
+}
+
 func testDeployment() *mimosatide.Deployment {
 	route := func(name string, kind mimosatide.RouteKind, service string, attempts int, timeout time.Duration) mimosatide.PathRoute {
 		return mimosatide.PathRoute{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,8 +92,9 @@
 	// Draining is closed when the requests that still wait for a target have to be
 	// refused, because the process would exit before they were served.
 	Draining <-chan struct{}
-	// EndsBy returns until when the process answers requests once Draining is closed.
-	EndsBy func() time.Time
+	// EndsBy returns until when the process answers requests, and whether it refuses those that
+	// may take longer.
+	EndsBy func() (endsBy time.Time, refusing bool)
 }
 
 // Gateway is the HTTP handler of the callers' requests.
@@ -159,12 +160,8 @@
 // that came before the drain's last part are served all the same: the platform still sent
 // new connections then.
 func (handler *requestHandler) endsTooSoon() bool {
-	select {
-	case <-handler.gateway.Draining:
-		return handler.deadline.After(handler.gateway.EndsBy())
-	default:
-		return false
-	}
+	endsBy, refusing := handler.gateway.EndsBy()
+	return refusing && handler.deadline.After(endsBy)
 }
 
 func decodeRefusal(err error) mimosatide.Refusal {
