--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -23,6 +23,11 @@
 	leaveShare = 0.5
 )
 
+// connectionServer serves the connections of a listener.
+type connectionServer interface {
+	Serve(listener net.Listener) error
+}
+
 // listen starts the servers for callers, readiness checks and metrics. It returns
 // the server for callers, or an error if an address can't be bound.
 func (node *Node) listen(ctx context.Context) (*ingress.Server, error) {
@@ -56,9 +61,7 @@
 	metrics.Handle("/metrics", node.meter.Handler())
 	servers := []struct {
 		address string
-		server  interface {
-			Serve(listener net.Listener) error
-		}
+		server  connectionServer
 	}{
 		{node.settings.Listen.Callers, callers},
 		{node.settings.Listen.Readiness, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
@@ -76,9 +79,7 @@
 }
 
 // serve runs a server until it is shut down.
-func (node *Node) serve(server interface {
-	Serve(listener net.Listener) error
-}, listener net.Listener) {
+func (node *Node) serve(server connectionServer, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		node.log.Error(err, "HTTP server failed", "address", listener.Addr().String())
 	}
