Don't pass on what was not sent when a draining node begins to refuse

What callers saw: a request that came before a stopping node's refusals, and whose look-up of its stream's origin, permit or target ended after they had begun, was passed on though it may outlast the process, and could be cut.

Cause: whether a request may outlast the process was asked once, when it came. Only some of the waits ended with the beginning of the refusals.

Evidence: TestTakeUpThatIsNotSentWhenItsNodeDrainsIsNotRun failed before: 200, one send.

Change: asked again before each send, until one may have run.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -95,6 +95,8 @@
 	lock  sync.Mutex
 	known map[string]string
 	sent  map[string]string
+	// onFind is called at the begin of Find.
+	onFind func()
 }
 
 func (origins *fakeOrigins) MayBegin(_, software string) bool { return software != "not named" }
@@ -118,6 +120,9 @@
 }
 
 func (origins *fakeOrigins) Find(_ context.Context, _, id string) (string, bool) {
+	if origins.onFind != nil {
+		origins.onFind()
+	}
 	origins.lock.Lock()
 	defer origins.lock.Unlock()
 	software, known := origins.known[id]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,8 +145,7 @@
 	ctx, cancel := context.WithDeadline(request.Context(), handler.deadline)
 	defer cancel()
 	if handler.endsTooSoon() {
-		handler.refuse(mimosatide.Refuse(mimosatide.ReasonDraining, "the node may end before the request is answered").
-			WithRetryAfter(drainingRetryAfter))
+		handler.refuse(drainRefusal())
 		return
 	}
 	if refusal := handler.admit(); refusal.Refused() {
@@ -164,6 +163,10 @@
 	return refusing && handler.deadline.After(endsBy)
 }
 
+func drainRefusal() mimosatide.Refusal {
+	return mimosatide.Refuse(mimosatide.ReasonDraining, "the node may end before the request is answered").WithRetryAfter(drainingRetryAfter)
+}
+
 func decodeRefusal(err error) mimosatide.Refusal {
 	if errors.Is(err, platform.ErrBodyTooLarge) {
 		return mimosatide.Refuse(mimosatide.ReasonTooLarge, err.Error())
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -141,3 +141,19 @@
 		}
 	}
 }
+
+// A look-up of a stream's origin may last until its node refuses what it may not live to answer.
+// Sent then, the request would be cut.
+func TestTakeUpThatIsNotSentWhenItsNodeDrainsIsNotRun(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.addSoftware("e-1", "v1", false, "m")
+	fixture.origins.known["begun"] = "v1"
+	fixture.origins.onFind = func() { close(fixture.draining) }
+	response, body, _ := fixture.send(newTakeUp(fixture, "begun"))
+	if response == nil || response.StatusCode != http.StatusServiceUnavailable || !strings.HasPrefix(body, "Draining") {
+		t.Errorf("got response %v and body %q, want status 503 and a body that starts with Draining", response, body)
+	}
+	if got := len(fixture.received()); got != 0 {
+		t.Errorf("got %d sends, want none", got)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -135,6 +135,11 @@
 			handler.refuse(poisonRefusal().WithRun(handler.runState()))
 			return
 		}
+		// What the request waited for may have lasted until now.
+		if handler.possibleRuns == 0 && handler.endsTooSoon() {
+			handler.refuse(drainRefusal())
+			return
+		}
 		outcome := handler.send(ctx, instance)
 		if !outcome.failed() {
 			outcome = handler.relay(ctx, outcome)
