Guess no stream's version on a node that can't read the store

Cause: a node that couldn't read the versions of a service took the only one it knew for that of the stream, if its copy of the targets was at most 2 s old. Within 2 s a version can be named, join, begin a stream at another node and break off.

Evidence: TestNodeThatHasJustLostTouchDoesNotGuess fails before: origin "v1" of a stream that v2 began.

Change: the guess is gone; such a take-up is refused at once, as not run. The node's own streams and those that go on within one answer are not affected.

A test changed: TestStreamOfTheOnlyVersionNeedsNoRow wanted the guess in its case of a store that is down. A node in that state can't be told from one that missed a version, as the new test shows, so that it now wants no origin.

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -9,6 +9,9 @@
 //     stream began there.
 //   - The origins of streams: one row a stream, but only while a service has several versions.
 //
+// Without the store a node can't know of a version that has joined since, so that it knows the
+// origins of its own streams only.
+//
 // # Usage
 //
 //	tracker := origin.New(origin.Settings{...}, versions, streams, log)
@@ -186,10 +189,8 @@
 	defer cancel()
 	named, err := tracker.readVersions(bounded, service)
 	if err != nil {
-		software, known := tracker.inferAlone(service)
-		tracker.log.Info("versions of a service not read", "service", service, "stream", id, "inferred", software, "known", known,
-			"reason", err.Error())
-		return software, known
+		tracker.log.Info("versions of a service not read", "service", service, "stream", id, "reason", err.Error())
+		return "", false
 	}
 	if software, single := tracker.only(service, named); single {
 		return software, true
@@ -250,22 +251,6 @@
 	return named.Software[0], true
 }
 
-// inferAlone returns the version of a service if there is one only, without the store: this node's
-// copy of the targets is fresh, and neither it nor the store's row, as last read, has another one.
-func (tracker *Tracker) inferAlone(service string) (string, bool) {
-	if !tracker.settings.Fresh() {
-		return "", false
-	}
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	state := tracker.service(service)
-	present := tracker.settings.Present(service)
-	if len(present) != 1 || len(state.named) != 1 || !state.named[present[0]] {
-		return "", false
-	}
-	return present[0], true
-}
-
 func (tracker *Tracker) service(name string) *serviceState {
 	state := tracker.services[name]
 	if state == nil {
