Begin no stream at a version that no row names

What callers saw: where no target of a named version was left, streams began at one that the service's row did not name yet. A node that read the row then took the stream for one of the named version (ORDER). The other way round, a node that already saw a new version refused to go on with streams of the old one until the row named both (OriginUnknown).

Cause: the row was to name each version before a stream begins there, but the choice of targets dropped that when nothing else was left; so the row alone settled nothing, and the node's view of the targets was asked besides.

Evidence: TestStreamDoesNotBeginAtAVersionThatNoRowNames (200 and one send), TestVersionThatHasBegunNoStreamDoesNotHideTheOrigin (no origin, want v1) and TestStreamsOfTheOnlyVersionBeginWithoutTheStore (no streams, which the dropped rule made up for) fail before. TestRestoredRowIsNotTakenForTheOnlyVersion passes before, too: it guards what the targets were asked for.

Change: such streams are refused, as not run, until the row names the version. A node that has not read the row in this era of the store lets streams begin at the only version that it knows. A row that is read after the take-up has come settles the origin, but for versions that rows named before, and for some time after a restore those of the targets. A node that has just started reads the row sooner.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -23,7 +23,8 @@
 }
 
 // candidates returns the targets of the request's service that it may be sent to: those of the
-// version that began its stream, and for a new stream those of the versions that the store names.
+// version that began its stream, and for a new stream those of the versions at which streams may
+// begin, even if no target is left: another node would take the stream for one of another version.
 func (handler *requestHandler) candidates() []mimosatide.Instance {
 	all := handler.gateway.Targets.View().Service(handler.service.Name)
 	if handler.continues {
@@ -32,13 +33,9 @@
 	if !handler.beginsStream() {
 		return all
 	}
-	mayBegin := withSoftware(all, func(software string) bool {
+	return withSoftware(all, func(software string) bool {
 		return handler.gateway.Origins.MayBegin(handler.service.Name, software)
 	})
-	if len(mayBegin) == 0 {
-		return all
-	}
-	return mayBegin
 }
 
 // withSoftware returns the targets whose version is accepted, all of them without a copy.
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -157,3 +157,14 @@
 		t.Errorf("got %d sends, want none", got)
 	}
 }
+
+// A node whose copy is old reads a row that names one version, and takes a stream which began at a
+// version without a row for one of it.
+func TestStreamDoesNotBeginAtAVersionThatNoRowNames(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.addSoftware("e-1", "not named", false, "m")
+	response, body, _ := fixture.send(newChatRequest(fixture, "/resumable/", "m"))
+	if response == nil || response.StatusCode != http.StatusServiceUnavailable || len(fixture.received()) != 0 {
+		t.Errorf("got response %v, body %q and %d sends, want status 503 and none", response, body, len(fixture.received()))
+	}
+}
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -20,6 +20,9 @@
 	checkInterval = 250 * time.Millisecond
 	// checkSpread is the time, for each node, over which they spread their reads of a service's row.
 	checkSpread = 10 * time.Millisecond
+	// unreadSpreadDivisor shortens that time for a node that has not read the row: until then it may
+	// let no streams begin.
+	unreadSpreadDivisor = 4
 	// recheckInterval is the time until a service's row is looked at again if it still lacks a
 	// version, tidyInterval if it only names one that is gone.
 	recheckInterval = time.Second
@@ -82,12 +85,16 @@
 	if tracker.era != 0 && era > tracker.era {
 		for _, state := range tracker.services {
 			clear(state.named)
+			state.read = false
 			state.checkFrom = time.Time{}
 		}
 		for _, known := range tracker.records {
 			known.saved = false
 		}
 	}
+	if era > max(tracker.era, 1) {
+		tracker.restoredAt = time.Now()
+	}
 	tracker.era = era
 }
 
@@ -121,6 +128,9 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state := tracker.service(service)
+	if !state.read {
+		spread /= unreadSpreadDivisor
+	}
 	if !lacks && !names {
 		state.checkFrom = time.Time{}
 		return false
@@ -179,6 +189,7 @@
 			missing = append(missing, software)
 		case !recent && !state.named[software]:
 			delete(state.lastPresent, software)
+			delete(state.everNamed, software)
 		case !recent && fresh && len(present) > 0:
 			gone = append(gone, software)
 		}
@@ -236,8 +247,10 @@
 	defer tracker.lock.Unlock()
 	state := tracker.service(service)
 	clear(state.named)
+	state.read = true
 	for _, each := range software {
 		state.named[each] = true
+		state.everNamed[each] = true
 	}
 	tracker.signalIfMixed(service)
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -5,8 +5,8 @@
 // node, or after all nodes have ended, so that the rest is in the store:
 //
 //   - The versions of a service: one row a service. No stream begins at a version before the row
-//     names it, and the row names it until no stream of it can be left. If there is only one, every
-//     stream began there.
+//     names it, and the row names it until no stream of it can be left. If a row that is read after
+//     a stream was taken up names only one, the stream began there.
 //   - The origins of streams: one row a stream, but only while a service has several versions.
 //
 // Without the store a node can't know of a version that has joined since, so that it knows the
@@ -85,8 +85,13 @@
 
 // serviceState is what this node knows of the versions of a service.
 type serviceState struct {
+	// read says that the service's row was read or written in this era of the store.
+	read bool
 	// named are the versions that the service's row in the store names, as last read or written.
 	named map[string]bool
+	// everNamed are the versions that the row has named, also before a restore of the store, while
+	// streams of them may be left.
+	everNamed map[string]bool
 	// lastPresent holds when targets of a version were last present, by version.
 	lastPresent map[string]time.Time
 	// checkFrom is the earliest time of the next look at the row; zero if none is due.
@@ -108,6 +113,8 @@
 	ended    map[string]bool
 	services map[string]*serviceState
 	era      uint64
+	// restoredAt is when this node learned that the store had been restored.
+	restoredAt time.Time
 	// writeTokens is the number of calls that may write now, as of writeTokensAt, deleteFrom the
 	// earliest time of the next one that only deletes.
 	writeTokens   float64
@@ -167,7 +174,8 @@
 }
 
 // MayBegin reports whether streams may begin at a version: the store names it among those of the
-// service. If not, the tracker has it named; that takes a call of the store.
+// service. If not, the tracker has it named; that takes a call of the store. Until this node has
+// read the row, streams begin at a version that is the only one as far as it knows.
 func (tracker *Tracker) MayBegin(service, software string) bool {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
@@ -176,7 +184,15 @@
 		return true
 	}
 	tracker.signal()
-	return false
+	if state.read {
+		return false
+	}
+	for _, present := range tracker.settings.Present(service) {
+		if present != software {
+			return false
+		}
+	}
+	return len(state.everNamed) == 0 || len(state.everNamed) == 1 && state.everNamed[software]
 }
 
 // Find returns the version that began the stream of a caller's request, and whether that is known.
@@ -225,36 +241,36 @@
 	return known.Software, true
 }
 
-// only returns the version of a service if there is one only, by the store, by the targets that
-// this node knows and by what it knew before.
+// only returns the version of a service if there is one only, by its row and by what this node has
+// read before. A version that no row has named has begun no stream; but after a restore of the store
+// the row may lack one that was named.
 func (tracker *Tracker) only(service string, named versionsRow) (string, bool) {
-	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
 	now := time.Now()
-	if now.UnixMilli() < named.CompleteMillis {
+	if now.UnixMilli() < named.CompleteMillis || len(named.Software) != 1 {
 		return "", false
 	}
-	all := map[string]bool{}
-	for _, software := range named.Software {
-		all[software] = true
-	}
-	state := tracker.service(service)
-	for software := range state.lastPresent {
-		all[software] = true
-	}
-	for _, software := range tracker.settings.Present(service) {
-		all[software] = true
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	software := named.Software[0]
+	for other := range tracker.service(service).everNamed {
+		if other != software {
+			return "", false
+		}
 	}
-	if len(named.Software) != 1 || len(all) != 1 {
-		return "", false
+	if !tracker.restoredAt.IsZero() && now.Sub(tracker.restoredAt) <= forgetAfterLifetimes*tracker.settings.Lifetime() {
+		for _, present := range tracker.settings.Present(service) {
+			if present != software {
+				return "", false
+			}
+		}
 	}
-	return named.Software[0], true
+	return software, true
 }
 
 func (tracker *Tracker) service(name string) *serviceState {
 	state := tracker.services[name]
 	if state == nil {
-		state = &serviceState{named: map[string]bool{}, lastPresent: map[string]time.Time{}}
+		state = &serviceState{named: map[string]bool{}, everNamed: map[string]bool{}, lastPresent: map[string]time.Time{}}
 		tracker.services[name] = state
 	}
 	return state
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -300,6 +300,62 @@
 	})
 }
 
+// A host that already sees a new version must not refuse to go on with streams of the only version at
+// which any has begun.
+func TestVersionThatHasBegunNoStreamDoesNotHideTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		node, other := platform.start(t, true, "v1"), platform.start(t, true, "v1")
+		other.stream("a", "v1")
+		node.set([]string{"v1", "v2"}, true)
+		wantOrigin(t, "new version not named yet", node, "a", "v1")
+	})
+}
+
+// While a restarted node can't read the store, streams go on to begin where there is one version only.
+func TestStreamsOfTheOnlyVersionBeginWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		platform.start(t, true, "v1")
+		platform.versions.setDown(true)
+		if started := platform.start(t, false, "v1"); !started.MayBegin("llm", "v1") {
+			t.Error("one version: got no streams at it, want them")
+		}
+		if started := platform.start(t, false, "v1", "v2"); started.MayBegin("llm", "v1") || started.MayBegin("llm", "v2") {
+			t.Error("two versions, and not known which are named: got streams at one, want none")
+		}
+	})
+}
+
+// After a restore the row may name fewer versions than have begun streams, also at a node that has
+// just started.
+func TestRestoredRowIsNotTakenForTheOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		first := platform.start(t, true, "v1")
+		before, _, err := platform.versions.Read(context.Background(), "llm")
+		if err != nil {
+			t.Fatal(err)
+		}
+		first.set([]string{"v1", "v2"}, true)
+		time.Sleep(time.Second)
+		first.stream("a", "v2")
+		platform.restore()
+		platform.versions.lock.Lock()
+		platform.versions.rows["llm"] = before[0]
+		platform.versions.lock.Unlock()
+		platform.rank = 1
+		platform.versions.setDown(true)
+		started := platform.start(t, false, "v1", "v2")
+		platform.versions.setDown(false)
+		for _, node := range []*node{first, started} {
+			if got, known := node.Find(context.Background(), "llm", "a"); known && got != "v2" {
+				t.Errorf("just restored: got the origin %q, want v2 or none", got)
+			}
+		}
+	})
+}
+
 // No stream may begin at a version that the store does not name: another node would take the old
 // one for the only one.
 func TestStreamBeginsOnlyAtANamedVersion(t *testing.T) {
