--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -168,7 +168,7 @@
 			got.begun = got.id
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(maxTakeUpPause))))
-		node := testbed.nodes[random.IntN(len(testbed.nodes))]
+		node := testbed.takeUpNode(random)
 		got = send(client, node.callerProxy.address(), result{
 			id: fmt.Sprintf("%s-again%d", got.begun, try), route: got.route, node: node, key: got.key, model: got.model,
 			begun: got.begun, after: received,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 	sendEndless     = flag.Bool("soak.endless", true, "let targets send bytes without end in some runs")
 	restoreStore    = flag.Bool("soak.restore", true, "restore the store from older copies in some runs")
 	releaseSoftware = flag.Bool("soak.releases", true, "replace targets by such with other software in some runs")
+	stopUnderLoad   = flag.Bool("soak.stops", true, "stop nodes under a load of kept connections in some runs")
 	soakTime        = flag.Duration("soak.time", 8*time.Second, "how long a run injects faults")
 )
 
@@ -104,7 +105,11 @@
 		testbed.runOldKeyCaller(ctx, &callers, rand.New(rand.NewPCG(seed, 4)))
 	}
 	if releases := rand.New(rand.NewPCG(seed, 5)); releases.IntN(2) == 0 && *releaseSoftware {
-		added.Go(func() { testbed.injectReleases(ctx, program, releases, onFault) })
+		testbed.runStreamCallers(ctx, &callers, seed)
+		added.Go(func() { testbed.injectReleases(ctx, program, releases, rand.New(rand.NewPCG(seed, 6)), onFault) })
+	}
+	if stops := rand.New(rand.NewPCG(seed, 7)); stops.IntN(3) == 0 && *stopUnderLoad {
+		added.Go(func() { testbed.injectStops(ctx, program, stops, onFault) })
 	}
 	testbed.injectFaults(ctx, program, faults(), testbed.random, onFault)
 	added.Wait()
@@ -116,7 +121,7 @@
 	testbed.waitRecovered(client, "the end of all faults", oldKey)
 	violations := testbed.check()
 	t.Logf("%d requests, %d runs, %d orders, %d faults", len(testbed.results), len(testbed.recorder.Runs()), testbed.recorder.Orders(), len(injected))
-	t.Log(describeTakeUps(testbed.results))
+	t.Log(testbed.describeTakeUps(testbed.results))
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/internal/soak/software_test.go
+++ b/internal/soak/software_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,17 +18,27 @@
 	// softwareVersions is the number of versions that releases choose from, so that old ones return.
 	softwareVersions = 3
 	maxReleasePause  = 1500 * time.Millisecond
+	// A node may be out of step from up to maxLeadTime before a release, for maxOutOfStep at most.
+	maxLeadTime  = 300 * time.Millisecond
+	maxOutOfStep = 2500 * time.Millisecond
+	// streamCallers is the number of callers that only send streams of one model, so that many are
+	// under way when a version joins.
+	streamCallers = 6
 	// brokenStreams is the largest share of the streams that a target breaks off.
 	brokenStreams = 0.6
 )
 
 // injectReleases replaces model engines by such with other software until the context ends. Some
 // leave before, some crash, and at times all nodes are killed while the last targets of a version
-// leave. It passes the name of each event to onFault.
-func (testbed *testbed) injectReleases(ctx context.Context, program string, random *rand.Rand, onFault func(name string)) {
+// leave. Before some of them a node, drawn from lost, loses touch. It passes the name of each event
+// to onFault.
+func (testbed *testbed) injectReleases(ctx context.Context, program string, random, lost *rand.Rand, onFault func(name string)) {
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(random.Int64N(int64(maxReleasePause))))
+		if lost.IntN(2) == 0 {
+			testbed.loseTouch(&group, lost, onFault)
+		}
 		software := fmt.Sprintf("v%d", random.IntN(softwareVersions))
 		count := 1 + random.IntN(modelTargets)
 		killAll := random.IntN(4) == 0
@@ -67,6 +79,85 @@
 	group.Wait()
 }
 
+// runStreamCallers starts callers in the group that send streams and take them up, until the context
+// ends.
+func (testbed *testbed) runStreamCallers(ctx context.Context, group *sync.WaitGroup, seed uint64) {
+	for index := range streamCallers {
+		random := rand.New(rand.NewPCG(seed, uint64(100+index)))
+		group.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+			defer client.CloseIdleConnections()
+			for count := 0; ctx.Err() == nil; count++ {
+				request := result{
+					id: fmt.Sprintf("s%d-%d", index, count), route: "draft", model: "m0",
+					node: testbed.nodes[random.IntN(len(testbed.nodes))], key: testbed.schoolKey(),
+				}
+				got := send(client, request.node.callerProxy.address(), request, 50)
+				testbed.addResult(got)
+				testbed.takeUp(client, got, 50, random)
+				time.Sleep(time.Duration(random.Int64N(int64(2 * meanCallerPause))))
+			}
+		})
+	}
+}
+
+// loseTouch makes a node stand still, or cuts it off from the store and the other nodes, shortly
+// before a release, so that versions join meanwhile. It waits until the release may begin.
+func (testbed *testbed) loseTouch(group *sync.WaitGroup, random *rand.Rand, onFault func(name string)) {
+	node := testbed.nodes[random.IntN(len(testbed.nodes))]
+	stops, duration := random.IntN(3) == 0, time.Duration(random.Int64N(int64(maxOutOfStep)))
+	onFault(fmt.Sprintf("%s out of step, stopped %t", node.name, stops))
+	begin := func() {
+		node.storeProxy.set(linkCondition{blocked: true}, linkCondition{blocked: true})
+		node.peerProxy.set(linkCondition{blocked: true}, linkCondition{blocked: true})
+	}
+	end := func() {
+		node.storeProxy.set(linkCondition{}, linkCondition{})
+		node.peerProxy.set(linkCondition{}, linkCondition{})
+	}
+	if stops {
+		begin, end = func() { node.signal(syscall.SIGSTOP) }, func() { node.signal(syscall.SIGCONT) }
+	}
+	node.markDisrupted()
+	testbed.setOutOfStep(node, true)
+	begin()
+	group.Go(func() {
+		time.Sleep(duration)
+		end()
+		node.markDisrupted()
+		// What the node has missed reaches it some time later.
+		time.Sleep(maxLeadTime)
+		testbed.setOutOfStep(node, false)
+	})
+	time.Sleep(time.Duration(random.Int64N(int64(maxLeadTime))))
+}
+
+func (testbed *testbed) setOutOfStep(node *node, outOfStep bool) {
+	testbed.lock.Lock()
+	defer testbed.lock.Unlock()
+	if !outOfStep {
+		delete(testbed.outOfStep, node)
+		return
+	}
+	testbed.outOfStep[node] = true
+}
+
+// takeUpNode returns the node at which a caller takes a stream up: often one that is out of step.
+func (testbed *testbed) takeUpNode(random *rand.Rand) *node {
+	chosen := testbed.nodes[random.IntN(len(testbed.nodes))]
+	testbed.lock.Lock()
+	defer testbed.lock.Unlock()
+	for _, node := range testbed.nodes {
+		if testbed.outOfStep[node] && random.IntN(4) > 0 {
+			chosen = node
+		}
+	}
+	if testbed.outOfStep[chosen] {
+		testbed.takeUpsOutOfStep++
+	}
+	return chosen
+}
+
 var writtenBy = regexp.MustCompile(`data: .* by (\S+)`)
 
 // checkSoftware describes the streams with events of several versions of the targets' software, in
@@ -94,7 +185,7 @@
 }
 
 // describeTakeUps tells how many streams were taken up, and how many of them went on.
-func describeTakeUps(results []result) string {
+func (testbed *testbed) describeTakeUps(results []result) string {
 	takeUps, wentOn, unknown := 0, 0, 0
 	for _, result := range results {
 		switch {
@@ -107,5 +198,6 @@
 		}
 		takeUps++
 	}
-	return fmt.Sprintf("%d streams taken up, of which %d went on and %d were refused for their unknown origin", takeUps, wentOn, unknown)
+	return fmt.Sprintf("%d streams taken up, %d at nodes out of step; %d went on and %d were refused for their unknown origin",
+		takeUps, testbed.takeUpsOutOfStep, wentOn, unknown)
 }
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -61,6 +61,10 @@
 	results []result
 	// violations describes the broken promises that neither callers nor targets see.
 	violations []string
+	// outOfStep holds the nodes that may have missed a release, takeUpsOutOfStep counts the streams
+	// that callers take up there.
+	outOfStep        map[*node]bool
+	takeUpsOutOfStep int
 }
 
 // keyLifetime is when the configuration with a key was confirmed, or written again after the
@@ -104,6 +108,7 @@
 	created := &testbed{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), folder: t.TempDir(), bootstrap: true,
 		store: emulator.NewStore(), recorder: emulator.NewRecorder(), keys: map[string]keyLifetime{},
+		outOfStep: map[*node]bool{},
 	}
 	created.rotateKey()
 	// Concurrent runs use different loopback networks.
