--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -110,7 +110,8 @@
 	draining atomic.Bool
 	// refuseWaiting is closed when waiting requests can no longer be served before the process ends.
 	refuseWaiting chan struct{}
-	shutdown      *shutdown.Schedule
+	// stop is the schedule of the node's planned stop.
+	stop *shutdown.Schedule
 	// metricsAddress is where the metrics endpoint listens.
 	metricsAddress string
 }
@@ -120,29 +121,26 @@
 func New(settings platform.Settings, metricsPort string, log logr.Logger) (*Node, error) {
 	dialer := newDialer()
 	node := &Node{
-		settings:      settings,
-		log:           log,
-		incarnation:   uint64(time.Now().UnixNano()),
-		peerAddress:   net.JoinHostPort(settings.IP, strconv.Itoa(settings.Listen.PeerPort)),
-		store:         platform.NewStore(settings.Store.Address, dialer),
-		targets:       registry.New(log),
-		tracker:       balance.New(settings.Zone),
-		ledger:        allowance.New(settings.FirstStart),
-		targetClient:  exchange.New(dialer),
-		answers:       buffer.NewBudget(int64(float64(settings.Limits.MemoryMB) * answerMemoryShare * (1 << 20))),
-		retryBudget:   gateway.NewRetryBudget(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
-		quarantine:    quarantine.New(log),
-		meter:         metric.New(),
-		followers:     map[string]*feed.Follower{},
-		compressor:    gossip.NewCompressor(),
-		limits:        permit.NewLimits(),
-		issuer:        permit.NewIssuer(),
-		probeGate:     &feed.ProbeGate{},
-		refuseWaiting: make(chan struct{}),
-		shutdown: shutdown.New(shutdown.Settings{
-			Grace: settings.Bounds.Grace, Margin: shutdownMargin, Rotation: rotationDelay,
-			Stall: housekeepingInterval + stallThreshold,
-		}, bootClock{}),
+		settings:       settings,
+		log:            log,
+		incarnation:    uint64(time.Now().UnixNano()),
+		peerAddress:    net.JoinHostPort(settings.IP, strconv.Itoa(settings.Listen.PeerPort)),
+		store:          platform.NewStore(settings.Store.Address, dialer),
+		targets:        registry.New(log),
+		tracker:        balance.New(settings.Zone),
+		ledger:         allowance.New(settings.FirstStart),
+		targetClient:   exchange.New(dialer),
+		answers:        buffer.NewBudget(int64(float64(settings.Limits.MemoryMB) * answerMemoryShare * (1 << 20))),
+		retryBudget:    gateway.NewRetryBudget(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
+		quarantine:     quarantine.New(log),
+		meter:          metric.New(),
+		followers:      map[string]*feed.Follower{},
+		compressor:     gossip.NewCompressor(),
+		limits:         permit.NewLimits(),
+		issuer:         permit.NewIssuer(),
+		probeGate:      &feed.ProbeGate{},
+		refuseWaiting:  make(chan struct{}),
+		stop:           newStop(settings.Bounds),
 		metricsAddress: net.JoinHostPort(settings.IP, metricsPort),
 	}
 	node.engines = platform.NewEngines(&http.Transport{
@@ -286,7 +284,7 @@
 		case now := <-ticker.C:
 			previous := swept
 			swept = bootClock{}.Now()
-			node.shutdown.Awake()
+			node.stop.Awake()
 			if delay := swept - previous - housekeepingInterval; delay > stallThreshold {
 				node.log.Info("process held up", "node", node.settings.Node, "delay", delay)
 			}
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -10,6 +10,7 @@
 
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/ingress"
+	"mimosatide.example/mimosatide/internal/shutdown"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -23,6 +24,13 @@
 	leaveShare = 0.5
 )
 
+// newStop returns the schedule of a stop that has not begun.
+func newStop(bounds platform.Bounds) *shutdown.Schedule {
+	return shutdown.New(shutdown.Settings{
+		Grace: bounds.Grace, Margin: shutdownMargin, Rotation: rotationDelay, Stall: housekeepingInterval + stallThreshold,
+	}, bootClock{})
+}
+
 // connectionServer serves the connections of a listener.
 type connectionServer interface {
 	Serve(listener net.Listener) error
@@ -48,7 +56,7 @@
 		Quarantine:    node.quarantine,
 		Meter:         node.meter,
 		Draining:      node.refuseWaiting,
-		EndsBy:        node.shutdown.EndsBy,
+		EndsBy:        node.stop.EndsBy,
 	}, node.log)
 	callers := ingress.New(ingress.Settings{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeader: maxHeaderBytes}, handler)
 	ready := http.NewServeMux()
@@ -87,14 +95,14 @@
 
 // drain stops reporting readiness, waits until the platform sends no more connections,
 // answers the requests in flight and leaves the list of hosts. What callers get depends on
-// the time since its start only: the leases are released meanwhile, and the store may not
+// the time since the signal only: the leases are released meanwhile, and the store may not
 // answer.
 func (node *Node) drain(callers *ingress.Server) {
 	start := time.Now()
-	node.shutdown.Begin()
+	node.stop.Begin()
 	node.draining.Store(true)
 	node.log.Info("node drains", "node", node.settings.Node, "grace", node.settings.Bounds.Grace)
-	drainCtx, cancel := node.shutdown.WithEnd(context.Background(), 1)
+	drainCtx, cancel := node.stop.WithEnd(context.Background(), 1)
 	defer cancel()
 	released := make(chan struct{})
 	go func() {
@@ -102,13 +110,13 @@
 		node.loader.releaseAll(drainCtx)
 	}()
 	callers.CloseIdle()
-	node.shutdown.AwaitRotation()
+	node.stop.AwaitRotation()
 	close(node.refuseWaiting)
 	if err := callers.Finish(drainCtx); err != nil {
 		node.log.Info("connections still open at the end of the grace period", "reason", err.Error())
 	}
 	<-released
-	leaveCtx, cancelLeave := node.shutdown.WithEnd(context.Background(), leaveShare)
+	leaveCtx, cancelLeave := node.stop.WithEnd(context.Background(), leaveShare)
 	defer cancelLeave()
 	node.fleet.leave(leaveCtx)
 	node.log.Info("node drained", "took", time.Since(start))
