--- a/internal/soak/software_test.go
+++ b/internal/soak/software_test.go
@@ -34,6 +34,7 @@
 // to onFault.
 func (testbed *testbed) injectReleases(ctx context.Context, program string, random, lost *rand.Rand, onFault func(name string)) {
 	var group sync.WaitGroup
+	testbed.joinUnseen(&group, lost, onFault)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(random.Int64N(int64(maxReleasePause))))
 		if lost.IntN(2) == 0 {
@@ -101,6 +102,21 @@
 	}
 }
 
+// joinUnseen lets a second version join at once while a node is cut off, which knows one only, and
+// has its targets break off streams that are taken up there.
+func (testbed *testbed) joinUnseen(group *sync.WaitGroup, random *rand.Rand, onFault func(name string)) {
+	testbed.loseTouch(group, random, onFault)
+	for _, target := range testbed.targets[:modelTargets-1] {
+		target.Upgrade("v0")
+		target.Crash()
+		if err := target.Restart(); err != nil {
+			testbed.t.Logf("restart a target: %v", err)
+		}
+		target.SetFailureRates(brokenStreams, 0, 0)
+	}
+	onFault("release v0 while a node is out of step")
+}
+
 // loseTouch makes a node stand still, or cuts it off from the store and the other nodes, shortly
 // before a release, so that versions join meanwhile. It waits until the release may begin.
 func (testbed *testbed) loseTouch(group *sync.WaitGroup, random *rand.Rand, onFault func(name string)) {
