Don't let quarantined contents hide the part that they share

Cause: the crashes under a quarantined content counted as explained for the content's own parts, too. Requests that were sent again crashed two targets each, were quarantined by their content, and the part that they share never got to three crashes.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -183,6 +183,30 @@
 	}
 }
 
+// TestPartIsQuarantinedThoughEachOfItsRequestsIs guards against requests with one deadly part each of
+// which is sent again and crashes a second target: the quarantine of each by its content must not
+// hide what they have in common.
+func TestPartIsQuarantinedThoughEachOfItsRequestsIs(t *testing.T) {
+	tracker := quarantine.New(logr.Discard())
+	crash := uint64(0)
+	for content := range uint64(3) {
+		for range 2 {
+			now := at(float64(crash))
+			tracker.Suspect(crash, request(content, "common", "deadly"), now)
+			tracker.Suspect(crash, request(100+crash, "shared", fmt.Sprint("waiting", crash)), now)
+			tracker.Acquit(request(200+crash, "common", "sound"), now.Add(time.Millisecond))
+			crash++
+		}
+	}
+	now := at(float64(crash))
+	if !held(tracker, now, "other", "deadly") {
+		t.Error("part of six crashes under three requests: got not quarantined, want quarantined")
+	}
+	if held(tracker, now, "common", "sound") || held(tracker, now, "shared", "sound") {
+		t.Error("parts of sound requests: got quarantined, want not")
+	}
+}
+
 // TestPartAtTheStartIsQuarantinedWhateverFollowsIt guards against a quarantine of a part
 // that only follows the deadly one in some of its requests.
 func TestPartAtTheStartIsQuarantinedWhateverFollowsIt(t *testing.T) {
