Mutations for stops, origins and contents in quarantine

The rule on unnamed versions had no test that the tracker keeps it where no other version is left: TestStreamDoesNotBeginAtTheOnlyVersionLeftBeforeItIsNamed. Two checks of the tracker keep the rule there, and the mutation takes out both.

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -312,6 +312,25 @@
 	})
 }
 
+// All targets of the named version are gone. Until the row names the next one another node would take
+// its streams for those of the version before.
+func TestStreamDoesNotBeginAtTheOnlyVersionLeftBeforeItIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		node := platform.start(t, true, "v1")
+		platform.versions.setDown(true)
+		node.set([]string{"v2"}, true)
+		if node.MayBegin("llm", "v2") {
+			t.Error("version without a row: got streams at it, want none")
+		}
+		platform.versions.setDown(false)
+		time.Sleep(2 * time.Second)
+		if !node.MayBegin("llm", "v2") {
+			t.Error("version named: got no streams at it, want them")
+		}
+	})
+}
+
 // While a restarted node can't read the store, streams go on to begin where there is one version only.
 func TestStreamsOfTheOnlyVersionBeginWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -72,5 +72,11 @@
 mutate may-have-run internal/dispatch/run_model.go 's/run\.mayHaveRun = run\.mayHaveRun \|\| /run.mayHaveRun = /' ./internal/dispatch TestRefusalAfterAnUnknownAttempt
 mutate rounds internal/fleet/freshness.go 's/xxhash\.Sum64String\(nonce\) >> 32/xxhash.Sum64String(nonce) >> 63 >> 1/' ./internal/fleet TestReportToAnEarlierProcess
 mutate permit-number internal/permit/desk.go 's/number: rand\.Uint64\(\)/number: rand.Uint64N(1)/' ./internal/permit TestAnswerToAnEarlierProcess
+mutate stop-connection internal/ingress/server.go 's/!opened\.begin\(\)/opened == nil/' ./internal/ingress TestRequestThatIsReadWhileIdleConnectionsCloseIsNotCut
+mutate stop-stall internal/shutdown/schedule.go 's/schedule\.earliest = schedule\.stallBegan/_ = schedule.stallBegan/' ./internal/shutdown TestRequestsAreNotTakenForTheTimeThatASignalWaited
+mutate stop-unsent internal/gateway/serve.go 's/handler\.possibleRuns == 0 && handler\.endsTooSoon\(\)/false/' ./internal/gateway TestTakeUpThatIsNotSentWhenItsNodeDrainsIsNotRun
+mutate origin-restored internal/origin/origin.go 's/!tracker\.restoredAt\.IsZero\(\) && /false \&\& /' ./internal/origin TestRestoredRowIsNotTakenForTheOnlyVersion
+mutate origin-named internal/origin/origin.go 's/\tif state\.read \{/\tif false {/; s/return len\(state\.everNamed\) == 0 \|\| .*/return true/' ./internal/origin TestStreamDoesNotBeginAtTheOnlyVersionLeftBeforeItIsNamed
+mutate quarantine-contents internal/quarantine/judge.go 's/if part\.contents\[content\] \{/if false {/' ./internal/quarantine TestPartIsQuarantinedThoughEachOfItsRequestsIs
 echo "$((ran - survived)) passed, $survived failed"
 [ "$survived" -eq 0 ]
