--- a/cmd/mimosatide/entry_test.go
+++ b/cmd/mimosatide/entry_test.go
@@ -53,34 +53,38 @@
 	}
 }
 
-// TestRequestAfterAFreezeInAStopIsNotCut guards against requests that a process takes by the time
-// since it handled SIGTERM, although the signal waited while the process stood still: they are
-// passed on and cut when the grace period ends.
-func TestRequestAfterAFreezeInAStopIsNotCut(t *testing.T) {
-	const (
-		ip     = "127.0.7.1"
-		freeze = 2 * time.Second
-		grace  = 8 * time.Second
-	)
-	store := emulator.NewStore()
+// slowTarget is a target of the service desk that answers after some time, once it is slow.
+type slowTarget struct {
+	slow, ran atomic.Bool
+}
+
+func (target *slowTarget) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if target.slow.Load() {
+		target.ran.Store(true)
+		select {
+		case <-request.Context().Done():
+		case <-time.After(3500 * time.Millisecond):
+		}
+	}
+	writer.Header().Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+	writer.Header().Set("Response-Signature", "signature")
+}
+
+// start starts the target and writes its row and a configuration with a route to it.
+func (target *slowTarget) start(t *testing.T, store *emulator.Store) {
+	t.Helper()
 	store.Put("op", "config", `{"version":1,"routes":[{"name":"buy","host":"a.example","prefix":"/buy/","kind":"non_idempotent","service":"desk",
 	 "maxAttempts":1,"timeoutMs":8000,"targetLatencyMs":500,"public":true}],"services":[{"name":"desk","maxConns":100}],
 	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`)
-	var slow, ran atomic.Bool
-	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if slow.Load() {
-			ran.Store(true)
-			select {
-			case <-request.Context().Done():
-			case <-time.After(3500 * time.Millisecond):
-			}
-		}
-		writer.Header().Set("Attempt-Id", request.Header.Get("Attempt-Id"))
-		writer.Header().Set("Response-Signature", "signature")
-	}))
-	t.Cleanup(target.Close)
+	server := httptest.NewServer(target)
+	t.Cleanup(server.Close)
 	store.Put("servers", "d-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":6,"state":"ready","born":1}`,
-		strings.TrimPrefix(target.URL, "http://")))
+		strings.TrimPrefix(server.URL, "http://")))
+}
+
+// startEntryNode starts an entry node as a process and returns it with the address for callers.
+func startEntryNode(t *testing.T, store *emulator.Store, ip string, grace time.Duration) (*os.Process, string) {
+	t.Helper()
 	endpoint := store.NewEndpoint("n1")
 	t.Cleanup(endpoint.Close)
 	free, err := emulator.FreeAddresses(ip, 2)
@@ -104,57 +108,79 @@
 		_ = process.Process.Kill()
 		_ = process.Wait()
 	})
-	send := func(id string) (int, error) {
-		request, err := http.NewRequest(http.MethodPost, "http://"+free[0]+"/buy/1", strings.NewReader("one"))
-		if err != nil {
-			t.Fatal(err)
+	return process.Process, free[0]
+}
+
+// sendOrder sends a request that must not run twice over a connection and returns its status.
+func sendOrder(connection net.Conn, id string) (int, error) {
+	_, err := fmt.Fprintf(connection, "POST /buy/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 3\r\n\r\none", id)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, err
+}
+
+// TestRequestAfterAFreezeInAStopIsNotCut guards against requests that a process takes by the time
+// since it handled SIGTERM, although the signal waited while the process stood still: they are
+// passed on and cut when the grace period ends.
+func TestRequestAfterAFreezeInAStopIsNotCut(t *testing.T) {
+	const (
+		freeze = 2 * time.Second
+		grace  = 8 * time.Second
+	)
+	store, target := emulator.NewStore(), &slowTarget{}
+	target.start(t, store)
+	process, callers := startEntryNode(t, store, "127.0.7.1", grace)
+	signal := func(signals ...syscall.Signal) {
+		for _, each := range signals {
+			if err := process.Signal(each); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	dial := func() (net.Conn, error) {
+		opened, err := net.Dial("tcp", callers)
+		if err == nil {
+			t.Cleanup(func() { _ = opened.Close() })
 		}
-		request.Host = "a.example"
-		request.Header.Set("Attempt-Id", id)
-		request.Header.Set("Deadline-Ms", "4000")
-		answer, err := http.DefaultClient.Do(request)
+		return opened, err
+	}
+	served := func() bool {
+		opened, err := dial()
 		if err != nil {
-			return 0, err
+			return false
 		}
-		_, err = io.Copy(io.Discard, answer.Body)
-		_ = answer.Body.Close()
-		return answer.StatusCode, err
-	}
-	status := 0
-	for began := time.Now(); status != http.StatusOK; time.Sleep(50 * time.Millisecond) {
-		if status, err = send("r-1"); time.Since(began) > 10*time.Second {
-			t.Fatalf("request to a started node: got status %d and error %v, want 200", status, err)
+		status, err := sendOrder(opened, "r-1")
+		return err == nil && status == http.StatusOK
+	}
+	for began := time.Now(); !served(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(began) > 10*time.Second {
+			t.Fatal("started node: got no request served, want one")
 		}
 	}
 	// The freeze comes when the process has been seen awake.
 	time.Sleep(time.Second)
-	http.DefaultClient.CloseIdleConnections()
-	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGTERM} {
-		if err := process.Process.Signal(signal); err != nil {
-			t.Fatal(err)
-		}
-	}
-	killed := time.AfterFunc(grace, func() { _ = process.Process.Kill() })
+	signal(syscall.SIGSTOP, syscall.SIGTERM)
+	killed := time.AfterFunc(grace, func() { _ = process.Kill() })
 	t.Cleanup(func() { killed.Stop() })
 	time.Sleep(freeze)
-	if err := process.Process.Signal(syscall.SIGCONT); err != nil {
-		t.Fatal(err)
-	}
-	opened, err := net.Dial("tcp", free[0])
+	signal(syscall.SIGCONT)
+	late, err := dial()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = opened.Close() })
 	time.Sleep(3100 * time.Millisecond)
-	slow.Store(true)
-	if _, err := io.WriteString(opened, "POST /buy/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r-2\r\nDeadline-Ms: 4000\r\nContent-Length: 3\r\n\r\none"); err != nil {
-		t.Fatal(err)
-	}
-	answer, err := http.ReadResponse(bufio.NewReader(opened), nil)
-	if err != nil && ran.Load() {
+	target.slow.Store(true)
+	status, err := sendOrder(late, "r-2")
+	if err != nil && target.ran.Load() {
 		t.Errorf("request that was sent 5 s after SIGTERM: got run and cut (%v), want neither or both", err)
 	}
-	if err == nil && answer.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("request that was sent 5 s after SIGTERM: got status %d, want 503", answer.StatusCode)
+	if err == nil && status != http.StatusServiceUnavailable {
+		t.Errorf("request that was sent 5 s after SIGTERM: got status %d, want 503", status)
 	}
 }
