Let streams go on only at the incarnation whose version is known

What callers saw: a stream held events of two software versions in one answer (ORDER), at a host that was cut off as its target started again under its id and address with another version.

Cause: a host that is out of step keeps the old row of such a target, and sends streams there by the version that the row names.

TestStreamIsNotContinuedByAnotherIncarnation fails without the question: two sends, then a third with status 200, where none was wanted. Before this change there was nothing to ask.

Change: before a stream goes on at an engine, also within an answer, the engine is asked for its report; it must be of the incarnation that the node knows. The answer holds for half a second, as a target that has started again has to load the model first. New streams are not affected.

--- a/instance.go
+++ b/instance.go
@@ -62,6 +62,8 @@
 // InstanceReport is the state of an engine, as the engine reports it to an entry node. It
 // lags behind the actual state.
 type InstanceReport struct {
+	// Born is the start time of the incarnation that reports, by the target's clock.
+	Born     time.Time
 	Holdings []Holding
 	InMemory []string
 	OnDisk   []string
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -50,6 +50,7 @@
 		Ledger:        node.ledger,
 		Answers:       node.answers,
 		Client:        node.targetClient,
+		Engines:       node.engines,
 		Loader:        node.loader,
 		Origins:       node.origins,
 		RetryBudget:   node.retryBudget,
--- a/internal/gateway/copies_stress_test.go
+++ b/internal/gateway/copies_stress_test.go
@@ -234,7 +234,7 @@
 		Deployment: func() *mimosatide.Deployment { return deployment }, DeploymentAge: func() time.Duration { return 0 },
 		MaxDenialAge: time.Second, Targets: known, Tracker: balance.New("a"), Limits: limits,
 		Permits: permit.NewDesk(limits, permit.NewIssuer(), noPeers{}, logr.Discard()), Ledger: allowance.New(true),
-		Client: exchange.New(&net.Dialer{}), Loader: &fakeLoader{}, Origins: &fakeOrigins{known: map[string]string{}, sent: map[string]string{}}, RetryBudget: gateway.NewRetryBudget(4, 100000),
+		Client: exchange.New(&net.Dialer{}), Engines: &fakeEngines{}, Loader: &fakeLoader{}, Origins: &fakeOrigins{known: map[string]string{}, sent: map[string]string{}}, RetryBudget: gateway.NewRetryBudget(4, 100000),
 		Quarantine: quarantine.New(logr.Discard()), Meter: metric.New(), Answers: buffer.NewBudget(16 << 20),
 		Draining: make(chan struct{}), EndsBy: func() (time.Time, bool) { return time.Time{}, false },
 	}, logr.Discard())
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -49,6 +49,7 @@
 	limits  *permit.Limits
 	loader  *fakeLoader
 	origins *fakeOrigins
+	engines *fakeEngines
 	answers *buffer.Budget
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
@@ -131,6 +132,21 @@
 
 func (origins *fakeOrigins) Continues(_, software string) bool { return software != "disputed" }
 
+// fakeEngines reports the incarnations that the registry knows, but for those in born.
+type fakeEngines struct {
+	lock sync.Mutex
+	born map[string]time.Time
+}
+
+func (engines *fakeEngines) Report(_ context.Context, instance mimosatide.Instance) (mimosatide.InstanceReport, error) {
+	engines.lock.Lock()
+	defer engines.lock.Unlock()
+	if born, found := engines.born[instance.ID]; found {
+		return mimosatide.InstanceReport{Born: born}, nil
+	}
+	return mimosatide.InstanceReport{Born: instance.Born}, nil
+}
+
 // noPeers makes the gateway's node the home of all targets.
 type noPeers struct{}
 
@@ -150,6 +166,7 @@
 		limits:   permit.NewLimits(),
 		loader:   &fakeLoader{},
 		origins:  &fakeOrigins{known: map[string]string{}, sent: map[string]string{}},
+		engines:  &fakeEngines{born: map[string]time.Time{}},
 		answers:  buffer.NewBudget(answerMemory),
 		draining: make(chan struct{}),
 	}
@@ -165,6 +182,7 @@
 		Ledger:        created.ledger,
 		Answers:       created.answers,
 		Client:        exchange.New(&net.Dialer{}),
+		Engines:       created.engines,
 		Loader:        created.loader,
 		Origins:       created.origins,
 		RetryBudget:   gateway.NewRetryBudget(0.2, 56),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,12 @@
 	Continues(service, software string) bool
 }
 
+// Engines are asked for their state.
+type Engines interface {
+	// Report returns an engine's report of its state.
+	Report(ctx context.Context, instance mimosatide.Instance) (mimosatide.InstanceReport, error)
+}
+
 // Dependencies are the dependencies of a Gateway.
 type Dependencies struct {
 	// Deployment returns the configuration in force. It returns nil while none is known,
@@ -83,6 +89,7 @@
 	Answers *buffer.Budget
 	// Client sends the requests to the targets.
 	Client      *exchange.Client
+	Engines     Engines
 	Loader      Loader
 	Origins     Origins
 	RetryBudget *RetryBudget
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -3,11 +3,49 @@
 import (
 	"context"
 	"slices"
+	"time"
+
+	"github.com/juju/errors"
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/origin"
 )
 
+const (
+	// incarnationTimeout bounds the question which incarnation a target is.
+	incarnationTimeout = 500 * time.Millisecond
+	// incarnationAge is how long the answer holds: a target that starts again meanwhile holds no
+	// model yet.
+	incarnationAge = 500 * time.Millisecond
+)
+
+// confirmIncarnation checks by a target's own report that it is the incarnation whose version this
+// node knows, before a stream goes on there. A node that is out of step doesn't hear that a target
+// has started again under its ID with another version.
+func (handler *requestHandler) confirmIncarnation(ctx context.Context, instance mimosatide.Instance) error {
+	if !handler.continues || handler.service.Engine == nil || handler.limited(instance) {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	asked := time.Now()
+	report, err := handler.gateway.Engines.Report(bounded, instance)
+	if err != nil {
+		return errors.Annotate(err, "the incarnation that a stream goes on at")
+	}
+	if !report.Born.Equal(instance.Born) {
+		return errors.Errorf("the target has started again at %s, known is its start at %s",
+			report.Born.Format(time.RFC3339Nano), instance.Born.Format(time.RFC3339Nano))
+	}
+	handler.confirmedAt = asked
+	return nil
+}
+
+// isConfirmed reports whether the target's incarnation was confirmed just now, if it has to be.
+func (handler *requestHandler) isConfirmed() bool {
+	return handler.confirmedAt.IsZero() || time.Since(handler.confirmedAt) < incarnationAge
+}
+
 // bindSoftware finds the version that began the stream which the request takes up. A request whose
 // stream's version is not known is refused: its answer could not be told from a joined one.
 func (handler *requestHandler) bindSoftware(ctx context.Context) mimosatide.Refusal {
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"mimosatide.example/mimosatide/internal/loading"
 )
@@ -168,3 +169,26 @@
 		t.Errorf("got response %v, body %q and %d sends, want status 503 and none", response, body, len(fixture.received()))
 	}
 }
+
+// A target has started again under its ID, with another version, and a node that is out of step has
+// not heard of it: neither a stream under way nor one that is taken up may go on there.
+func TestStreamIsNotContinuedByAnotherIncarnation(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.addSoftware("e-1", "v1", true, "m")
+	fixture.addSoftware("e-2", "v1", true, "m")
+	fixture.engines.born["e-1"], fixture.engines.born["e-2"] = time.Now(), time.Now()
+	fixture.send(newChatRequest(fixture, "/resumable/", "m"))
+	if got := len(fixture.received()); got != 1 {
+		t.Errorf("stream that broke off: got %d sends, want that of its begin only", got)
+	}
+	fixture.origins.known["begun"] = "v1"
+	response, body, _ := fixture.send(newTakeUp(fixture, "begun"))
+	if response == nil || response.StatusCode != http.StatusServiceUnavailable || len(fixture.received()) != 1 {
+		t.Errorf("stream that was taken up: got response %v, body %q and %d sends, want status 503 and none more",
+			response, body, len(fixture.received()))
+	}
+	fixture.engines.born = map[string]time.Time{}
+	if response, _, _ := fixture.send(newTakeUp(fixture, "begun")); response == nil || response.StatusCode != http.StatusOK {
+		t.Errorf("stream that was taken up, targets as known: got response %v, want status 200", response)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -76,6 +76,8 @@
 	// have begun, within this answer or another.
 	continues bool
 	software  string
+	// confirmedAt is when the target's incarnation was asked for before a stream goes on there.
+	confirmedAt time.Time
 	// headSent says that the answer to the caller has begun.
 	headSent    bool
 	lastEventID string
@@ -184,6 +186,11 @@
 			Instance: instance.ID, Model: handler.request.Model, Adapter: handler.request.Adapter,
 		})
 	}
+	handler.confirmedAt = time.Time{}
+	if err := handler.confirmIncarnation(ctx, instance); err != nil {
+		handler.inFlight.End(balance.Withdrawn, time.Now())
+		return handler.failSend(ctx, mimosatide.CallNotSent, err.Error())
+	}
 	lastEvent := handler.lastEventID
 	if lastEvent == "" {
 		lastEvent = handler.request.LastEvent
@@ -203,7 +210,9 @@
 		Message:       message,
 		LimitReuse:    !handler.route.Repeatable(),
 		NewConnection: repeated,
-		Permitted:     func() bool { return handler.gateway.permits(instance) && !handler.quarantined() },
+		Permitted: func() bool {
+			return handler.gateway.permits(instance) && !handler.quarantined() && handler.isConfirmed()
+		},
 	})
 	if failure != mimosatide.CallSucceeded {
 		if failure != mimosatide.CallNotSent {
