--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -75,6 +75,7 @@
 mutate stop-connection internal/ingress/server.go 's/!opened\.begin\(\)/opened == nil/' ./internal/ingress TestRequestThatIsReadWhileIdleConnectionsCloseIsNotCut
 mutate stop-stall internal/shutdown/schedule.go 's/schedule\.earliest = schedule\.stallBegan/_ = schedule.stallBegan/' ./internal/shutdown TestRequestsAreNotTakenForTheTimeThatASignalWaited
 mutate stop-unsent internal/gateway/serve.go 's/handler\.possibleRuns == 0 && handler\.endsTooSoon\(\)/false/' ./internal/gateway TestTakeUpThatIsNotSentWhenItsNodeDrainsIsNotRun
+mutate incarnation internal/gateway/resume.go 's/!report\.Born\.Equal\(instance\.Born\)/false/' ./internal/gateway TestStreamIsNotContinuedByAnotherIncarnation
 mutate origin-restored internal/origin/origin.go 's/!tracker\.restoredAt\.IsZero\(\) && /false \&\& /' ./internal/origin TestRestoredRowIsNotTakenForTheOnlyVersion
 mutate origin-named internal/origin/origin.go 's/\tif state\.read \{/\tif false {/; s/return len\(state\.everNamed\) == 0 \|\| .*/return true/' ./internal/origin TestStreamDoesNotBeginAtTheOnlyVersionLeftBeforeItIsNamed
 echo "$((ran - survived)) passed, $survived failed"
