--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -307,6 +307,8 @@
 		platform := newPlatform()
 		node, other := platform.start(t, true, "v1"), platform.start(t, true, "v1")
 		other.stream("a", "v1")
+		// What the nodes do at this instant comes before the version joins.
+		synctest.Wait()
 		node.set([]string{"v1", "v2"}, true)
 		wantOrigin(t, "new version not named yet", node, "a", "v1")
 	})
