Serve evacuations of availability zones and limit cold targets

Cause: nothing read the evacuation's row, nor what targets say of being cold.

Change: the registry keeps the targets of evacuated zones out of every choice, from the row that all hosts follow already; what they held is loaded elsewhere. Cold targets need permits like targets that name a limit; a home that hears a part of the hosts issues that part of the rate.

--- a/deployment.go
+++ b/deployment.go
@@ -102,6 +102,10 @@
 	HealthPath string
 	// MaxConnections bounds the connections of all nodes together to one target.
 	MaxConnections int
+	// ColdTime is how long a target is cold after its start, and ColdRate the number of requests a
+	// second that it bears meanwhile from all nodes together; zero if cold targets bear as many as others.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is nil for a plain service.
 	Engine *EngineClass
 }
--- a/instance.go
+++ b/instance.go
@@ -28,6 +28,15 @@
 	Leaving bool
 	// Remaining is the time until a target that leaves at short notice stops; zero if unknown.
 	Remaining time.Duration
+	// Evacuated says that the operator has the target's availability zone evacuated: it gets no requests.
+	Evacuated bool
+	// ColdLeft is how long the target stays cold, as its row said when it was written. A cold target
+	// bears few requests a second.
+	ColdLeft time.Duration
+	// ColdUntil is until when the target counts as cold by this node's clock, and ReturnedAt when the
+	// evacuation of its zone last ended; zero if there was none.
+	ColdUntil  time.Time
+	ReturnedAt time.Time
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// Orders is the number of orders that this incarnation is known to have accepted.
--- a/internal/entrynode/configuration.go
+++ b/internal/entrynode/configuration.go
@@ -32,7 +32,9 @@
 }
 
 // applyConfiguration puts a new configuration in force; after one that can't be decoded the last one stays.
+// The evacuations come first, since a node serves from its first configuration on.
 func (node *Node) applyConfiguration(update feed.Update) {
+	node.applyEvacuations(update)
 	for _, change := range update.Rows {
 		switch {
 		case change.Key != platform.ConfigurationKey:
@@ -90,6 +92,7 @@
 		limits[name] = allowance.Limit{Rate: account.Rate, Burst: account.Burst}
 	}
 	node.ledger.SetAccounts(limits, time.Now())
+	node.setColdLimits(&deployment)
 	node.loader.configure(&deployment)
 }
 
--- /dev/null
+++ b/internal/entrynode/evacuation.go
@@ -0,0 +1,92 @@
+package entrynode
+
+import (
+	"slices"
+	"time"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/feed"
+	"mimosatide.example/mimosatide/internal/permit"
+	"mimosatide.example/mimosatide/platform"
+)
+
+// applyEvacuations applies the rows of the configuration's table that ask for the evacuation of a zone.
+func (node *Node) applyEvacuations(update feed.Update) {
+	now := time.Now()
+	for _, change := range update.Rows {
+		zone, asked := platform.DecodeEvacuation(change.Key)
+		switch {
+		case !asked:
+		case change.Deleted:
+			node.targets.EndEvacuation(zone, change.Version, update.Restored, now)
+		default:
+			node.targets.Evacuate(zone, change.Version, now)
+		}
+	}
+}
+
+// setColdLimits sets what the cold targets of each service bear, according to a configuration.
+func (node *Node) setColdLimits(deployment *mimosatide.Deployment) {
+	bounds := node.settings.Bounds
+	cold := map[string]permit.ColdLimit{}
+	for name, service := range deployment.Services {
+		if service.ColdRate > 0 {
+			cold[name] = permit.NewColdLimit(service.ColdTime, service.ColdRate, bounds.ColdOverage, bounds.ColdSlack)
+		}
+	}
+	node.limits.SetCold(cold)
+}
+
+// evacuationWatch follows what this node still has in flight at the targets of evacuated zones.
+type evacuationWatch struct {
+	// emptied holds, by zone, the start of the evacuation for which it was logged that nothing is left.
+	emptied map[string]time.Time
+}
+
+// recordEvacuations sets the gauges of evacuated zones and cold targets, and logs once for each
+// evacuation when this node has nothing in flight any more at the zone's targets.
+func (node *Node) recordEvacuations(now time.Time) {
+	evacuations := node.targets.Evacuations()
+	if len(evacuations) > 0 || len(node.evacuations.emptied) > 0 {
+		loads := node.tracker.Loads()
+		emptied := map[string]time.Time{}
+		inFlight := 0
+		for _, evacuation := range evacuations {
+			left := 0
+			for _, target := range evacuation.Targets {
+				left += loads[target].Running
+			}
+			inFlight += left
+			logged := node.evacuations.emptied[evacuation.Zone].Equal(evacuation.Since)
+			if left == 0 && !logged {
+				node.log.Info("zone empty", "zone", evacuation.Zone, "targets", len(evacuation.Targets), "after", now.Sub(evacuation.Since))
+			}
+			if left == 0 || logged {
+				emptied[evacuation.Zone] = evacuation.Since
+			}
+		}
+		node.evacuations.emptied = emptied
+		node.meter.SetGauge("evacuated_requests", float64(inFlight))
+	}
+	node.meter.SetGauge("evacuated_zones", float64(len(evacuations)))
+	node.meter.SetGauge("cold_targets", float64(node.coldTargets(now)))
+}
+
+// coldTargets returns how many targets are limited because they are cold.
+func (node *Node) coldTargets(now time.Time) int {
+	deployment := node.deployment.Load()
+	if deployment == nil {
+		return 0
+	}
+	count, view := 0, node.targets.View()
+	for name, service := range deployment.Services {
+		if service.ColdRate <= 0 {
+			continue
+		}
+		count += len(slices.DeleteFunc(slices.Clone(view.Service(name)), func(instance mimosatide.Instance) bool {
+			bound, limited := node.limits.Bound(instance, now)
+			return !limited || !bound.Shared
+		}))
+	}
+	return count
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -88,6 +88,7 @@
 	deployment atomic.Pointer[mimosatide.Deployment]
 	// configuration is the row from which deployment was decoded.
 	configuration configurationState
+	evacuations   evacuationWatch
 	targets       *registry.Registry
 	tracker       *balance.Tracker
 	ledger        *allowance.Ledger
@@ -260,6 +261,9 @@
 		node.tracker.Pause(engine, now.Add(wishes.Pause), now)
 		node.log.Info("engine asks for a pause", "target", engine.ID, "service", engine.Service, "pause", wishes.Pause)
 	}
+	if wishes.Cold > 0 {
+		node.targets.MarkCold(engine, now.Add(wishes.Cold), now)
+	}
 	if wishes.Rate > 0 && node.limits.Name(engine, wishes.Rate, now) {
 		node.log.Info("target names a limit", "target", engine.ID, "service", engine.Service, "rate", wishes.Rate)
 	}
@@ -294,6 +298,7 @@
 			node.recordPeerMessages()
 			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
 			node.targets.Expire(now)
+			node.recordEvacuations(now)
 			view := node.targets.View()
 			known := func(id string) bool {
 				_, found := view.Instance(id)
--- a/internal/entrynode/permits.go
+++ b/internal/entrynode/permits.go
@@ -28,11 +28,7 @@
 	defer fleet.lock.Unlock()
 	address, highest := fleet.node.peerAddress, xxhash.Sum64String(target+"@"+fleet.node.settings.Node)
 	for name, member := range fleet.members {
-		heard := fleet.lastHeardLocked(member)
-		if member.timeoutStart.After(heard) {
-			heard = member.timeoutStart
-		}
-		if now.Sub(heard) > homeDigestAge || now.Before(fleet.silentUntil[member.address]) {
+		if !fleet.isHeardLocked(member, now) || now.Before(fleet.silentUntil[member.address]) {
 			continue
 		}
 		if weight := xxhash.Sum64String(target + "@" + name); weight > highest {
@@ -42,6 +38,30 @@
 	return address, address == fleet.node.peerAddress
 }
 
+// isHeardLocked reports whether a host sends digests, or has only just come on the list.
+func (fleet *fleet) isHeardLocked(member *member, now time.Time) bool {
+	heard := fleet.lastHeardLocked(member)
+	if member.timeoutStart.After(heard) {
+		heard = member.timeoutStart
+	}
+	return now.Sub(heard) <= homeDigestAge
+}
+
+// Heard returns the part of the hosts on the list that this node hears. The groups of a divided
+// fleet hear parts that add up to 1 at most. It implements permit.Peers.
+func (fleet *fleet) Heard() float64 {
+	now := time.Now()
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	heard := 1
+	for _, member := range fleet.members {
+		if fleet.isHeardLocked(member, now) {
+			heard++
+		}
+	}
+	return float64(heard) / float64(len(fleet.members)+1)
+}
+
 // Ask implements permit.Peers.
 func (fleet *fleet) Ask(address string, number uint64, request permit.Request) {
 	fleet.node.hub.Send(address, gossip.EncodePermitRequest(fleet.node.peerAddress, number, request))
@@ -63,6 +83,6 @@
 	if _, self := node.fleet.Home(request.Target); !self {
 		request.Rate *= deputyShare
 	}
-	verdict := node.issuer.Issue(request, now)
+	verdict := node.permits.Issue(request, now)
 	node.hub.Send(message.From, gossip.EncodePermitResponse(message.Number, verdict))
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -154,6 +154,8 @@
 
 func (noPeers) Ask(string, uint64, permit.Request) {}
 
+func (noPeers) Heard() float64 { return 1 }
+
 func (noPeers) Silent(string) {}
 
 func newFixture(t *testing.T) *fixture {
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -225,9 +225,9 @@
 	}
 }
 
-// limited reports whether a target limits its requests.
+// limited reports whether a target limits its requests, or is cold.
 func (handler *requestHandler) limited(instance mimosatide.Instance) bool {
-	_, limited := handler.gateway.Limits.Rate(instance)
+	_, limited := handler.gateway.Limits.Bound(instance, time.Now())
 	return limited
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -241,11 +241,11 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
-// permits reports whether a target may still be sent requests: its incarnation is known,
-// does not leave and has not asked this node for a pause.
+// permits reports whether a target may still be sent requests: its incarnation is known, does
+// not leave, is in no evacuated zone and has not asked this node for a pause.
 func (gateway *Gateway) permits(instance mimosatide.Instance) bool {
 	known, found := gateway.Targets.View().Instance(instance.ID)
-	return found && !known.Leaving && known.Born.Equal(instance.Born) &&
+	return found && !known.Leaving && !known.Evacuated && known.Born.Equal(instance.Born) &&
 		gateway.Tracker.PausedUntil(instance, time.Now()).IsZero()
 }
 
@@ -261,6 +261,9 @@
 		handler.gateway.log.Info("target asks for a pause", "target", handler.instance.ID, "service", handler.service.Name,
 			"request", handler.request.ID, "pause", wishes.Pause)
 	}
+	if wishes.Cold > 0 {
+		handler.gateway.Targets.MarkCold(handler.instance, now.Add(wishes.Cold), now)
+	}
 	if wishes.Rate > 0 && handler.gateway.Limits.Name(handler.instance, wishes.Rate, now) {
 		handler.gateway.log.Info("target names a limit", "target", handler.instance.ID, "service", handler.service.Name,
 			"request", handler.request.ID, "rate", wishes.Rate)
--- a/internal/gossip/permit.go
+++ b/internal/gossip/permit.go
@@ -49,6 +49,10 @@
 	PatienceMillis int64   `cbor:"6,keyasint,omitempty"`
 	// Spare says that the request has other targets.
 	Spare bool `cbor:"7,keyasint,omitempty"`
+	// AheadMillis and Shared are those of the limit; a node that doesn't know them issues as for
+	// limits that targets name.
+	AheadMillis int64 `cbor:"8,keyasint,omitempty"`
+	Shared      bool  `cbor:"9,keyasint,omitempty"`
 }
 
 // EncodePermitRequest returns the message for a request.
@@ -56,6 +60,7 @@
 	return PermitRequest{
 		From: from, Number: number, Target: request.Target, Born: request.Born.UnixMilli(), Rate: request.Rate,
 		PatienceMillis: request.Patience.Milliseconds(), Spare: request.Spare,
+		AheadMillis: request.Ahead.Milliseconds(), Shared: request.Shared,
 	}
 }
 
@@ -64,6 +69,7 @@
 	return permit.Request{
 		Target: message.Target, Born: time.UnixMilli(message.Born), Rate: message.Rate,
 		Patience: time.Duration(message.PatienceMillis) * time.Millisecond, Spare: message.Spare,
+		Ahead: time.Duration(message.AheadMillis) * time.Millisecond, Shared: message.Shared,
 	}
 }
 
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -40,6 +40,9 @@
 	// maxAbsentShare is the share of the models without a copy at any engine up to which they are
 	// loaded before a request comes.
 	maxAbsentShare = 0.1
+	// displacedIdle is how long a model may have been idle to be loaded elsewhere, before a request
+	// comes, when the zone of its replicas is evacuated: about the time of a load from the weight store.
+	displacedIdle = 8 * time.Second
 	// aheadIdle is how long a model must have been idle to be evicted for one that nobody has
 	// asked for.
 	aheadIdle = 10 * time.Second
@@ -51,6 +54,8 @@
 	reasonWaiting = "Waiting"
 	reasonBusy    = "Busy"
 	reasonAhead   = "Ahead"
+	// reasonDisplaced is that of a model whose replicas are all in evacuated zones.
+	reasonDisplaced = "Displaced"
 )
 
 // Engine is an engine as Plan sees it.
@@ -107,6 +112,8 @@
 	Demand map[string]ModelDemand
 	// Loading counts the loads under way by model.
 	Loading map[string]int
+	// Displaced are the models that engines of evacuated zones hold.
+	Displaced map[string]bool
 	// RemoteLoadsToStart is the number of loads from the weight store that may start now.
 	RemoteLoadsToStart int
 	// LoadAhead allows loads of models that nobody waits for, Quiet says that no request has come
@@ -195,6 +202,26 @@
 	return copied
 }
 
+// displaced returns the models that were in use and have lost all their replicas to the evacuation of
+// a zone, the busiest first. Their next requests are expected soon.
+func (planner *planner) displaced() []string {
+	var models []string
+	for name := range planner.Displaced {
+		demand, known := planner.Demand[name]
+		if known && planner.replicas[name] == 0 && demand.Idle < displacedIdle {
+			models = append(models, name)
+		}
+	}
+	sort.Slice(models, func(i, j int) bool {
+		first, second := planner.Demand[models[i]], planner.Demand[models[j]]
+		if first.PrefillLoad != second.PrefillLoad {
+			return first.PrefillLoad > second.PrefillLoad
+		}
+		return models[i] < models[j]
+	})
+	return models
+}
+
 // busy returns the models that need another replica, the busiest first.
 func (planner *planner) busy() []string {
 	var models []string
@@ -285,6 +312,9 @@
 		planner.place(model, reasonWaiting)
 	}
 	planner.placeBound()
+	for _, model := range planner.displaced() {
+		planner.place(model, reasonDisplaced)
+	}
 	for _, model := range planner.busy() {
 		planner.place(model, reasonBusy)
 	}
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -322,3 +322,19 @@
 		t.Errorf("got steps %+v, want none while e2 is loading m0", steps)
 	}
 }
+
+// TestModelsOfAnEvacuatedZoneAreLoadedElsewhere guards against requests that wait for models in use
+// whose replicas were all in a zone that is evacuated. Requests that wait already come first.
+func TestModelsOfAnEvacuatedZoneAreLoadedElsewhere(t *testing.T) {
+	engines := []loading.Engine{engine("e0"), engine("e1"), engine("e2", "m3")}
+	demand := map[string]loading.ModelDemand{
+		"m0": waiting, "m1": {PrefillLoad: 0.2}, "m2": {PrefillLoad: 0.1}, "m3": {PrefillLoad: 0.1}, "m4": {Idle: time.Minute},
+	}
+	input := snapshot(engines, demand)
+	input.RemoteLoadsToStart = 2
+	input.Displaced = map[string]bool{"m1": true, "m2": true, "m3": true, "m4": true}
+	steps := loading.Plan(input)
+	if len(steps) != 2 || steps[0].Model != "m0" || steps[1].Model != "m1" {
+		t.Errorf("got steps %+v, want m0, which requests wait for, then m1, the busiest without a replica", steps)
+	}
+}
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -1,5 +1,5 @@
-// Package permit keeps the limits that targets name in their answers: the requests a second
-// that a target takes from all nodes together.
+// Package permit keeps the limits that targets name in their answers, and those of cold targets:
+// the requests a second that a target takes from all nodes together.
 //
 // Each target has a home, one of the nodes, chosen by rendezvous hashing over those that
 // are alive. The home issues the permits to send a request to the target at the target's
@@ -35,6 +35,8 @@
 type Peers interface {
 	// Home returns the peer address of a target's home, and whether it is this node.
 	Home(target string) (address string, self bool)
+	// Heard returns the part of the nodes, from 0 to 1, that this node hears, itself included.
+	Heard() float64
 	// Ask sends a request to a home; Desk.Deliver takes the answer with the same number.
 	Ask(address string, number uint64, request Request)
 	// Silent tells that a home has not answered.
@@ -67,18 +69,28 @@
 // at once. A granted request has to wait for Verdict.Wait, which is at most patience; see
 // Request for spare.
 func (desk *Desk) Acquire(ctx context.Context, instance mimosatide.Instance, patience time.Duration, spare bool) Verdict {
-	rate, limited := desk.limits.Rate(instance)
+	bound, limited := desk.limits.Bound(instance, time.Now())
 	if !limited {
 		return Verdict{Granted: true}
 	}
-	request := Request{Target: instance.ID, Born: instance.Born, Rate: rate, Patience: patience, Spare: spare}
+	request := Request{
+		Target: instance.ID, Born: instance.Born, Rate: bound.Rate, Ahead: bound.Ahead, Shared: bound.Shared, Patience: patience, Spare: spare,
+	}
 	address, self := desk.peers.Home(instance.ID)
 	if self {
-		return desk.issuer.Issue(request, time.Now())
+		return desk.Issue(request, time.Now())
 	}
 	return desk.ask(ctx, address, request)
 }
 
+// Issue answers a request as the home of its target.
+func (desk *Desk) Issue(request Request, now time.Time) Verdict {
+	if request.Shared {
+		request.Rate *= desk.peers.Heard()
+	}
+	return desk.issuer.Issue(request, now)
+}
+
 func (desk *Desk) ask(ctx context.Context, address string, request Request) Verdict {
 	answer := make(chan Verdict, 1)
 	desk.lock.Lock()
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -19,6 +19,9 @@
 	Born time.Time
 	// Rate is the target's limit as the asking node knows it, in requests a second.
 	Rate float64
+	// Ahead and Shared are those of the limit's Bound.
+	Ahead  time.Duration
+	Shared bool
 	// Patience is how long the request may wait for its turn.
 	Patience time.Duration
 	// Spare asks for a permit only if none has been issued ahead of time, because the
@@ -54,7 +57,7 @@
 }
 
 // Issue grants a permit if the request's turn comes within its patience. It issues
-// Request.Rate permits a second, and at most burstTime of them ahead of time.
+// Request.Rate permits a second, and at most Request.Ahead of them ahead of time.
 func (issuer *Issuer) Issue(request Request, now time.Time) Verdict {
 	if request.Rate <= 0 {
 		return Verdict{Granted: true}
@@ -69,6 +72,9 @@
 		kept = schedule{born: request.Born, next: now}
 	}
 	ahead := burstTime
+	if request.Ahead > 0 {
+		ahead = min(request.Ahead, burstTime)
+	}
 	if request.Spare {
 		ahead = 0
 	}
--- a/internal/permit/limits.go
+++ b/internal/permit/limits.go
@@ -37,10 +37,12 @@
 }
 
 // Limits holds the limits that targets name, according to their answers to this node and
-// to its peers. It is safe for concurrent use.
+// to its peers, and those of cold targets. It is safe for concurrent use.
 type Limits struct {
 	lock     sync.Mutex
 	byTarget map[string]knownLimit
+	// cold holds the limit of cold targets by service.
+	cold map[string]ColdLimit
 }
 
 // NewLimits returns an empty set of limits.
@@ -48,6 +50,31 @@
 	return &Limits{byTarget: map[string]knownLimit{}}
 }
 
+// SetCold sets the limits of the cold targets of each service; others bear as much when they are cold.
+func (limits *Limits) SetCold(cold map[string]ColdLimit) {
+	limits.lock.Lock()
+	defer limits.lock.Unlock()
+	limits.cold = cold
+}
+
+// Bound returns the limit that binds the requests to a target now, named or because it is cold, and
+// false if there is none.
+func (limits *Limits) Bound(instance mimosatide.Instance, now time.Time) (Bound, bool) {
+	rate, named := limits.Rate(instance)
+	limits.lock.Lock()
+	cold := limits.cold[instance.Service]
+	limits.lock.Unlock()
+	bound := Bound{Rate: rate}
+	if !cold.appliesTo(instance, now) {
+		return bound, named
+	}
+	bound.Ahead, bound.Shared = cold.Ahead, true
+	if !named || cold.Rate < rate {
+		bound.Rate = cold.Rate
+	}
+	return bound, true
+}
+
 // Name records that an answer has named a limit. It returns true if the limit is new.
 func (limits *Limits) Name(instance mimosatide.Instance, rate float64, now time.Time) bool {
 	limits.lock.Lock()
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -131,6 +131,8 @@
 	issuers map[string]*permit.Issuer
 	silent  map[string]bool
 	delay   time.Duration
+	// sides holds the side of each node of a divided network; nil if it isn't divided.
+	sides map[string]int
 }
 
 type endpoint struct {
@@ -149,14 +151,31 @@
 	return endpoint.node, true
 }
 
+// Heard implements permit.Peers: a node hears the nodes of its side.
+func (endpoint endpoint) Heard() float64 {
+	endpoint.network.lock.Lock()
+	defer endpoint.network.lock.Unlock()
+	if endpoint.network.sides == nil {
+		return 1
+	}
+	heard := 0
+	for _, side := range endpoint.network.sides {
+		if side == endpoint.network.sides[endpoint.node] {
+			heard++
+		}
+	}
+	return float64(heard) / float64(len(endpoint.network.sides))
+}
+
 func (endpoint endpoint) Ask(address string, number uint64, request permit.Request) {
 	go func() {
 		time.Sleep(endpoint.network.delay)
 		endpoint.network.lock.Lock()
-		issuer, desk := endpoint.network.issuers[address], endpoint.network.desks[endpoint.node]
+		_, alive := endpoint.network.issuers[address]
+		home, desk := endpoint.network.desks[address], endpoint.network.desks[endpoint.node]
 		endpoint.network.lock.Unlock()
-		if issuer != nil {
-			desk.Deliver(number, issuer.Issue(request, time.Now()))
+		if alive {
+			desk.Deliver(number, home.Issue(request, time.Now()))
 		}
 	}()
 }
@@ -253,6 +272,8 @@
 
 func (home homeElsewhere) Ask(_ string, number uint64, _ permit.Request) { home.asked <- number }
 
+func (homeElsewhere) Heard() float64 { return 1 }
+
 func (homeElsewhere) Silent(string) {}
 
 // TestAnswerToAnEarlierProcessIsNoPermit guards against a permit that a home issued for a
--- /dev/null
+++ b/internal/registry/evacuation_test.go
@@ -0,0 +1,106 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/registry"
+)
+
+func targetIn(id, zone string) mimosatide.Instance {
+	return mimosatide.Instance{ID: id, Service: "llm", Zone: zone, Address: id + ":1", Slots: 4, Born: time.UnixMilli(7)}
+}
+
+// listed returns the ids of the targets that may be sent requests.
+func listed(targets *registry.Registry) string {
+	list := ""
+	for _, target := range targets.View().Service("llm") {
+		list += target.ID + " "
+	}
+	return list
+}
+
+// TestEvacuatedZoneGetsNothing guards against requests at targets of an evacuated zone: those known
+// before, those that join it later, and in two zones at once.
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	for _, target := range []mimosatide.Instance{targetIn("a1", "a"), targetIn("b1", "b"), targetIn("c1", "c")} {
+		targets.Put(target)
+	}
+	changed := targets.Changed()
+	targets.Evacuate("b", 1, now)
+	select {
+	case <-changed:
+	default:
+		t.Error("got requests that wait not woken, want them to choose again")
+	}
+	targets.Put(targetIn("b2", "b"))
+	if got := listed(targets); got != "a1 c1 " {
+		t.Errorf("b evacuated: got %q, want a1 and c1", got)
+	}
+	if known, _ := targets.View().Instance("b1"); !known.Evacuated {
+		t.Error("got b1 not marked, want the check before a send to see the evacuation")
+	}
+	targets.Evacuate("a", 2, now)
+	targets.Evacuate("c", 3, now)
+	if got := listed(targets); got != "" {
+		t.Errorf("all zones evacuated: got %q, want none", got)
+	}
+	targets.EndEvacuation("c", 4, false, now)
+	targets.EndEvacuation("d", 5, false, now)
+	if got := listed(targets); got != "c1 " {
+		t.Errorf("c taken back: got %q, want c1", got)
+	}
+	if known, _ := targets.View().Instance("c1"); !known.ReturnedAt.Equal(now) {
+		t.Errorf("c1 returned at %v, want %v: it may be cold", known.ReturnedAt, now)
+	}
+	if got := targets.View().Evacuated("llm"); len(got) != 3 {
+		t.Errorf("targets of evacuated zones: got %d, want 3", len(got))
+	}
+}
+
+// TestEvacuationOutlastsARestore guards against requests at an evacuated zone because the store was
+// restored to a copy from before the evacuation, and against an evacuation that never ends.
+func TestEvacuationOutlastsARestore(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	targets.Put(targetIn("b1", "b"))
+	targets.Evacuate("b", 1, now)
+	targets.EndEvacuation("b", 2, true, now)
+	targets.Expire(now.Add(5 * time.Second))
+	if got := listed(targets); got != "" {
+		t.Errorf("5 s after the restore: got %q, want none", got)
+	}
+	targets.Evacuate("b", 3, now.Add(6*time.Second))
+	targets.Expire(now.Add(time.Minute))
+	if got := listed(targets); got != "" {
+		t.Errorf("written again: got %q, want none", got)
+	}
+	targets.EndEvacuation("b", 4, true, now.Add(time.Minute))
+	targets.Expire(now.Add(2 * time.Minute))
+	if got := listed(targets); got != "b1 " {
+		t.Errorf("not written again: got %q, want b1", got)
+	}
+}
+
+// TestColdWordOfAnEarlierIncarnationIsIgnored guards against a limit on a target that has started anew
+// and is warm, and against one that a late row ends early.
+func TestColdWordOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	cold := targetIn("a1", "a")
+	cold.ColdLeft = 3 * time.Second
+	targets.Put(cold)
+	targets.Put(targetIn("a1", "a"))
+	if known, _ := targets.View().Instance("a1"); known.ColdUntil.Before(now.Add(2 * time.Second)) {
+		t.Errorf("after a late row: got cold until %v, want about %v", known.ColdUntil, now.Add(3*time.Second))
+	}
+	anew := targetIn("a1", "a")
+	anew.Born = anew.Born.Add(time.Second)
+	targets.Put(anew)
+	targets.MarkCold(cold, now.Add(time.Hour), now)
+	if known, _ := targets.View().Instance("a1"); !known.ColdUntil.IsZero() && known.Born.Equal(anew.Born) {
+		t.Errorf("new incarnation: got cold until %v, want warm", known.ColdUntil)
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -63,10 +63,19 @@
 // View is an immutable snapshot of all targets.
 type View struct {
 	services map[string][]mimosatide.Instance
-	byID     map[string]*mimosatide.Instance
+	// evacuated holds the targets of each service that only the evacuation of their zone keeps from requests.
+	evacuated map[string][]mimosatide.Instance
+	byID      map[string]*mimosatide.Instance
 }
 
-// Service returns the targets of a service that are not leaving, sorted by id.
+// Evacuated returns the targets of a service that are not leaving, but whose zone is evacuated,
+// sorted by id.
+func (view *View) Evacuated(service string) []mimosatide.Instance {
+	return view.evacuated[service]
+}
+
+// Service returns the targets of a service that may be sent requests, sorted by id: they are not
+// leaving, and their zone is not evacuated.
 func (view *View) Service(name string) []mimosatide.Instance {
 	return view.services[name]
 }
@@ -113,7 +122,12 @@
 	heldBack map[string]time.Time
 	// disputed are the targets whose incarnation has named two versions of its software.
 	disputed map[string]bool
-	changed  chan struct{}
+	// cold holds, by target, until when an incarnation counts as cold.
+	cold map[string]coldMark
+	// evacuations holds the evacuated availability zones, returns when the evacuation of a zone ended.
+	evacuations map[string]evacuation
+	returns     map[string]time.Time
+	changed     chan struct{}
 }
 
 // pendingRemoval is the deletion of a row that may only be an effect of an outage of
@@ -143,6 +157,9 @@
 		removed:     map[string]removedMark{},
 		heldBack:    map[string]time.Time{},
 		disputed:    map[string]bool{},
+		cold:        map[string]coldMark{},
+		evacuations: map[string]evacuation{},
+		returns:     map[string]time.Time{},
 		changed:     make(chan struct{}),
 	}
 	return registry
@@ -215,6 +232,10 @@
 	delete(registry.removed, instance.ID)
 	delete(registry.heldBack, instance.ID)
 	registry.instances[instance.ID] = instance
+	if instance.ColdLeft > 0 {
+		now := time.Now()
+		registry.markColdLocked(instance, now.Add(instance.ColdLeft), now)
+	}
 	if mark, marked := registry.leaving[instance.ID]; marked && instance.Born.After(mark.born) {
 		delete(registry.leaving, instance.ID)
 	}
@@ -270,6 +291,8 @@
 	registry.expireLeaving(now)
 	expired := registry.expireRefutations(now)
 	expired = registry.expireRemoved(now) || expired
+	expired = registry.expireEvacuations(now) || expired
+	registry.expireCold(now)
 	for id, removal := range registry.removals {
 		if now.After(removal.until) {
 			registry.remove(id)
@@ -366,6 +389,7 @@
 	registry.removed[id] = removedMark{born: registry.instances[id].Born, at: time.Now()}
 	delete(registry.heldBack, id)
 	delete(registry.disputed, id)
+	delete(registry.cold, id)
 	delete(registry.instances, id)
 	delete(registry.reported, id)
 	delete(registry.removals, id)
@@ -382,14 +406,24 @@
 func (registry *Registry) buildView() *View {
 	now := time.Now()
 	view := &View{
-		services: map[string][]mimosatide.Instance{},
-		byID:     make(map[string]*mimosatide.Instance, len(registry.instances)),
+		services:  map[string][]mimosatide.Instance{},
+		evacuated: map[string][]mimosatide.Instance{},
+		byID:      make(map[string]*mimosatide.Instance, len(registry.instances)),
 	}
 	for _, id := range slices.Sorted(maps.Keys(registry.instances)) {
 		instance := registry.effective(registry.instances[id], now)
 		instance.Leaving = registry.isLeaving(instance)
+		_, instance.Evacuated = registry.evacuations[instance.Zone]
+		instance.ReturnedAt = registry.returns[instance.Zone]
+		if mark := registry.cold[id]; mark.born.Equal(instance.Born) {
+			instance.ColdUntil = mark.until
+		}
 		view.byID[id] = &instance
-		if !instance.Leaving {
+		switch {
+		case instance.Leaving:
+		case instance.Evacuated:
+			view.evacuated[instance.Service] = append(view.evacuated[instance.Service], instance)
+		default:
 			view.services[instance.Service] = append(view.services[instance.Service], instance)
 		}
 	}
