Share a contended account's rate by what its requests cost, and count debts of idle nodes

Cause: what accrued at a host while its copy of the bucket was full made up for what the others spent later, if the host was not asked meanwhile; and each host granted all that its copy held before it heard of the others. After a restart each host refused most requests until it had heard of its peers.

Change: buckets are refilled before each debit; hosts report what they refuse beside what they grant, so that all know the demand. Beyond the rate, light requests come first and the others get the rest by lot. A node that has only just started lets requests wait for its peers for up to a quarter of their time.

--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -17,6 +17,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,6 +39,9 @@
 	// lateDigestTime is how long after a digest one of an earlier process may still arrive.
 	// Later on it is of a process whose clock was set back.
 	lateDigestTime = time.Second
+	// settlingTime is how long after its start a node may not have heard of its peers: it counts only its
+	// own share of each rate, and its buckets start empty.
+	settlingTime = 2 * time.Second
 	// defaultDigestInterval applies until SetPeers is called.
 	defaultDigestInterval = 200 * time.Millisecond
 )
@@ -49,8 +53,14 @@
 }
 
 type bucket struct {
+	createdAt time.Time
+	// limit is the account's, as last known.
+	limit    Limit
 	level    float64
 	filledAt time.Time
+	// overflow is what has accrued in the last digest interval while the bucket was full. It makes up
+	// for what peers spent in that time and report only now.
+	overflow float64
 	// unreported is what this node has spent since its last digest.
 	unreported float64
 	// reported is what this node's last digest reported for the first time.
@@ -60,6 +70,16 @@
 	// peers over the same period is known too.
 	own   float64
 	fleet float64
+	contention
+}
+
+// debit takes what peers have spent, in whole tokens.
+func (bucket *bucket) debit(tokens float64) {
+	covered := math.Floor(max(min(bucket.overflow, tokens), 0))
+	bucket.overflow -= covered
+	bucket.level -= tokens - covered
+	bucket.fleet += tokens
+	bucket.spent += tokens
 }
 
 // markReported moves this node's spending forward by one digest.
@@ -70,14 +90,22 @@
 	bucket.unreported = 0
 }
 
-// refill adds the tokens that have accrued and decays the moving averages.
-func (bucket *bucket) refill(limit Limit, fraction float64, now time.Time) {
+// refill adds the tokens that have accrued and decays the moving averages. It has to be called before
+// each change of the level: what accrues while the bucket is full must not make up for what is spent later.
+func (bucket *bucket) refill(fraction float64, interval time.Duration, now time.Time) {
 	elapsed := now.Sub(bucket.filledAt)
-	bucket.level = min(bucket.level+limit.Rate*fraction*elapsed.Seconds(), limit.Burst*fraction)
+	if elapsed <= 0 {
+		return
+	}
+	rate, full := bucket.limit.Rate*fraction, bucket.limit.Burst*fraction
+	filled := bucket.level + rate*elapsed.Seconds()
+	bucket.level = min(filled, full)
+	bucket.overflow = min(bucket.overflow+max(filled-full, 0), rate*interval.Seconds())
 	bucket.filledAt = now
 	decay := math.Exp(-elapsed.Seconds() / usageTimeConstant.Seconds())
 	bucket.own *= decay
 	bucket.fleet *= decay
+	bucket.contention.decay(elapsed)
 }
 
 type peer struct {
@@ -116,6 +144,9 @@
 	spent          map[string]float64
 	peers          map[string]*peer
 	zones          map[string]*zonePeer
+	sizes          requestSizes
+	// fraction is the last result of reachableFraction.
+	fraction float64
 }
 
 // New returns a ledger without peers. startFull makes new buckets start full; set
@@ -125,6 +156,7 @@
 	return &Ledger{
 		startFull:      startFull,
 		digestInterval: defaultDigestInterval,
+		fraction:       1,
 		buckets:        map[string]*bucket{},
 		spent:          map[string]float64{},
 		peers:          map[string]*peer{},
@@ -178,16 +210,24 @@
 	known.lastSeen = now
 	changes := known.apply(spent, complete)
 	if !covered {
-		ledger.debit(changes)
+		ledger.debit(changes, now)
 	}
 }
 
 // debit takes what peers have spent from the buckets.
-func (ledger *Ledger) debit(spent map[string]float64) {
-	for account, more := range spent {
-		if held, found := ledger.buckets[account]; found {
-			held.level -= more
-			held.fleet += more
+func (ledger *Ledger) debit(spent map[string]float64, now time.Time) {
+	for name, more := range spent {
+		account, refused := strings.CutSuffix(name, refusedSuffix)
+		held, found := ledger.buckets[account]
+		if !found {
+			continue
+		}
+		held.refill(ledger.fraction, ledger.digestInterval, now)
+		switch {
+		case refused:
+			held.refused += more
+		default:
+			held.debit(more)
 		}
 	}
 }
@@ -202,33 +242,78 @@
 	// Fraction is the fraction of the rate, from 0 to 1, that is available to this node and its
 	// reachable peers.
 	Fraction float64
+	// Settling says that the node has only just started, so that it may soon grant what it refuses now.
+	Settling bool
 }
 
 // Spend takes tokens from an account's bucket if there are enough. A request for
 // more than a full bucket is granted when the bucket is full. A limit without a
 // rate grants everything.
 func (ledger *Ledger) Spend(account string, limit Limit, tokens float64, now time.Time) Verdict {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	return ledger.spend(account, limit, tokens, now)
+}
+
+// Admit is Spend for the requests of callers. While the account asks for more than its limit, small
+// requests come first, and the larger ones get their part by lot: draw is a random number from 0 to 1.
+func (ledger *Ledger) Admit(account string, limit Limit, tokens, draw float64, now time.Time) Verdict {
 	if limit.Rate <= 0 {
 		return Verdict{Granted: true, Fraction: 1}
 	}
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
+	held, found := ledger.buckets[account]
+	if !found {
+		held = ledger.newBucket(account, limit, now)
+	}
+	fraction := ledger.reachableFraction(now)
+	held.limit = limit
+	held.refill(fraction, ledger.digestInterval, now)
+	available, horizon := limit.scaled(fraction), horizonDigests*ledger.digestInterval
+	asked := request{tokens: tokens, light: ledger.sizes.record(tokens, now), draw: draw}
+	verdict := Verdict{Level: held.level, Fraction: fraction}
+	verdict.Wait = held.admit(available, asked, held.level, ledger.sizes.lightPart(), horizon)
+	if verdict.Wait == 0 {
+		verdict = ledger.spend(account, limit, tokens, now)
+		if verdict.Granted {
+			return verdict
+		}
+		verdict.Wait += held.spread(available, draw, horizon)
+	}
+	verdict.Settling = !ledger.startFull && now.Sub(held.createdAt) < settlingTime
+	held.refused += tokens
+	ledger.spent[account+refusedSuffix] += tokens
+	return verdict
+}
+
+// scaled returns the part of the limit that is available to this node and its reachable peers.
+func (limit Limit) scaled(fraction float64) Limit {
+	return Limit{Rate: limit.Rate * fraction, Burst: limit.Burst * fraction}
+}
+
+func (ledger *Ledger) spend(account string, limit Limit, tokens float64, now time.Time) Verdict {
+	if limit.Rate <= 0 {
+		return Verdict{Granted: true, Fraction: 1}
+	}
 	fraction := ledger.reachableFraction(now)
 	held, found := ledger.buckets[account]
 	if !found {
 		held = ledger.newBucket(account, limit, now)
 	}
-	held.refill(limit, fraction, now)
+	held.limit = limit
+	held.refill(fraction, ledger.digestInterval, now)
 	if budget := ledger.digestBudget(held, limit, fraction); held.unreported > 0 && held.unreported+tokens > budget {
 		return Verdict{Wait: ledger.digestInterval, Level: held.level, Fraction: fraction}
 	}
-	if held.level < tokens && held.level < limit.Burst*fraction {
-		missing := min(tokens, limit.Burst*fraction) - held.level
+	if needed := min(tokens, limit.Burst*fraction); held.level < needed {
+		missing := needed - held.level
 		wait := time.Duration(missing / (limit.Rate * fraction) * float64(time.Second))
 		return Verdict{Wait: wait, Level: held.level, Fraction: fraction}
 	}
 	verdict := Verdict{Granted: true, Level: held.level, Fraction: fraction}
 	held.level -= tokens
+	held.spent += tokens
 	held.unreported += tokens
 	ledger.spent[account] += tokens
 	return verdict
@@ -241,14 +326,17 @@
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	for account, limit := range limits {
-		if _, found := ledger.buckets[account]; !found && limit.Rate > 0 {
+		if held, found := ledger.buckets[account]; found {
+			held.refill(ledger.fraction, ledger.digestInterval, now)
+			held.limit = limit
+		} else if limit.Rate > 0 {
 			ledger.newBucket(account, limit, now)
 		}
 	}
 }
 
 func (ledger *Ledger) newBucket(account string, limit Limit, now time.Time) *bucket {
-	created := &bucket{filledAt: now}
+	created := &bucket{limit: limit, createdAt: now, filledAt: now}
 	if ledger.startFull {
 		created.level = limit.Burst
 	}
@@ -315,5 +403,6 @@
 	for _, known := range ledger.zones {
 		reachable += known.reachable(now, peerTimeoutDigests*ledger.digestInterval)
 	}
-	return float64(reachable) / float64(ledger.size())
+	ledger.fraction = float64(reachable) / float64(ledger.size())
+	return ledger.fraction
 }
--- a/internal/allowance/zone.go
+++ b/internal/allowance/zone.go
@@ -83,7 +83,7 @@
 	known.unreachable = false
 	reported.lastSeen = now
 	if changes := reported.apply(spent, true); !covered {
-		ledger.debit(changes)
+		ledger.debit(changes, now)
 	}
 	for other, last := range known.sources {
 		if now.Sub(last.lastSeen) > sourceLifetime {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +19,15 @@
 	lowestPriority  = 9
 )
 
+// The wait for an account's tokens on a node that has only just started. Its peers are heard within about
+// half a second.
+const (
+	settlingWait = time.Second
+	// settlingShare is the share of the time until its deadline for which a request waits at most.
+	settlingShare = 0.25
+	settlingPoll  = 50 * time.Millisecond
+)
+
 // resolve determines the request's route, the account of its key and its service.
 func (handler *requestHandler) resolve(deployment *mimosatide.Deployment) mimosatide.Refusal {
 	request := handler.request
@@ -81,15 +93,25 @@
 	return route.Services[len(route.Services)-1].Service
 }
 
-// admit charges the request's tokens to its account. A request without an account is free.
-func (handler *requestHandler) admit() mimosatide.Refusal {
+// admit charges the request's tokens to its account. A request without an account is free. On a node
+// that has only just started, a request waits for its account's tokens instead of being refused.
+func (handler *requestHandler) admit(ctx context.Context) mimosatide.Refusal {
 	account := handler.account
 	if account.Name == "" {
 		return mimosatide.Refusal{}
 	}
 	tokens := handler.request.Tokens(account.TokensPerCall)
 	limit := allowance.Limit{Rate: account.Rate, Burst: account.Burst}
-	verdict := handler.gateway.Ledger.Spend(account.Name, limit, tokens, handler.arrived)
+	verdict := handler.gateway.Ledger.Admit(account.Name, limit, tokens, rand.Float64(), handler.arrived)
+	until := handler.arrived.Add(min(settlingWait, time.Duration(float64(handler.deadline.Sub(handler.arrived))*settlingShare)))
+	for !verdict.Granted && verdict.Settling && time.Now().Before(until) {
+		if !handler.wait(ctx, nil, settlingPoll) {
+			return handler.waitRefusal(ctx)
+		}
+		settling := verdict.Settling
+		verdict = handler.gateway.Ledger.Spend(account.Name, limit, tokens, time.Now())
+		verdict.Settling = settling
+	}
 	if !verdict.Granted {
 		detail := fmt.Sprintf("%.0f tokens asked, %.0f left of a rate of %.0f and a burst of %.0f; this node's side may spend %.2f of it",
 			tokens, verdict.Level, account.Rate, account.Burst, verdict.Fraction)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,7 +155,7 @@
 		handler.refuse(drainRefusal())
 		return
 	}
-	if refusal := handler.admit(); refusal.Refused() {
+	if refusal := handler.admit(ctx); refusal.Refused() {
 		handler.refuse(refusal)
 		return
 	}
