Choose targets by their pace

A choice estimated the time of all targets by the same constants, so that a target at half of the usual speed got as many requests as the others. The work in flight and the own prompt now count with the target's factor; the times from the send to the first event, or to the whole answer of a plain service, teach it. With a factor of 1 all costs are as before. Two gauges and two log lines show slow targets.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/pace"
 )
 
 // The cost terms of a choice, each as expected time to the first byte.
@@ -90,6 +91,7 @@
 	defer tracker.lock.Unlock()
 	preferred := rendezvousTarget(query.affinityKey(), candidates)
 	untried := slices.ContainsFunc(candidates, func(candidate mimosatide.Instance) bool { return !query.Tried[candidate.ID] })
+	tracker.expirePeers(now)
 	best, least := -1, time.Duration(0)
 	for index, candidate := range candidates {
 		if untried && query.Tried[candidate.ID] {
@@ -106,9 +108,10 @@
 	return candidates[best], least, true
 }
 
+// cost returns the cost of a candidate, by the loads of the peers that Choose has left.
 func (tracker *Tracker) cost(query Query, candidate mimosatide.Instance, preferred bool, now time.Time) time.Duration {
 	state := tracker.state(candidate.ID)
-	load := tracker.total(candidate.ID, now)
+	load := state.load.plus(tracker.peerSums[candidate.ID])
 	cost := time.Duration(state.failureRateAt(now) * float64(failureCost))
 	if now.Before(state.backoffUntil) {
 		cost += failureCost + state.backoffUntil.Sub(now)
@@ -119,23 +122,35 @@
 	if query.Limited != nil && query.Limited(candidate) {
 		cost += limitedCost
 	}
+	factor := tracker.pace.Factor(paceTarget(candidate), now)
 	if !query.Engine {
-		return cost + time.Duration(load.Running)*slotCost/time.Duration(max(candidate.Slots, 1))
+		return cost + atPace(time.Duration(load.Running)*slotCost/time.Duration(max(candidate.Slots, 1)), factor)
 	}
-	cost += load.Prefill + time.Duration(load.Running)*runningCost + query.expectedPrefill(state)
+	work := load.Prefill + time.Duration(load.Running)*runningCost + query.expectedPrefill(state)
 	if preferred {
 		// The other nodes prefer this target too, so it probably has the prefix cached.
 		if _, cached := state.prefixes[query.prefixKey()]; !cached {
-			cost -= query.sharedPrefillTime()
+			work -= query.sharedPrefillTime()
 		}
 		cost -= zoneCost
 	}
+	cost += atPace(work, factor)
 	if query.Request.Adapter != "" && !candidate.HoldsAdapter(query.Request.Model, query.Request.Adapter) {
 		cost += adapterCost
 	}
 	return cost
 }
 
+// atPace returns the time that work takes at a target whose pace has the given factor. The time
+// that a factor adds or saves is that of pace.Floor at least: an idle target with the factor 8
+// keeps even the shortest request waiting.
+func atPace(work time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return work
+	}
+	return work + time.Duration((factor-1)*float64(max(work, pace.Floor)))
+}
+
 // rendezvousTarget returns the id of the candidate that rendezvous hashing selects
 // for a key; empty if the key is empty.
 func rendezvousTarget(key string, candidates []mimosatide.Instance) string {
--- a/internal/balance/prefill_test.go
+++ b/internal/balance/prefill_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/pace"
 )
 
 var now = time.Unix(1_700_000_000, 0)
@@ -17,7 +20,7 @@
 // Requests that slow no stream must not be deferred: short prompts, and requests to plain
 // services, whatever their token count.
 func TestOnlyLongPromptsOfEnginesCountAsLongPrefills(t *testing.T) {
-	tracker := balance.New("a")
+	tracker := balance.New("a", pace.New(logr.Discard()))
 	if !tracker.IsLongPrefill(engineQuery(9000), "e-1") || tracker.IsLongPrefill(engineQuery(500), "e-1") {
 		t.Error("long prefill: want true for 9000 prompt tokens and false for 500")
 	}
@@ -30,7 +33,7 @@
 // nodes together would send more long prompts than the engine's streams allow. Reports of a
 // node that stopped sending them must not block the slots for good.
 func TestPrefillSlotsAreTakenByAllNodesUntilThePromptsAreRead(t *testing.T) {
-	tracker := balance.New("a")
+	tracker := balance.New("a", pace.New(logr.Discard()))
 	gap := 500 * time.Millisecond
 	inFlight := tracker.Begin("e-1", engineQuery(9000), now)
 	tracker.Begin("e-1", engineQuery(500), now)
@@ -49,7 +52,7 @@
 
 // An engine with no slot at all would never get a long prompt before its deferral ends.
 func TestShortGapObjectiveLeavesOnePrefillSlot(t *testing.T) {
-	tracker := balance.New("a")
+	tracker := balance.New("a", pace.New(logr.Discard()))
 	if slots := tracker.PrefillSlots("e-1", 50*time.Millisecond, now); slots.Free != 1 || slots.SendProbability() != 1 {
 		t.Errorf("idle engine: got %+v, want 1 free slot and send probability 1", slots)
 	}
@@ -59,7 +62,7 @@
 // time. If each sent a request, they would exceed the slots before they learn of each
 // other's sends.
 func TestSendProbabilityFallsWithRequestsDeferredOnOtherNodes(t *testing.T) {
-	tracker := balance.New("a")
+	tracker := balance.New("a", pace.New(logr.Discard()))
 	release := tracker.Defer("e-1")
 	gap := 500 * time.Millisecond
 	if probability := tracker.PrefillSlots("e-1", gap, now).SendProbability(); probability != 1 {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -3,14 +3,17 @@
 // A Tracker keeps, for each target, the requests that this node has in flight,
 // the load that the other nodes report, the outcomes of recent requests and the
 // prompt prefixes that the target probably has in its cache. Choose combines
-// these into an expected time to the first byte.
+// these into an expected time to the first byte. The time that depends on the speed
+// of a target is multiplied by its factor from package pace, to which the Tracker
+// reports the times until the first events of requests that have called MarkSent.
 //
 // # Usage
 //
-//	tracker := balance.New("zone-a")
+//	tracker := balance.New("zone-a", pace.New(log))
 //	instance, cost, found := tracker.Choose(query, candidates, time.Now())
 //	inFlight := tracker.Begin(instance.ID, query, time.Now())
-//	inFlight.PrefillDone()
+//	inFlight.MarkSent(instance, time.Now())
+//	inFlight.MarkAnswered(time.Now())
 //	inFlight.End(balance.Served, time.Now())
 package balance
 
@@ -18,6 +21,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"mimosatide.example/mimosatide/internal/pace"
 )
 
 // The constants of health tracking.
@@ -103,6 +108,7 @@
 // concurrent use.
 type Tracker struct {
 	zone    string
+	pace    *pace.Tracker
 	lock    sync.Mutex
 	targets map[string]*targetState
 	peers   map[string]peerLoad
@@ -115,11 +121,18 @@
 	pauses map[string]pause
 	// exhausted holds, by target, how long its limit allows this node no requests.
 	exhausted map[string]pause
+	// waiting holds the sent requests without a first event, waitingAt is when they were last
+	// observed.
+	waiting   []*InFlight
+	waitingAt time.Time
 }
 
-// New returns a tracker for a node in the given zone.
-func New(zone string) *Tracker {
-	return &Tracker{zone: zone, targets: map[string]*targetState{}, peers: map[string]peerLoad{}, peerSums: map[string]Load{}, pauses: map[string]pause{}, exhausted: map[string]pause{}}
+// New returns a tracker for a node in the given zone, which learns and uses the pace of targets.
+func New(zone string, pace *pace.Tracker) *Tracker {
+	return &Tracker{
+		zone: zone, pace: pace, targets: map[string]*targetState{}, peers: map[string]peerLoad{}, peerSums: map[string]Load{},
+		pauses: map[string]pause{}, exhausted: map[string]pause{},
+	}
 }
 
 // SetPeerLoads replaces the loads reported by another node, by target id. They are
@@ -240,9 +253,11 @@
 type InFlight struct {
 	tracker     *Tracker
 	id          string
+	engine      bool
 	prefill     time.Duration
 	prefillDone bool
 	ended       bool
+	timing      timing
 }
 
 // Begin counts a request that is about to be sent to a target. The caller has to
@@ -251,7 +266,7 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state := tracker.state(id)
-	inFlight := &InFlight{tracker: tracker, id: id, prefill: query.expectedPrefill(state)}
+	inFlight := &InFlight{tracker: tracker, id: id, engine: query.Engine, prefill: query.expectedPrefill(state)}
 	state.load.Running++
 	state.load.Prefill += inFlight.prefill
 	state.load.LongPrefills += inFlight.longPrefills()
@@ -295,6 +310,7 @@
 	}
 	inFlight.ended = true
 	inFlight.finishPrefill()
+	inFlight.stopWaiting()
 	state := inFlight.tracker.state(inFlight.id)
 	state.load.Running--
 	if outcome == Withdrawn {
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/pace"
 )
 
 // TestTotalIsTheSumOfTheCurrentLoads compares the totals with a plain sum over the peers, whose
@@ -19,7 +22,7 @@
 	}
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 17))
-		tracker := balance.New("a")
+		tracker := balance.New("a", pace.New(logr.Discard()))
 		peers := map[string]reported{}
 		now := time.Unix(1_700_000_000, 0)
 		for range 500 {
@@ -56,7 +59,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	for _, targets := range []int{10, 160} {
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
-			tracker := balance.New("a")
+			tracker := balance.New("a", pace.New(logr.Discard()))
 			var candidates []mimosatide.Instance
 			for index := range targets {
 				candidates = append(candidates, mimosatide.Instance{ID: fmt.Sprint("i-", index), Slots: 64})
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -22,6 +22,7 @@
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/origin"
+	"mimosatide.example/mimosatide/internal/pace"
 	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
@@ -90,6 +91,7 @@
 	configuration configurationState
 	targets       *registry.Registry
 	tracker       *balance.Tracker
+	pace          *pace.Tracker
 	ledger        *allowance.Ledger
 	targetClient  *exchange.Client
 	answers       *buffer.Budget
@@ -120,6 +122,7 @@
 // metrics are served at metricsPort of the node's IP address.
 func New(settings platform.Settings, metricsPort string, log logr.Logger) (*Node, error) {
 	dialer := newDialer()
+	paces := pace.New(log)
 	node := &Node{
 		settings:       settings,
 		log:            log,
@@ -127,7 +130,8 @@
 		peerAddress:    net.JoinHostPort(settings.IP, strconv.Itoa(settings.Listen.PeerPort)),
 		store:          platform.NewStore(settings.Store.Address, dialer),
 		targets:        registry.New(log),
-		tracker:        balance.New(settings.Zone),
+		tracker:        balance.New(settings.Zone, paces),
+		pace:           paces,
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
 		answers:        buffer.NewBudget(int64(float64(settings.Limits.MemoryMB) * answerMemoryShare * (1 << 20))),
@@ -301,6 +305,10 @@
 			}
 			node.tracker.Prune(known)
 			node.limits.Prune(known)
+			node.pace.Prune(known)
+			summary := node.pace.Review(now)
+			node.meter.SetGauge("slow_targets", float64(summary.Slow))
+			node.meter.SetGauge("largest_pace_factor", summary.Largest)
 		}
 	}
 }
--- a/internal/gateway/copies_stress_test.go
+++ b/internal/gateway/copies_stress_test.go
@@ -29,6 +29,7 @@
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/metric"
+	"mimosatide.example/mimosatide/internal/pace"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
@@ -232,7 +233,7 @@
 	limits := permit.NewLimits()
 	gate := gateway.New(gateway.Dependencies{
 		Deployment: func() *mimosatide.Deployment { return deployment }, DeploymentAge: func() time.Duration { return 0 },
-		MaxDenialAge: time.Second, Targets: known, Tracker: balance.New("a"), Limits: limits,
+		MaxDenialAge: time.Second, Targets: known, Tracker: balance.New("a", pace.New(logr.Discard())), Limits: limits,
 		Permits: permit.NewDesk(limits, permit.NewIssuer(), noPeers{}, logr.Discard()), Ledger: allowance.New(true),
 		Client: exchange.New(&net.Dialer{}), Engines: &fakeEngines{}, Loader: &fakeLoader{}, Origins: &fakeOrigins{known: map[string]string{}, sent: map[string]string{}}, RetryBudget: gateway.NewRetryBudget(4, 100000),
 		Quarantine: quarantine.New(logr.Discard()), Meter: metric.New(), Answers: buffer.NewBudget(16 << 20),
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -23,6 +23,7 @@
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/origin"
+	"mimosatide.example/mimosatide/internal/pace"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
@@ -45,6 +46,7 @@
 	server  *httptest.Server
 	targets *registry.Registry
 	tracker *balance.Tracker
+	paces   *pace.Tracker
 	ledger  *allowance.Ledger
 	limits  *permit.Limits
 	loader  *fakeLoader
@@ -158,10 +160,12 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
+	paces := pace.New(logr.Discard())
 	created := &fixture{
 		t:        t,
 		targets:  registry.New(logr.Discard()),
-		tracker:  balance.New("a"),
+		tracker:  balance.New("a", paces),
+		paces:    paces,
 		ledger:   allowance.New(true),
 		limits:   permit.NewLimits(),
 		loader:   &fakeLoader{},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -62,6 +62,9 @@
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
 	handler.acquit(time.Now())
+	if outcome.head.Status < http.StatusMultipleChoices {
+		handler.inFlight.MarkAnswered(time.Now())
+	}
 	answer := &bufferedAnswer{head: outcome.head, body: handler.buffer.Bytes()}
 	if outcome.head.Status >= http.StatusInternalServerError && handler.route.Repeatable() {
 		outcome.reply.Close(true)
@@ -121,7 +124,7 @@
 		if err != nil {
 			return handler.failStream(ctx, outcome, err)
 		}
-		handler.inFlight.PrefillDone()
+		handler.inFlight.MarkAnswered(time.Now())
 		handler.recordEvent(time.Now())
 		handler.recordAnswering(time.Now())
 		handler.recordFirstEvent()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -203,6 +203,9 @@
 		Priority:       handler.enginePriority(),
 		LastEvent:      lastEvent,
 	})
+	if handler.tellsPace() {
+		handler.inFlight.MarkSent(instance, time.Now())
+	}
 	reply, failure, err := handler.gateway.Client.Send(ctx, exchange.Call{
 		Address:       instance.Address,
 		Method:        handler.request.Method,
@@ -235,6 +238,16 @@
 	return handler.checkAnswer(reply)
 }
 
+// tellsPace reports whether the time until the answer tells the target's pace: that of an engine's
+// first event depends on the prompt, that of its other answers on their length, and that of a
+// stream that goes on also on what came before.
+func (handler *requestHandler) tellsPace() bool {
+	if handler.service.Engine == nil {
+		return true
+	}
+	return handler.route.Kind == mimosatide.StreamRoute && handler.lastEventID == "" && handler.request.LastEvent == ""
+}
+
 // failedDial reports whether a send failed because no connection to the target could be opened.
 func failedDial(err error) bool {
 	var operation *net.OpError
