--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -9,6 +9,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/pace"
 	"mimosatide.example/mimosatide/internal/relay"
 	"mimosatide.example/mimosatide/internal/zone"
 	"mimosatide.example/mimosatide/platform"
@@ -27,6 +28,8 @@
 	completeSpentDigests = 15
 	// loadLifetime is that time in a fleet with relays.
 	loadLifetime = loadLifetimeDigests * (digestInterval + relayBatchDelay)
+	// minPaceReports is the number of targets whose pace a host reports in a second in the largest fleets.
+	minPaceReports = 4
 	// rowsRequestInterval is the least time between two requests for rows, of any table from any peer.
 	rowsRequestInterval = 300 * time.Millisecond
 )
@@ -154,6 +157,7 @@
 				joinAt = now.Add(joinInterval)
 				go fleet.join(ctx)
 			}
+			fleet.node.tracker.ObserveWaiting(now)
 			digest, active := fleet.digest()
 			fleet.tally.Add(digest, now)
 			if active || now.Sub(sentAt) >= idleDigestFactor*digestInterval {
@@ -184,6 +188,13 @@
 	return maxDigestAge(len(fleet.members))
 }
 
+// maxPaceReports returns how many targets' pace a host reports in a second, in a fleet with the
+// given number of other hosts. Each host receives the reports of all others, so that their number
+// would otherwise grow with the fleet.
+func maxPaceReports(others int) int {
+	return min(max(pace.MaxReports*maxDirectHosts/max(others, 1), minPaceReports), pace.MaxReports)
+}
+
 func (fleet *fleet) hasJoined() bool {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
@@ -194,6 +205,9 @@
 // interval of an idle node: it has news, or this node is a relay.
 func (fleet *fleet) digest() (gossip.Digest, bool) {
 	node := fleet.node
+	fleet.lock.Lock()
+	others := len(fleet.members)
+	fleet.lock.Unlock()
 	digest := gossip.Digest{
 		Node:         node.settings.Node,
 		Incarnation:  node.incarnation,
@@ -209,6 +223,8 @@
 		Limits:       gossip.EncodeLimits(node.limits.Heard(time.Now()), time.Now()),
 
 		NewerConfiguration: node.newerConfiguration(),
+
+		Paces: gossip.EncodePaces(node.pace.Heard(maxPaceReports(others), time.Now())),
 	}
 	for id, born := range node.targets.ToldLeaving(time.Now()) {
 		if digest.Leaving == nil {
@@ -228,7 +244,7 @@
 	if configuration.CurrentAt > 0 {
 		digest.ConfigurationAgeMillis = max((bootClock{}.Now() - configuration.CurrentAt).Milliseconds(), 1)
 	}
-	news := len(digest.Loads) > 0 || digest.Limits != nil || digest.Quarantine != nil || digest.StoreOutage || digest.Leaving != nil
+	news := len(digest.Loads) > 0 || digest.Limits != nil || digest.Quarantine != nil || digest.StoreOutage || digest.Leaving != nil || digest.Paces != nil
 	spent := node.ledger.Spent()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
@@ -293,6 +309,7 @@
 	for id, limit := range digest.Limits {
 		node.limits.Apply(id, limit.Limit(now))
 	}
+	node.pace.Apply(digest.PaceReports(), now)
 	for id, born := range digest.Leaving {
 		node.targets.MarkLeavingByPeer(id, time.UnixMilli(born), now)
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -20,6 +20,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide/internal/pace"
 )
 
 // Digest is the state that a node sends to all other nodes several times a second.
@@ -68,6 +70,9 @@
 	// NewerConfiguration is the version of the configuration that the node has in force if the
 	// store was restored to an older one.
 	NewerConfiguration int64 `cbor:"20,keyasint,omitempty"`
+	// Paces holds the targets whose pace has recently differed from the usual one of their
+	// service in requests of the node, at most pace.MaxReports.
+	Paces []Pace `cbor:"21,keyasint,omitempty"`
 }
 
 // Events returns the part of the digest that no Summary of the node's zone holds, and whether
@@ -76,8 +81,9 @@
 	event := Digest{
 		Node: digest.Node, Incarnation: digest.Incarnation, Ownerships: digest.Ownerships, Handovers: digest.Handovers,
 		StoreOutage: digest.StoreOutage, Leaving: digest.Leaving, Quarantine: digest.Quarantine, Limits: digest.Limits, Partial: true,
+		Paces: digest.Paces[:min(len(digest.Paces), pace.MaxReports)],
 	}
-	lists := len(event.Ownerships) + len(event.Handovers) + len(event.Leaving) + len(event.Limits)
+	lists := len(event.Ownerships) + len(event.Handovers) + len(event.Leaving) + len(event.Limits) + len(event.Paces)
 	return event, lists > 0 || event.StoreOutage || event.Quarantine != nil
 }
 
