Let long prompts wait for each other, and spread busy models over engines

Change: a long prompt is sent only if the engine can read it, beside those that it has yet to read and at its pace, within three quarters of the allowed gap. A load costs more on an engine that reads prompts for other models.

Evidence: TestLongPromptsWaitForEachOther, TestBusyModelsAreSpreadOverEngines.

--- a/internal/balance/prefill.go
+++ b/internal/balance/prefill.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"mimosatide.example/mimosatide"
+)
 
 // An engine reads all its pending prompts concurrently, a chunk of each between
 // two decoding steps of its streams. Every long prompt therefore lengthens the
@@ -12,6 +16,9 @@
 	// gapPerLongPrefill is what each long prefill adds to the gap between two events
 	// of a stream at the same engine; see docs/MEASUREMENTS.md.
 	gapPerLongPrefill = 100 * time.Millisecond
+	// prefillGapShare is the share of the allowed gap that the prompts which a target has yet to read
+	// may take together; the rest is left to the decoding steps of an event.
+	prefillGapShare = 0.75
 	// pollsPerUpdate is the number of polls of a deferred request between two load
 	// updates from another node.
 	pollsPerUpdate = 10
@@ -31,6 +38,19 @@
 	return query.expectedPrefill(tracker.state(id)) >= longPrefill
 }
 
+// FitsGap reports whether a target can read the request's prompt beside those that it has yet to read,
+// at its pace, within the share of gap that is left to prompts. A target that reads no long prompt can.
+func (tracker *Tracker) FitsGap(query Query, instance mimosatide.Instance, gap time.Duration, now time.Time) bool {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	load := tracker.total(instance.ID, now)
+	if load.LongPrefills <= 0 {
+		return true
+	}
+	pending := load.Prefill + query.expectedPrefill(tracker.state(instance.ID))
+	return atPace(pending, tracker.pace.Factor(paceTarget(instance), now)) <= time.Duration(float64(gap)*prefillGapShare)
+}
+
 // PrefillSlots describes how many long prompts a target may still read at once.
 type PrefillSlots struct {
 	// Free is the number of further long prompts that the target may read; not
--- a/internal/balance/prefill_test.go
+++ b/internal/balance/prefill_test.go
@@ -80,3 +80,24 @@
 		t.Errorf("loads after the request was sent: got %v, want none", loads)
 	}
 }
+
+// TestLongPromptsWaitForEachOther guards against streams whose events are late because several long
+// prompts are read between two of them: each alone would fit, and they have as many slots as they are.
+func TestLongPromptsWaitForEachOther(t *testing.T) {
+	tracker, gap := balance.New("a", pace.New(logr.Discard())), 600*time.Millisecond
+	engine := mimosatide.Instance{ID: "e-1"}
+	if !tracker.FitsGap(engineQuery(60_000), engine, gap, now) {
+		t.Error("idle engine: got no room for a prompt, however long")
+	}
+	tracker.Begin("e-1", engineQuery(9000), now)
+	if tracker.FitsGap(engineQuery(12_000), engine, gap, now) {
+		t.Error("beside a prompt of 9,000 tokens: got room for another one of 12,000, want none")
+	}
+	if !tracker.FitsGap(engineQuery(4000), engine, gap, now) {
+		t.Error("beside a prompt of 9,000 tokens: got no room for one of 4,000")
+	}
+	tracker.SetPeerLoads("other", map[string]balance.Load{"e-1": {Running: 1, LongPrefills: 1, Prefill: 200 * time.Millisecond}}, now.Add(time.Second))
+	if tracker.FitsGap(engineQuery(4000), engine, gap, now) {
+		t.Error("beside that and a prompt of another node: got room, want none")
+	}
+}
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -63,6 +63,9 @@
 	if handler.gapObjective <= 0 || !handler.gateway.Tracker.IsLongPrefill(handler.query(), instance.ID) {
 		return true
 	}
+	if !handler.gateway.Tracker.FitsGap(handler.query(), instance, handler.gapObjective, time.Now()) {
+		return false
+	}
 	slots := handler.gateway.Tracker.PrefillSlots(instance.ID, handler.gapObjective, time.Now())
 	return rand.Float64() < slots.SendProbability()
 }
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -37,6 +37,8 @@
 	// starts at the scale, falls with idle time and has halved after evictionIdleScale.
 	evictionCostScale = 4 * time.Second
 	evictionIdleScale = 4 * time.Second
+	// crowdingCostScale is the cost of a load on an engine that reads prompts all the time.
+	crowdingCostScale = 2 * time.Second
 	// maxAbsentShare is the share of the models without a copy at any engine up to which they are
 	// loaded before a request comes.
 	maxAbsentShare = 0.1
@@ -390,7 +392,7 @@
 	if !possible {
 		return Step{}, 0, false
 	}
-	cost := loadTime + evictionCost
+	cost := loadTime + evictionCost + planner.crowdingCost(engine, victims)
 	step := Step{
 		Instance: engine.Instance.ID,
 		Model:    model.Name,
@@ -401,6 +403,18 @@
 	return step, cost, true
 }
 
+// crowdingCost returns the cost of a further model at an engine that already reads prompts for those
+// that it holds, without the victims: they would all wait for each other.
+func (planner *planner) crowdingCost(engine Engine, victims []string) time.Duration {
+	load := 0.0
+	for _, holding := range engine.Instance.Holdings {
+		if count := planner.replicas[holding.Model]; count > 0 && !slices.Contains(victims, holding.Model) {
+			load += planner.Demand[holding.Model].PrefillLoad / count
+		}
+	}
+	return time.Duration(load * float64(crowdingCostScale))
+}
+
 // waitForCopy reports whether a model without a replica should wait for an engine
 // that has a copy of its weights instead of being fetched from the weight store.
 func (planner *planner) waitForCopy(model mimosatide.EngineModel, reason string) bool {
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -338,3 +338,14 @@
 		t.Errorf("got steps %+v, want m0, which requests wait for, then m1, the busiest without a replica", steps)
 	}
 }
+
+// TestBusyModelsAreSpreadOverEngines guards against engines that hold several busy models while others
+// that could take one read few prompts.
+func TestBusyModelsAreSpreadOverEngines(t *testing.T) {
+	engines := []loading.Engine{engine("e0", "m1"), engine("e1", "m2")}
+	demand := map[string]loading.ModelDemand{"m0": waiting, "m1": {PrefillLoad: 0.3}, "m2": {PrefillLoad: 0.05}}
+	steps := loading.Plan(snapshot(engines, demand))
+	if len(steps) != 1 || steps[0].Instance != "e1" {
+		t.Errorf("got steps %+v, want m0 loaded on e1, which reads fewer prompts", steps)
+	}
+}
