--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -100,10 +100,14 @@
 	answers, restores := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	var added sync.WaitGroup
 	added.Go(func() { testbed.injectFaults(ctx, program, answerFaults(answers), answers, onFault) })
-	if restores.IntN(2) == 0 && *restoreStore {
+	restored := restores.IntN(2) == 0 && *restoreStore
+	if restored {
 		added.Go(func() { testbed.injectRestores(ctx, program, restores, onFault) })
 		testbed.runOldKeyCaller(ctx, &callers, rand.New(rand.NewPCG(seed, 4)))
 	}
+	if evacuations := rand.New(rand.NewPCG(seed, 8)); !restored && *evacuateZones {
+		added.Go(func() { testbed.injectEvacuations(ctx, evacuations, onFault) })
+	}
 	if releases := rand.New(rand.NewPCG(seed, 5)); releases.IntN(2) == 0 && *releaseSoftware {
 		testbed.runStreamCallers(ctx, &callers, seed)
 		added.Go(func() { testbed.injectReleases(ctx, program, releases, rand.New(rand.NewPCG(seed, 6)), onFault) })
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -63,7 +63,9 @@
 	violations []string
 	// outOfStep holds the nodes that may have missed a release, takeUpsOutOfStep counts the streams
 	// that callers take up there.
-	outOfStep        map[*node]bool
+	outOfStep map[*node]bool
+	// evacuations are those of farZone.
+	evacuations      []evacuation
 	takeUpsOutOfStep int
 }
 
@@ -139,7 +141,7 @@
 func (testbed *testbed) startTargets() {
 	for index := range 5 {
 		settings := emulator.TargetSettings{
-			ID: fmt.Sprintf("t-%d", index), Service: "llm", Zone: "a", Slots: 16, MaxModels: 3, Events: streamSize,
+			ID: fmt.Sprintf("t-%d", index), Service: "llm", Zone: zoneOf(index), Slots: 16, MaxModels: 3, Events: streamSize,
 			ProcessingTime: 4 * time.Millisecond, LoadTime: 700 * time.Millisecond, DiskLoadTime: 100 * time.Millisecond,
 		}
 		if index >= 3 {
