--- a/cmd/mimosatide/entry_test.go
+++ b/cmd/mimosatide/entry_test.go
@@ -83,7 +83,8 @@
 }
 
 // startEntryNode starts an entry node as a process and returns it with the address for callers.
-func startEntryNode(t *testing.T, store *emulator.Store, ip string, grace time.Duration) (*os.Process, string) {
+// The lines of extra replace the settings of the same names.
+func startEntryNode(t *testing.T, store *emulator.Store, ip string, grace time.Duration, extra ...string) (*os.Process, string) {
 	t.Helper()
 	endpoint := store.NewEndpoint("n1")
 	t.Cleanup(endpoint.Close)
@@ -95,7 +96,7 @@
 	text := fmt.Sprintf("nodeName=n1\nzone=a\nip=%s\nlisten.front=%s\nlisten.readyAddr=%s\ninnerPorts=7600,7615\nbootstrap=true\n"+
 		"limits.cpuShare=0.4\nlimits.memoryMb=284\nbounds.leaseMs=1000\nbounds.graceS=%d\nbounds.drainMs=1000\nbounds.configApplyMs=2000\n"+
 		"bounds.retryBudgetRatio=0.2\nbounds.budgetSlack=56\nplatform.address=%s\n",
-		ip, free[0], free[1], int(grace.Seconds()), endpoint.Address())
+		ip, free[0], free[1], int(grace.Seconds()), endpoint.Address()) + strings.Join(extra, "\n")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
