Leave memory for the program's own pages on small hosts

The soft memory limit is 0.6 of limits.memoryMb, but the pages of the program take 18 MB on a host of any size. With 64 MB, slow readers of streams reached 58 to 65 MB while the heap stayed within its limit. The limit now leaves at least 32 MB; hosts above 80 MB keep theirs.

--- a/cmd/mimosatide/entry.go
+++ b/cmd/mimosatide/entry.go
@@ -16,9 +16,23 @@
 	"mimosatide.example/mimosatide/platform"
 )
 
-// memoryLimitFraction is the Go runtime's soft memory limit as a fraction of the
-// node's memory limit; above it the garbage collector runs more often.
-const memoryLimitFraction = 0.6
+const (
+	// memoryLimitFraction is the Go runtime's soft memory limit as a fraction of the
+	// node's memory limit; above it the garbage collector runs more often.
+	memoryLimitFraction = 0.6
+	// outsideMemory is the least memory that the soft limit leaves, in bytes: the pages of the
+	// program itself take 18 MB on a host of any size, and the heap exceeds the limit by some
+	// while the garbage collector runs.
+	outsideMemory = 32 << 20
+	// minMemoryLimitFraction bounds the soft limit from below on hosts that have hardly more.
+	minMemoryLimitFraction = 0.25
+)
+
+// memoryLimit returns the Go runtime's soft memory limit in bytes.
+func memoryLimit(limits platform.Limits) int64 {
+	memory := float64(limits.MemoryMB) * (1 << 20)
+	return int64(max(memory*minMemoryLimitFraction, min(memory*memoryLimitFraction, memory-outsideMemory)))
+}
 
 // reloadSignals receives SIGHUP in an entry node. It is initialized before main
 // runs, because SIGHUP terminates a process that has no handler for it yet, without a
@@ -47,7 +61,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryLimitFraction * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(settings.Limits))
 	writer := decisionlog.New(os.Stdout)
 	defer writer.Close()
 	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "error": slog.LevelError}
