Check route and key before a body is read, and bound the memory of bodies

A body was read before its key was checked, was allocated as its header announced, and was copied once more for the message to a target. 60 callers with an unknown key held 332 MB. Now the header is decoded and checked first; a refusal ends the connection after a bounded part of the body has been dropped. Bodies take their memory from a budget of 3/16 of limits.memoryMb as they arrive, each at most half of what the others leave, with 8 KiB free. What doesn't fit gets 503, a body that stops arriving 408. The message to a target is written from the header and the body without a copy.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -20,6 +20,7 @@
 	"mimosatide.example/mimosatide/internal/feed"
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/intake"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/origin"
 	"mimosatide.example/mimosatide/internal/peer"
@@ -93,6 +94,7 @@
 	ledger        *allowance.Ledger
 	targetClient  *exchange.Client
 	answers       *buffer.Budget
+	intake        *intake.Budget
 	retryBudget   *gateway.RetryBudget
 	quarantine    *quarantine.Tracker
 	origins       *origin.Tracker
@@ -131,6 +133,7 @@
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
 		answers:        buffer.NewBudget(int64(float64(settings.Limits.MemoryMB) * answerMemoryShare * (1 << 20))),
+		intake:         intake.NewBudget(int64(float64(settings.Limits.MemoryMB) * requestMemoryShare * (1 << 20))),
 		retryBudget:    gateway.NewRetryBudget(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
 		quarantine:     quarantine.New(log),
 		meter:          metric.New(),
@@ -293,6 +296,7 @@
 			node.loader.recordRemoteLoads()
 			node.recordPeerMessages()
 			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
+			node.meter.SetGauge("request_memory_bytes", float64(node.intake.Used()))
 			node.targets.Expire(now)
 			view := node.targets.View()
 			known := func(id string) bool {
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -22,6 +22,9 @@
 	shutdownMargin = 500 * time.Millisecond
 	// leaveShare is the share of the margin that is left after leaving the list of hosts.
 	leaveShare = 0.5
+	// requestMemoryShare is the share of the process's memory for the headers and bodies of
+	// callers' requests.
+	requestMemoryShare = 0.1875
 )
 
 // newStop returns the schedule of a stop that has not begun.
@@ -48,6 +51,7 @@
 		Limits:        node.limits,
 		Permits:       node.permits,
 		Ledger:        node.ledger,
+		Intake:        node.intake,
 		Answers:       node.answers,
 		Client:        node.targetClient,
 		Engines:       node.engines,
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -78,8 +78,9 @@
 	// Request is the ID by which the target's answers name the request. A connection that has
 	// recently carried a request with this ID is not used.
 	Request string
-	// Message is the complete HTTP request, head and body.
+	// Message is the HTTP request; Body, if it is not empty, is written after it.
 	Message []byte
+	Body    []byte
 	// LimitReuse restricts pooled connections to those idle for less than half of
 	// their idle timeout. It is meant for requests that can't be retried after the
 	// target has closed the connection.
@@ -159,7 +160,7 @@
 	acquired.calls++
 	acquired.carried.add(call.Request)
 	stop := context.AfterFunc(ctx, func() { _ = acquired.Close() })
-	written, failure, err := write(acquired, call.Message)
+	written, failure, err := write(acquired, call.Message, call.Body)
 	if failure != mimosatide.CallSucceeded {
 		stop()
 		_ = acquired.Close()
@@ -187,17 +188,18 @@
 }
 
 // write sends the message. A long message is written concurrently with reading the
-// answer, because a target may answer before it has read the whole message.
-func write(to *connection, message []byte) (<-chan error, mimosatide.CallFailure, error) {
+// answer, because a target may answer before it has read the whole message. Its body is not
+// copied, because it may be large.
+func write(to *connection, message, body []byte) (<-chan error, mimosatide.CallFailure, error) {
 	written := make(chan error, 1)
-	if len(message) > maxInlineWriteBytes {
+	if len(message)+len(body) > maxInlineWriteBytes {
 		go func() {
-			_, err := to.Write(message)
+			_, err := (&net.Buffers{message, body}).WriteTo(to.Conn)
 			written <- err
 		}()
 		return written, mimosatide.CallSucceeded, nil
 	}
-	count, err := to.Write(message)
+	count, err := to.Write(append(message, body...))
 	written <- err
 	if err == nil {
 		return written, mimosatide.CallSucceeded, nil
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -20,6 +20,7 @@
 	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
 	"mimosatide.example/mimosatide/internal/gateway"
+	"mimosatide.example/mimosatide/internal/intake"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/origin"
@@ -31,6 +32,12 @@
 // answerMemory is the memory for buffered answers, in bytes.
 const answerMemory = 16 << 20
 
+// requestMemory is the memory for callers' requests, in bytes.
+const requestMemory = 1 << 20
+
+// maxBody is the size of the largest body of a request.
+const maxBody = 100_000
+
 // receivedRequest is a request as it arrived at a target.
 type receivedRequest struct {
 	target string
@@ -51,6 +58,7 @@
 	origins *fakeOrigins
 	engines *fakeEngines
 	answers *buffer.Budget
+	intake  *intake.Budget
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
 	// age is the age of the gateway's copy of the configuration.
@@ -168,6 +176,7 @@
 		origins:  &fakeOrigins{known: map[string]string{}, sent: map[string]string{}},
 		engines:  &fakeEngines{born: map[string]time.Time{}},
 		answers:  buffer.NewBudget(answerMemory),
+		intake:   intake.NewBudget(requestMemory),
 		draining: make(chan struct{}),
 	}
 	deployment := testDeployment()
@@ -180,6 +189,7 @@
 		Limits:        created.limits,
 		Permits:       permit.NewDesk(created.limits, permit.NewIssuer(), noPeers{}, logr.Discard()),
 		Ledger:        created.ledger,
+		Intake:        created.intake,
 		Answers:       created.answers,
 		Client:        exchange.New(&net.Dialer{}),
 		Engines:       created.engines,
@@ -238,7 +248,7 @@
 			"limited": {Account: mimosatide.Account{Name: "limited", Rate: 1, Burst: 1}, TokensPerCall: 1},
 		},
 		AccountOfKey: map[string]string{"good": "school", "limited": "limited"},
-		Limits:       mimosatide.CallerLimits{BodyBytes: 1000},
+		Limits:       mimosatide.CallerLimits{BodyBytes: maxBody},
 	}.WithRoutes([]mimosatide.PathRoute{
 		route("lookup", mimosatide.IdempotentRoute, "desk", 2, time.Second),
 		route("order", mimosatide.NonIdempotentRoute, "desk", 2, time.Second),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,8 +1,9 @@
 // Package gateway serves the callers' HTTP requests by forwarding them to targets.
 // It is the request path of an entry node.
 //
-// A request is decoded, matched to a route, charged to its account, assigned to a
-// target and sent; then the answer is relayed. Each step has its own file. A step that
+// A request's header is decoded and matched to a route and an account before its body is
+// read; then it is charged to its account, assigned to a target and sent, and the answer is
+// relayed. Each step has its own file. A step that
 // refuses the request says why with a mimosatide.Reason and a detail for the caller.
 //
 // # Usage
@@ -13,7 +14,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -24,6 +24,7 @@
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
+	"mimosatide.example/mimosatide/internal/intake"
 	"mimosatide.example/mimosatide/internal/loading"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/origin"
@@ -85,6 +86,8 @@
 	Limits  *permit.Limits
 	Permits *permit.Desk
 	Ledger  *allowance.Ledger
+	// Intake is the memory for the callers' requests.
+	Intake *intake.Budget
 	// Answers is the memory in which answers of targets are buffered.
 	Answers *buffer.Budget
 	// Client sends the requests to the targets.
@@ -120,19 +123,20 @@
 	arrived := time.Now()
 	handler := &requestHandler{
 		gateway: gateway, writer: writer, arrived: arrived, tried: map[string]bool{}, triedAddresses: map[string]bool{},
-		releaseAdapter: func() {},
+		releaseAdapter: func() {}, incoming: request, bodyPending: request.ContentLength != 0,
 	}
 	deployment := gateway.Deployment()
 	if deployment == nil {
 		handler.refuse(mimosatide.Refuse(mimosatide.ReasonNotFresh, "no configuration is known yet").WithRetryAfter(startupRetryAfter))
 		return
 	}
+	handler.bodyLimit = deployment.Limits.BodyBytes
 	handler.version = deployment.Version
 	handler.versionAge = gateway.DeploymentAge()
-	callerRequest, err := platform.DecodeCallerRequest(request, deployment.Limits.BodyBytes)
+	callerRequest, err := platform.DecodeCallerHeader(request)
 	handler.request = callerRequest
 	if err != nil {
-		handler.refuse(handler.confirmDenial(decodeRefusal(err)))
+		handler.refuse(mimosatide.Refuse(mimosatide.ReasonMalformed, err.Error()))
 		return
 	}
 	if refusal := handler.resolve(deployment); refusal.Refused() {
@@ -143,12 +147,18 @@
 	if callerRequest.Wait > 0 && (timeout <= 0 || callerRequest.Wait < timeout) {
 		timeout = callerRequest.Wait
 	}
-	handler.features = features(callerRequest)
+	handler.deadline = arrived.Add(timeout)
+	hold := gateway.Intake.NewHold()
+	defer hold.Release()
+	if refusal := handler.readBody(hold); refusal.Refused() {
+		handler.refuse(handler.confirmDenial(refusal))
+		return
+	}
+	handler.features = features(handler.request)
 	if handler.quarantined() {
 		handler.refuse(poisonRefusal())
 		return
 	}
-	handler.deadline = arrived.Add(timeout)
 	ctx, cancel := context.WithDeadline(request.Context(), handler.deadline)
 	defer cancel()
 	if handler.endsTooSoon() {
@@ -173,10 +183,3 @@
 func drainRefusal() mimosatide.Refusal {
 	return mimosatide.Refuse(mimosatide.ReasonDraining, "the node may end before the request is answered").WithRetryAfter(drainingRetryAfter)
 }
-
-func decodeRefusal(err error) mimosatide.Refusal {
-	if errors.Is(err, platform.ErrBodyTooLarge) {
-		return mimosatide.Refuse(mimosatide.ReasonTooLarge, err.Error())
-	}
-	return mimosatide.Refuse(mimosatide.ReasonMalformed, err.Error())
-}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -22,6 +22,7 @@
 	mimosatide.ReasonUnknownKey:   http.StatusUnauthorized,
 	mimosatide.ReasonUnknownRoute: http.StatusNotFound,
 	mimosatide.ReasonOverRate:     http.StatusTooManyRequests,
+	mimosatide.ReasonBodyStalled:  http.StatusRequestTimeout,
 }
 
 // refuse answers a request with a refusal. A request that may have run gets 502 or
@@ -56,11 +57,18 @@
 	body := string(refusal.Reason) + ": " + refusal.Detail + "\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if handler.bodyPending {
+		// The server would otherwise read the rest of the body before it sends the refusal.
+		header.Set("Connection", "close")
+	}
 	handler.writer.WriteHeader(status)
 	_, err := handler.writer.Write([]byte(body))
 	if err != nil {
 		handler.gateway.log.V(1).Info("refusal not delivered", "request", handler.request.ID, "reason", err.Error())
 	}
+	if err == nil && handler.bodyPending {
+		handler.dropBody()
+	}
 }
 
 // abort closes the connection of an answer that has begun, so that the caller can't
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -24,6 +24,10 @@
 // to the caller, and the largest event of a stream.
 const maxBufferedBytes = 1 << 20
 
+// relayBytes is the buffer of an answer that is sent while it arrives. It belongs to the memory of
+// a caller's connection, because it doesn't count as one for answers.
+const relayBytes = 8 << 10
+
 // relay sends an answer to the caller. It returns a failed outcome if the request may
 // have to be sent again: the answer broke off before any of it was sent, a stream broke
 // off or could not be resumed, or a repeatable request got a server error.
@@ -98,7 +102,7 @@
 	_, err := handler.writer.Write(handler.buffer.Bytes())
 	handler.buffer.Release()
 	if err == nil {
-		_, err = io.Copy(handler.writer, outcome.reply.Body())
+		_, err = io.CopyBuffer(struct{ io.Writer }{handler.writer}, outcome.reply.Body(), make([]byte, relayBytes))
 	}
 	if err != nil {
 		outcome.reply.Abort()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,9 +28,15 @@
 type requestHandler struct {
 	gateway *Gateway
 	writer  http.ResponseWriter
-	request mimosatide.CallerRequest
-	route   mimosatide.PathRoute
-	service mimosatide.Service
+	// incoming is the request as the server has it, with the body.
+	incoming *http.Request
+	// bodyPending says that the body has not been read to its end.
+	bodyPending bool
+	// bodyLimit is the size of the largest body; zero before it is known.
+	bodyLimit int64
+	request   mimosatide.CallerRequest
+	route     mimosatide.PathRoute
+	service   mimosatide.Service
 	// gapObjective is the longest gap between two events that the streams of the
 	// service's targets may have; zero if there is no such objective.
 	gapObjective time.Duration
@@ -195,7 +201,7 @@
 	if lastEvent == "" {
 		lastEvent = handler.request.LastEvent
 	}
-	message := platform.AppendTargetRequest(nil, platform.TargetRequest{
+	message := platform.AppendTargetHeader(nil, platform.TargetRequest{
 		CallerRequest:  handler.request,
 		Instance:       instance.ID,
 		Account:        handler.account.Name,
@@ -208,6 +214,7 @@
 		Method:        handler.request.Method,
 		Request:       handler.request.ID,
 		Message:       message,
+		Body:          handler.request.Body,
 		LimitReuse:    !handler.route.Repeatable(),
 		NewConnection: repeated,
 		Permitted: func() bool {
--- a/refusal.go
+++ b/refusal.go
@@ -42,6 +42,10 @@
 	// ReasonOverloaded means that the node has too many requests, or that no target ran
 	// the request: each was unreachable or rejected it.
 	ReasonOverloaded Reason = "Overloaded"
+	// ReasonNoMemory means that the node has no memory left for the request's body.
+	ReasonNoMemory Reason = "NoMemory"
+	// ReasonBodyStalled means that the request's body stopped arriving.
+	ReasonBodyStalled Reason = "BodyStalled"
 	// ReasonCallerGone means that the caller disconnected before it got an answer.
 	ReasonCallerGone Reason = "CallerGone"
 )
