Bound callers' connections, and end those whose callers don't go on

Connections were not counted, and neither a body nor a response that its caller doesn't read had a limit. The configuration's limits of headers and idle connections are in force, instead of constants.

--- a/internal/entrynode/dialer.go
+++ b/internal/entrynode/dialer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mimosatide.example/mimosatide/internal/ingress"
 )
 
 const (
@@ -17,6 +19,10 @@
 	keepAliveCount    = 2
 	// userTimeout is how long sent bytes may stay without acknowledgement (TCP_USER_TIMEOUT).
 	userTimeout = 3 * time.Second
+	// callerUserTimeout is the same of callers, where it also ends a connection whose other end
+	// reads nothing. 3 s cut callers that read slowly but steadily: over loopback, a reader of 10 KB
+	// a second opens its window every 13 s. The server for callers decides first.
+	callerUserTimeout = ingress.WriteTimeout + 2*time.Second
 )
 
 // newDialer returns a dialer whose connections fail soon after the other end stops responding.
@@ -30,13 +36,14 @@
 			Count:    keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw)
+			return setUserTimeout(raw, userTimeout)
 		},
 	}
 }
 
-// newListenConfig returns the same settings for accepted connections.
-func newListenConfig() net.ListenConfig {
+// newListenConfig returns the same settings for accepted connections, with a TCP user timeout of
+// their own.
+func newListenConfig(timeout time.Duration) net.ListenConfig {
 	return net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
@@ -45,16 +52,16 @@
 			Count:    keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw)
+			return setUserTimeout(raw, timeout)
 		},
 	}
 }
 
 // setUserTimeout sets the TCP user timeout of a socket.
-func setUserTimeout(raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -42,13 +42,6 @@
 	streamTable   = "mimosatide-streams"
 )
 
-// Limits of callers' connections.
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 30 * time.Second
-	maxHeaderBytes = 64 << 10
-)
-
 const (
 	// pollsPerStaleness is how many polls fit into the time after which a configuration is stale.
 	pollsPerStaleness = 4
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/ingress"
@@ -22,11 +24,68 @@
 	shutdownMargin = 500 * time.Millisecond
 	// leaveShare is the share of the margin that is left after leaving the list of hosts.
 	leaveShare = 0.5
+)
+
+// The limits of callers while no configuration names any.
+const (
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+	defaultMaxHeader     = 64 << 10
+	// headerMargin is what a header may take beyond the limit in the configuration: it may have
+	// been on its way for some time, and it is timed in steps.
+	headerMargin = time.Second
+)
+
+// The bounds of what callers may hold.
+const (
 	// requestMemoryShare is the share of the process's memory for the headers and bodies of
 	// callers' requests.
 	requestMemoryShare = 0.1875
+	// connectionMemoryShare is the share of the process's memory for callers' connections,
+	// connectionMemory what one takes that carries a request: goroutines, buffers of both sides,
+	// and the parts of its request and its answer that don't count as memory for those.
+	connectionMemoryShare = 0.2
+	connectionMemory      = 32 << 10
+	// connectionDescriptorShare is the share of the process's descriptors for callers' connections.
+	// Each may need a second one, to a target.
+	connectionDescriptorShare = 0.4
+	// mostConnections bounds the time in which a connection is chosen that makes room for a new
+	// one: 10 microseconds. Callers keep some hundred connections to a host.
+	mostConnections = 2000
 )
 
+// maxConnections returns the largest number of callers' connections.
+func maxConnections(limits platform.Limits) int {
+	descriptors := limits.Descriptors
+	if descriptors <= 0 {
+		var own unix.Rlimit
+		if unix.Getrlimit(unix.RLIMIT_NOFILE, &own) == nil {
+			descriptors = int(min(own.Cur, math.MaxInt32))
+		}
+	}
+	byMemory := float64(limits.MemoryMB) * (1 << 20) * connectionMemoryShare / connectionMemory
+	return int(max(1, min(byMemory, float64(descriptors)*connectionDescriptorShare, mostConnections)))
+}
+
+// callerLimits returns the limits of callers in force.
+func (node *Node) callerLimits() ingress.Limits {
+	limits := ingress.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeader: defaultMaxHeader}
+	deployment := node.deployment.Load()
+	if deployment == nil {
+		return limits
+	}
+	if configured := deployment.Limits.HeaderTimeout; configured > 0 {
+		limits.HeaderTimeout = configured + headerMargin
+	}
+	if configured := deployment.Limits.IdleTimeout; configured > 0 {
+		limits.IdleTimeout = configured
+	}
+	if configured := deployment.Limits.HeaderBytes; configured > 0 {
+		limits.MaxHeader = configured
+	}
+	return limits
+}
+
 // newStop returns the schedule of a stop that has not begun.
 func newStop(bounds platform.Bounds) *shutdown.Schedule {
 	return shutdown.New(shutdown.Settings{
@@ -63,7 +122,9 @@
 		Draining:      node.refuseWaiting,
 		EndsBy:        node.stop.EndsBy,
 	}, node.log)
-	callers := ingress.New(ingress.Settings{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeader: maxHeaderBytes}, handler)
+	callers := ingress.New(ingress.Settings{
+		Limits: node.callerLimits, MaxConnections: maxConnections(node.settings.Limits), Memory: node.intake,
+	}, handler, node.meter, node.log)
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
 		if !node.ready() {
@@ -74,14 +135,15 @@
 	metrics.Handle("/metrics", node.meter.Handler())
 	servers := []struct {
 		address string
+		timeout time.Duration
 		server  connectionServer
 	}{
-		{node.settings.Listen.Callers, callers},
-		{node.settings.Listen.Readiness, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
-		{node.metricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
+		{node.settings.Listen.Callers, callerUserTimeout, callers},
+		{node.settings.Listen.Readiness, userTimeout, &http.Server{Handler: ready, ReadHeaderTimeout: defaultHeaderTimeout}},
+		{node.metricsAddress, userTimeout, &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeaderTimeout}},
 	}
 	for _, endpoint := range servers {
-		config := newListenConfig()
+		config := newListenConfig(endpoint.timeout)
 		listener, err := config.Listen(ctx, "tcp", endpoint.address)
 		if err != nil {
 			return nil, errors.Annotatef(err, "listen on %s", endpoint.address)
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -1,10 +1,15 @@
-// Package ingress serves HTTP requests on connections that callers keep open, and stops without
-// cutting any of them. Unlike http.Server.Shutdown, a stop still answers the requests that come on
-// connections which were opened before.
+// Package ingress serves HTTP requests on connections that callers keep open, bounds what callers
+// that aren't trusted can hold, and stops without cutting any request. Unlike http.Server.Shutdown,
+// a stop still answers the requests that come on connections which were opened before.
+//
+// The number of connections is bounded; a Roster decides which one is closed for a new one. A
+// sweep several times a second closes the connections whose callers don't go on: with a header,
+// with a body, or with reading a response. The memory of headers counts against the budget of the
+// requests. Each connection that is closed for such a reason is counted under its Cause.
 //
 // # Usage
 //
-//	server := ingress.New(ingress.Settings{...}, handler)
+//	server := ingress.New(ingress.Settings{...}, handler, meter, log)
 //	go server.Serve(listener)
 //	server.CloseIdle()
 //	err := server.Finish(ctx)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,48 +8,30 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/juju/errors"
-)
-
-// openPollInterval is how often a server that ends checks whether connections are open.
-const openPollInterval = 20 * time.Millisecond
 
-// Settings are the limits of callers' connections.
-type Settings struct {
-	// HeaderTimeout is how long the head of a request may take.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection may stay open without a request.
-	IdleTimeout time.Duration
-	// MaxHeader is the largest head of a request in bytes.
-	MaxHeader int
-}
+	"mimosatide.example/mimosatide/internal/intake"
+	"mimosatide.example/mimosatide/internal/metric"
+)
 
-// The states of a connection.
 const (
-	// stateNew is that of a connection that has carried no request yet.
-	stateNew int32 = iota
-	stateBusy
-	stateIdle
-	stateClosed
+	// openPollInterval is how often a server that ends checks whether connections are open.
+	openPollInterval = 20 * time.Millisecond
+	// unlimitedHeader keeps net/http from refusing headers that this package lets pass.
+	unlimitedHeader = 1 << 30
+	// maxChoices is how often a connection to close is chosen again because its stage has changed.
+	maxChoices = 4
 )
 
-// connection is an open connection. A request begins on it and it is closed as idle by the same
-// step, so that no request is handled whose answer can't be sent.
-type connection struct {
-	net.Conn
-	state atomic.Int32
-}
-
-// begin reports whether a request may be handled: the connection has not been closed as idle.
-func (connection *connection) begin() bool {
-	return connection.state.CompareAndSwap(stateIdle, stateBusy) || connection.state.CompareAndSwap(stateNew, stateBusy)
-}
-
-func (connection *connection) closeIfIdle() {
-	if connection.state.CompareAndSwap(stateIdle, stateClosed) {
-		// The server's goroutine for the connection gets the error.
-		_ = connection.Close()
-	}
+// Settings are the limits of a Server.
+type Settings struct {
+	// Limits returns the limits in force.
+	Limits func() Limits
+	// MaxConnections is the largest number of open connections.
+	MaxConnections int
+	// Memory is the memory for the callers' requests.
+	Memory *intake.Budget
 }
 
 // connectionKey is the key of a request's connection in its context.
@@ -57,28 +39,39 @@
 
 // Server is an HTTP server for callers. It is safe for concurrent use.
 type Server struct {
+	settings Settings
 	server   *http.Server
 	handler  http.Handler
+	meter    *metric.Meter
+	log      logr.Logger
 	listener atomic.Pointer[net.Listener]
 	// served is closed when no more connections are accepted.
 	served chan struct{}
 	// stopping says that each connection ends with its next answer.
 	stopping atomic.Bool
+	// clock is the reading of the clock of the connections, in nanoseconds.
+	clock    atomic.Int64
+	closings closings
 
-	lock sync.Mutex
-	open map[net.Conn]*connection
+	lock   sync.Mutex
+	roster *Roster
+	// open holds the connections whose goroutines have not ended.
+	open map[*connection]struct{}
 }
 
 // New returns a server that calls handler for each request.
-func New(settings Settings, handler http.Handler) *Server {
-	server := &Server{handler: handler, served: make(chan struct{}), open: map[net.Conn]*connection{}}
+func New(settings Settings, handler http.Handler, meter *metric.Meter, log logr.Logger) *Server {
+	server := &Server{
+		settings: settings, handler: handler, meter: meter, log: log,
+		served: make(chan struct{}), roster: NewRoster(settings.MaxConnections), open: map[*connection]struct{}{},
+	}
 	server.server = &http.Server{
-		Handler:           http.HandlerFunc(server.handle),
-		ReadHeaderTimeout: settings.HeaderTimeout,
-		IdleTimeout:       settings.IdleTimeout,
-		MaxHeaderBytes:    settings.MaxHeader,
-		ConnContext:       server.addConnection,
-		ConnState:         server.recordState,
+		Handler:        http.HandlerFunc(server.handle),
+		MaxHeaderBytes: unlimitedHeader,
+		ConnContext: func(ctx context.Context, accepted net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, accepted)
+		},
+		ConnState: server.recordState,
 	}
 	return server
 }
@@ -88,7 +81,8 @@
 func (server *Server) Serve(listener net.Listener) error {
 	defer close(server.served)
 	server.listener.Store(&listener)
-	return server.server.Serve(listener)
+	go server.sweepUntilEnd()
+	return server.server.Serve(&boundedListener{Listener: listener, server: server})
 }
 
 // CloseIdle closes the connections that have carried a request and now carry none; the others end
@@ -96,10 +90,8 @@
 // request has just been read.
 func (server *Server) CloseIdle() {
 	server.stopping.Store(true)
-	server.lock.Lock()
-	defer server.lock.Unlock()
-	for _, connection := range server.open {
-		connection.closeIfIdle()
+	for _, connection := range server.connections() {
+		connection.closeFrom(StageIdle)
 	}
 }
 
@@ -129,36 +121,121 @@
 	return len(server.open)
 }
 
+func (server *Server) connections() []*connection {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	list := make([]*connection, 0, len(server.open))
+	for connection := range server.open {
+		list = append(list, connection)
+	}
+	return list
+}
+
+// now returns the reading of the clock by which the times of connections are measured.
+func (server *Server) now() time.Duration {
+	return time.Duration(server.clock.Load())
+}
+
 // handle calls the handler, unless the connection was closed while the request was read.
 func (server *Server) handle(writer http.ResponseWriter, request *http.Request) {
-	if opened, found := request.Context().Value(connectionKey{}).(*connection); !found || !opened.begin() {
+	opened, found := request.Context().Value(connectionKey{}).(*connection)
+	if !found || !opened.begin() {
 		panic(http.ErrAbortHandler)
 	}
-	server.handler.ServeHTTP(&answerWriter{ResponseWriter: writer, stopping: &server.stopping}, request)
+	// The server needs its own request, whose body it recognises.
+	handled := request.WithContext(request.Context())
+	if request.ContentLength != 0 {
+		handled.Body = &body{ReadCloser: request.Body, connection: opened}
+	}
+	server.handler.ServeHTTP(&answerWriter{ResponseWriter: writer, stopping: &server.stopping}, handled)
+}
+
+// boundedListener accepts connections within the bound of its server.
+type boundedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next connection that has a place. If the process has no descriptor left, it
+// closes a connection that waits for its caller, so that the next call may succeed.
+func (listener *boundedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := listener.Listener.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				listener.server.makeRoom("")
+			}
+			return nil, err
+		}
+		if added := listener.server.add(accepted); added != nil {
+			return added, nil
+		}
+		_ = accepted.Close()
+	}
 }
 
-// addConnection adds an accepted connection before anything is read from it.
-func (server *Server) addConnection(ctx context.Context, accepted net.Conn) context.Context {
-	added := &connection{Conn: accepted}
+// add adds an accepted connection before anything is read from it. It returns nil if there is no
+// place for it.
+func (server *Server) add(accepted net.Conn) *connection {
+	address, _, err := net.SplitHostPort(accepted.RemoteAddr().String())
+	if err != nil {
+		address = accepted.RemoteAddr().String()
+	}
+	server.lock.Lock()
+	full := server.roster.Full()
+	server.lock.Unlock()
+	if full && !server.makeRoom(address) {
+		server.count(CauseFull, address)
+		return nil
+	}
 	server.lock.Lock()
 	defer server.lock.Unlock()
-	server.open[accepted] = added
-	return context.WithValue(ctx, connectionKey{}, added)
+	added := &connection{
+		Conn: accepted, server: server, Member: server.roster.Add(address, server.now()), hold: server.settings.Memory.NewHold(),
+	}
+	added.Member.owner = added
+	server.open[added] = struct{}{}
+	return added
+}
+
+// makeRoom closes a connection for a new one from an address, and reports whether it did.
+func (server *Server) makeRoom(address string) bool {
+	for range maxChoices {
+		server.lock.Lock()
+		chosen, stage := server.roster.Choose(address, server.now())
+		server.lock.Unlock()
+		if chosen == nil {
+			return false
+		}
+		if chosen.owner.closeFrom(stage) {
+			server.count(CauseReplaced, chosen.source.address)
+			server.lock.Lock()
+			defer server.lock.Unlock()
+			server.roster.Remove(chosen)
+			return true
+		}
+	}
+	return false
 }
 
 func (server *Server) recordState(changed net.Conn, state http.ConnState) {
-	server.lock.Lock()
-	defer server.lock.Unlock()
+	connection, ok := changed.(*connection)
+	if !ok {
+		return
+	}
 	switch state {
 	case http.StateIdle:
 		// The answer has been sent.
-		opened := server.open[changed]
-		opened.state.Store(stateIdle)
+		connection.rest()
 		if server.stopping.Load() {
-			opened.closeIfIdle()
+			connection.closeFrom(StageIdle)
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(server.open, changed)
+		connection.hold.Release()
+		server.lock.Lock()
+		defer server.lock.Unlock()
+		server.roster.Remove(connection.Member)
+		delete(server.open, connection)
 	default:
 	}
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -8,12 +8,17 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"mimosatide.example/mimosatide/internal/ingress"
+	"mimosatide.example/mimosatide/internal/intake"
+	"mimosatide.example/mimosatide/internal/metric"
 )
 
 // hookedListener calls onRead with the bytes that its connections have read, before the server
@@ -44,10 +49,15 @@
 	return count, err
 }
 
+// maxHeader is the largest header in bytes.
+const maxHeader = 1 << 16
+
 // start serves handler on a port of this machine and returns its address.
 func start(t *testing.T, handler http.Handler, onRead func(server *ingress.Server, read []byte)) (*ingress.Server, string) {
 	t.Helper()
-	server := ingress.New(ingress.Settings{HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeader: 1 << 16}, handler)
+	limits := ingress.Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeader: maxHeader}
+	settings := ingress.Settings{Limits: func() ingress.Limits { return limits }, MaxConnections: 200, Memory: intake.NewBudget(1 << 19)}
+	server := ingress.New(settings, handler, metric.New(), logr.Discard())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -165,3 +175,38 @@
 		t.Errorf("got %d requests that were handled and cut, want none", cut.Load())
 	}
 }
+
+// exchange sends text on a new connection and returns the status of the answer to it.
+func exchange(t *testing.T, address, text string) int {
+	t.Helper()
+	caller := dial(t, address)
+	if _, err := io.WriteString(caller, text); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		t.Errorf("request of %d bytes: got %v, want an answer", len(text), err)
+		return 0
+	}
+	return answer.StatusCode
+}
+
+// A header that is not taken must be refused and not reset, and neither a body nor empty lines
+// before a request must count as a header.
+func TestHeadersAreRefusedAboveTheirLimitsOnly(t *testing.T) {
+	handled := &requests{count: map[string]int{}}
+	_, address := start(t, handled, func(*ingress.Server, []byte) {})
+	for _, each := range []struct {
+		name, text string
+		want       int
+	}{
+		{"header of the limit", "GET /a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", maxHeader-100) + "\r\n\r\n", http.StatusOK},
+		{"header above the limit", "GET /b HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 2*maxHeader) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"header above the memory", "GET /c HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("x:\r\n", maxHeader/8) + "\r\n", http.StatusServiceUnavailable},
+		{"body of lines", "POST /d HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("\n", 100_000), http.StatusOK},
+	} {
+		if got := exchange(t, address, each.text); got != each.want {
+			t.Errorf("%s: got status %d, want %d", each.name, got, each.want)
+		}
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -154,6 +154,11 @@
 	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("oversized_answers").Inc(1)
 }
 
+// CountClosedConnections counts callers' connections that were closed, by the cause.
+func (meter *Meter) CountClosedConnections(cause string, count int64) {
+	meter.scope.Tagged(map[string]string{"cause": cause}).Counter("caller_connections_closed").Inc(count)
+}
+
 // CountTableRows counts rows read from the table and writes sent to it.
 func (meter *Meter) CountTableRows(reads, writes int) {
 	meter.scope.Counter("table_reads").Inc(int64(reads))
