--- a/cmd/mimosatide/entry_test.go
+++ b/cmd/mimosatide/entry_test.go
@@ -84,7 +84,7 @@
 
 // startEntryNode starts an entry node as a process and returns it with the address for callers.
 // The lines of extra replace the settings of the same names.
-func startEntryNode(t *testing.T, store *emulator.Store, ip string, grace time.Duration, extra ...string) (*os.Process, string) {
+func startEntryNode(t testing.TB, store *emulator.Store, ip string, grace time.Duration, extra ...string) (*os.Process, string) {
 	t.Helper()
 	endpoint := store.NewEndpoint("n1")
 	t.Cleanup(endpoint.Close)
--- a/cmd/mimosatide/hostile_fixture_test.go
+++ b/cmd/mimosatide/hostile_fixture_test.go
@@ -41,7 +41,7 @@
 // limitedNode is an entry node with lowered limits that hostile callers call. It is observed from
 // its start to the end of the test.
 type limitedNode struct {
-	t       *testing.T
+	t       testing.TB
 	process *os.Process
 	callers string
 	// memoryMB is the memory that the process is allowed.
@@ -53,7 +53,7 @@
 }
 
 // startLimitedNode starts the process and its target, and waits until a request is served.
-func startLimitedNode(t *testing.T, ip string, memoryMB int) *limitedNode {
+func startLimitedNode(t testing.TB, ip string, memoryMB int) *limitedNode {
 	t.Helper()
 	store := emulator.NewStore()
 	target := httptest.NewServer(http.HandlerFunc(serveAsTarget))
