--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -20,6 +20,7 @@
 	"mimosatide.example/mimosatide/internal/feed"
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/gossip"
+	"mimosatide.example/mimosatide/internal/intake"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/internal/origin"
 	"mimosatide.example/mimosatide/internal/pace"
@@ -42,13 +43,6 @@
 	streamTable   = "mimosatide-streams"
 )
 
-// Limits of callers' connections.
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 30 * time.Second
-	maxHeaderBytes = 64 << 10
-)
-
 const (
 	// pollsPerStaleness is how many polls fit into the time after which a configuration is stale.
 	pollsPerStaleness = 4
@@ -96,6 +90,7 @@
 	ledger        *allowance.Ledger
 	targetClient  *exchange.Client
 	answers       *buffer.Budget
+	intake        *intake.Budget
 	retryBudget   *gateway.RetryBudget
 	quarantine    *quarantine.Tracker
 	origins       *origin.Tracker
@@ -136,6 +131,7 @@
 		ledger:         allowance.New(settings.FirstStart),
 		targetClient:   exchange.New(dialer),
 		answers:        buffer.NewBudget(int64(float64(settings.Limits.MemoryMB) * answerMemoryShare * (1 << 20))),
+		intake:         intake.NewBudget(int64(float64(settings.Limits.MemoryMB) * requestMemoryShare * (1 << 20))),
 		retryBudget:    gateway.NewRetryBudget(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack),
 		quarantine:     quarantine.New(log),
 		meter:          metric.New(),
@@ -301,6 +297,7 @@
 			node.loader.recordRemoteLoads()
 			node.recordPeerMessages()
 			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
+			node.meter.SetGauge("request_memory_bytes", float64(node.intake.Used()))
 			node.targets.Expire(now)
 			node.recordEvacuations(now)
 			view := node.targets.View()
