Add explain-route: where a request would go now, and why, without sending it

Asked for by operators. The costs of a choice have names, so that the same numbers are decided by and shown.

--- a/cmd/mimosatide/main.go
+++ b/cmd/mimosatide/main.go
@@ -28,14 +28,15 @@
 )
 
 type commandLine struct {
-	Serve   serveCommand   `cmd:"" help:"Run a node of the fleet."`
-	Entry   entryCommand   `cmd:"" help:"Run an entry node on the users' platform."`
-	Config  configCommand  `cmd:"" help:"Show and change the configuration."`
-	Key     keyCommand     `cmd:"" help:"Grant and withdraw callers' keys."`
-	Account accountCommand `cmd:"" help:"Show and change client accounts."`
-	Model   modelCommand   `cmd:"" help:"Show models, their adapters and placements."`
-	Status  statusCommand  `cmd:"" help:"Show the members, shares, targets, placements and accounts that a node knows."`
-	Explain explainCommand `cmd:"" help:"Show the decisions about a request, a placement or a patch and their reasons."`
+	Serve        serveCommand        `cmd:"" help:"Run a node of the fleet."`
+	Entry        entryCommand        `cmd:"" help:"Run an entry node on the users' platform."`
+	Config       configCommand       `cmd:"" help:"Show and change the configuration."`
+	Key          keyCommand          `cmd:"" help:"Grant and withdraw callers' keys."`
+	Account      accountCommand      `cmd:"" help:"Show and change client accounts."`
+	Model        modelCommand        `cmd:"" help:"Show models, their adapters and placements."`
+	Status       statusCommand       `cmd:"" help:"Show the members, shares, targets, placements and accounts that a node knows."`
+	ExplainRoute explainRouteCommand `cmd:"" help:"Show where a request to an entry node would go now, and why, without sending it."`
+	Explain      explainCommand      `cmd:"" help:"Show the decisions about a request, a placement or a patch and their reasons."`
 }
 
 func main() {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -97,7 +97,7 @@
 		if untried && query.Tried[candidate.ID] {
 			continue
 		}
-		cost := tracker.cost(query, candidate, candidate.ID == preferred, now)
+		cost := tracker.cost(query, candidate, candidate.ID == preferred, now).Total()
 		if best < 0 || cost < least {
 			best, least = index, cost
 		}
@@ -108,23 +108,47 @@
 	return candidates[best], least, true
 }
 
+// Cost is the cost of a candidate by its parts, each as expected time to the first byte.
+type Cost struct {
+	// Failures is that of recent failures, Zone that of traffic between zones, less the preference for
+	// one target, Limited that of a target that limits its requests or is cold.
+	Failures time.Duration
+	Zone     time.Duration
+	Limited  time.Duration
+	// Work is the time until the target has read the prompts in flight and this one, or has a free slot,
+	// at its pace.
+	Work time.Duration
+	// Adapter is the time until a missing adapter is usable.
+	Adapter time.Duration
+	// Factor is that of the target's pace.
+	Factor float64
+}
+
+// Total returns the sum of the parts.
+func (cost Cost) Total() time.Duration {
+	return cost.Failures + cost.Zone + cost.Limited + cost.Work + cost.Adapter
+}
+
 // cost returns the cost of a candidate, by the loads of the peers that Choose has left.
-func (tracker *Tracker) cost(query Query, candidate mimosatide.Instance, preferred bool, now time.Time) time.Duration {
+func (tracker *Tracker) cost(query Query, candidate mimosatide.Instance, preferred bool, now time.Time) Cost {
 	state := tracker.state(candidate.ID)
 	load := state.load.plus(tracker.peerSums[candidate.ID])
-	cost := time.Duration(state.failureRateAt(now) * float64(failureCost))
+	cost := Cost{
+		Failures: time.Duration(state.failureRateAt(now) * float64(failureCost)),
+		Factor:   tracker.pace.Factor(paceTarget(candidate), now),
+	}
 	if now.Before(state.backoffUntil) {
-		cost += failureCost + state.backoffUntil.Sub(now)
+		cost.Failures += failureCost + state.backoffUntil.Sub(now)
 	}
 	if candidate.Zone != tracker.zone {
-		cost += zoneCost
+		cost.Zone = zoneCost
 	}
 	if query.Limited != nil && query.Limited(candidate) {
-		cost += limitedCost
+		cost.Limited = limitedCost
 	}
-	factor := tracker.pace.Factor(paceTarget(candidate), now)
 	if !query.Engine {
-		return cost + atPace(time.Duration(load.Running)*slotCost/time.Duration(max(candidate.Slots, 1)), factor)
+		cost.Work = atPace(time.Duration(load.Running)*slotCost/time.Duration(max(candidate.Slots, 1)), cost.Factor)
+		return cost
 	}
 	work := load.Prefill + time.Duration(load.Running)*runningCost + query.expectedPrefill(state)
 	if preferred {
@@ -132,11 +156,11 @@
 		if _, cached := state.prefixes[query.prefixKey()]; !cached {
 			work -= query.sharedPrefillTime()
 		}
-		cost -= zoneCost
+		cost.Zone -= zoneCost
 	}
-	cost += atPace(work, factor)
+	cost.Work = atPace(work, cost.Factor)
 	if query.Request.Adapter != "" && !candidate.HoldsAdapter(query.Request.Model, query.Request.Adapter) {
-		cost += adapterCost
+		cost.Adapter = adapterCost
 	}
 	return cost
 }
--- a/internal/entrynode/node_test.go
+++ b/internal/entrynode/node_test.go
@@ -35,6 +35,7 @@
 	entrance  *emulator.StoreEndpoint
 	callers   string
 	readiness string
+	metrics   string
 	// peers is the address at which the node listens for its peers.
 	peers string
 	stop  context.CancelFunc
@@ -82,7 +83,7 @@
 		t.Fatal(err)
 	}
 	peers, metrics := portOf(free[2]), portOf(free[3])
-	node := &testNode{entrance: entrance, callers: free[0], readiness: free[1], peers: free[2], ended: make(chan error, 1), log: &logRecorder{}}
+	node := &testNode{entrance: entrance, callers: free[0], readiness: free[1], metrics: free[3], peers: free[2], ended: make(chan error, 1), log: &logRecorder{}}
 	settings, err := platform.ParseSettings(fmt.Sprintf(`nodeName=%s
 zone=%s
 ip=%s
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -80,6 +80,17 @@
 	return view.services[name]
 }
 
+// All returns all targets of a service, sorted by id: also those that may be sent no requests.
+func (view *View) All(service string) []mimosatide.Instance {
+	var all []mimosatide.Instance
+	for _, id := range slices.Sorted(maps.Keys(view.byID)) {
+		if instance := view.byID[id]; instance.Service == service {
+			all = append(all, *instance)
+		}
+	}
+	return all
+}
+
 // Instance returns the target with the given id, including one that is leaving.
 func (view *View) Instance(id string) (mimosatide.Instance, bool) {
 	instance, found := view.byID[id]
