Mend what a review of evacuations, cold targets and contended accounts found

Faults, each with its test or by reading: every request that a change woke built the view of the targets again; each answer of a cold target woke all; a second home issued the whole rate after one lost answer; a low rate kept the next permit away for seconds; a request that waited for its permit was held over an evacuation; an evacuated zone that went down counted as crashes under requests; displaced models evicted ones used since; the largest requests of a contended account were never granted.

--- a/internal/allowance/contention.go
+++ b/internal/allowance/contention.go
@@ -42,9 +42,11 @@
 
 // record adds a request and reports whether it is light.
 func (sizes *requestSizes) record(tokens float64, now time.Time) bool {
-	decay := math.Exp(-max(now.Sub(sizes.at), 0).Seconds() / sizesTimeConstant.Seconds())
-	sizes.at = now
-	sizes.tokens, sizes.light, sizes.count = sizes.tokens*decay, sizes.light*decay, sizes.count*decay
+	if now.After(sizes.at) {
+		decay := math.Exp(-now.Sub(sizes.at).Seconds() / sizesTimeConstant.Seconds())
+		sizes.tokens, sizes.light, sizes.count = sizes.tokens*decay, sizes.light*decay, sizes.count*decay
+		sizes.at = now
+	}
 	isLight := sizes.count >= 1 && tokens <= lightShare*sizes.tokens/sizes.count
 	sizes.tokens += tokens
 	sizes.count++
@@ -88,23 +90,29 @@
 	return (contention.spent + contention.refused) / recentTimeConstant.Seconds()
 }
 
+// margin returns the tokens that are kept in the bucket of a contended account.
+func (limit Limit) margin() float64 {
+	return min(limit.Rate*marginTime.Seconds(), limit.Burst/2)
+}
+
 // admit decides whether a request may try the bucket, which holds level tokens; if not, it returns the
-// time until the caller should return. Light requests, whose part of all tokens is lightPart, always may.
+// time until the caller should return. A request that was drawn while the account is contended may take
+// the level below zero, since its part was counted: otherwise the level would never hold the largest ones. Light requests, whose part of all tokens is lightPart, always may.
 // The others get by lot what these leave, so that the level stays at a margin above zero: it is the
 // copy of the bucket of one node, and the others spend from it too.
-func (contention *contention) admit(limit Limit, asked request, level, lightPart float64, horizon time.Duration) time.Duration {
+func (contention *contention) admit(limit Limit, asked request, level, lightPart float64, horizon time.Duration) (drawn bool, wait time.Duration) {
 	demand := contention.demand()
 	wanted := demand * horizon.Seconds()
 	accrues := limit.Rate * horizon.Seconds()
 	if asked.light || wanted <= level+accrues || demand < contendedShare*limit.Rate {
-		return 0
+		return false, 0
 	}
-	room := level + accrues - min(limit.Rate*marginTime.Seconds(), limit.Burst/2)
+	room := level + accrues - limit.margin()
 	room -= min(wanted*lightPart, lightRoomShare*max(room, 0))
 	if asked.draw*wanted*(1-lightPart) < room {
-		return 0
+		return true, 0
 	}
-	return max(contention.spread(limit, asked.draw, horizon), horizon)
+	return false, max(contention.spread(limit, asked.draw, horizon), horizon)
 }
 
 // request is a request for tokens; draw is a random number from 0 to 1.
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -252,7 +252,7 @@
 func (ledger *Ledger) Spend(account string, limit Limit, tokens float64, now time.Time) Verdict {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	return ledger.spend(account, limit, tokens, now)
+	return ledger.spend(account, limit, tokens, tokens, now)
 }
 
 // Admit is Spend for the requests of callers. While the account asks for more than its limit, small
@@ -273,9 +273,14 @@
 	available, horizon := limit.scaled(fraction), horizonDigests*ledger.digestInterval
 	asked := request{tokens: tokens, light: ledger.sizes.record(tokens, now), draw: draw}
 	verdict := Verdict{Level: held.level, Fraction: fraction}
-	verdict.Wait = held.admit(available, asked, held.level, ledger.sizes.lightPart(), horizon)
-	if verdict.Wait == 0 {
-		verdict = ledger.spend(account, limit, tokens, now)
+	needed := tokens
+	drawn, wait := held.admit(available, asked, held.level, ledger.sizes.lightPart(), horizon)
+	if drawn {
+		needed = min(tokens, available.margin())
+	}
+	verdict.Wait = wait
+	if wait == 0 {
+		verdict = ledger.spend(account, limit, tokens, needed, now)
 		if verdict.Granted {
 			return verdict
 		}
@@ -292,7 +297,8 @@
 	return Limit{Rate: limit.Rate * fraction, Burst: limit.Burst * fraction}
 }
 
-func (ledger *Ledger) spend(account string, limit Limit, tokens float64, now time.Time) Verdict {
+// spend takes tokens from a bucket that holds at least the needed ones.
+func (ledger *Ledger) spend(account string, limit Limit, tokens, needed float64, now time.Time) Verdict {
 	if limit.Rate <= 0 {
 		return Verdict{Granted: true, Fraction: 1}
 	}
@@ -306,7 +312,7 @@
 	if budget := ledger.digestBudget(held, limit, fraction); held.unreported > 0 && held.unreported+tokens > budget {
 		return Verdict{Wait: ledger.digestInterval, Level: held.level, Fraction: fraction}
 	}
-	if needed := min(tokens, limit.Burst*fraction); held.level < needed {
+	if needed := min(needed, limit.Burst*fraction); held.level < needed {
 		missing := needed - held.level
 		wait := time.Duration(missing / (limit.Rate * fraction) * float64(time.Second))
 		return Verdict{Wait: wait, Level: held.level, Fraction: fraction}
@@ -373,6 +379,7 @@
 	defer ledger.lock.Unlock()
 	if held, found := ledger.buckets[account]; found {
 		held.level += tokens
+		held.spent = max(held.spent-tokens, 0)
 		ledger.spent[account] -= tokens
 	}
 }
--- a/internal/entrynode/configuration.go
+++ b/internal/entrynode/configuration.go
@@ -140,8 +140,12 @@
 	node.hub.Send(to, message)
 }
 
-// handleConfiguration takes the configuration that a peer has in force.
+// handleConfiguration takes the configuration that a peer has in force, once this node has read the table:
+// it must know the evacuations before it serves.
 func (node *Node) handleConfiguration(from string, message gossip.RowsResponse) {
+	if !node.followers[platform.ConfigurationTable].State().Synced {
+		return
+	}
 	batch, err := message.Batch(func(string) (mimosatide.Row, bool) { return mimosatide.Row{}, false })
 	if err != nil {
 		node.log.Error(err, "configuration of peer discarded", "peer", from)
--- a/internal/entrynode/evacuation.go
+++ b/internal/entrynode/evacuation.go
@@ -1,7 +1,6 @@
 package entrynode
 
 import (
-	"slices"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -83,10 +82,11 @@
 		if service.ColdRate <= 0 {
 			continue
 		}
-		count += len(slices.DeleteFunc(slices.Clone(view.Service(name)), func(instance mimosatide.Instance) bool {
-			bound, limited := node.limits.Bound(instance, now)
-			return !limited || !bound.Shared
-		}))
+		for _, instance := range view.Service(name) {
+			if bound, limited := node.limits.Bound(instance, now); limited && bound.Shared {
+				count++
+			}
+		}
 	}
 	return count
 }
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -73,6 +73,9 @@
 	// silentUntil holds, by peer address, how long a host is no target's home because it has
 	// not answered a request for a permit.
 	silentUntil map[string]time.Time
+	// heard is the last result of Heard, at heardAt.
+	heard   float64
+	heardAt time.Time
 
 	// tally sums up the digests of this node's zone, zones holds the last summaries of the
 	// other zones.
--- a/internal/entrynode/permits.go
+++ b/internal/entrynode/permits.go
@@ -14,28 +14,46 @@
 	// homeDigestAge is the age of a host's last digest, or of its row if there was none, up to
 	// which it may be a target's home.
 	homeDigestAge = 1500 * time.Millisecond
+	// heardLifetime is how long the part of the hosts that this node hears is kept: hundreds of permits a
+	// second are issued by it.
+	heardLifetime = 100 * time.Millisecond
 	// silentHomeTime is how long a host that has not answered is no target's home.
 	silentHomeTime = 3 * time.Second
-	// deputyShare is the part of a target's rate at which a node issues permits while, as far
-	// as it knows, another one is the home and issues the whole rate.
-	deputyShare = 0.25
 )
 
 // Home chooses the home of a target among the hosts that are alive. It implements permit.Peers.
 func (fleet *fleet) Home(target string) (address string, self bool) {
+	address, self, _ = fleet.chooseHome(target)
+	return address, self
+}
+
+// chooseHome also reports whether this node is only a deputy: a host that it hears, but that has not
+// answered, is the home for others.
+func (fleet *fleet) chooseHome(target string) (address string, self, deputy bool) {
 	now := time.Now()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	address, highest := fleet.node.peerAddress, xxhash.Sum64String(target+"@"+fleet.node.settings.Node)
+	silent := uint64(0)
 	for name, member := range fleet.members {
-		if !fleet.isHeardLocked(member, now) || now.Before(fleet.silentUntil[member.address]) {
+		if !fleet.isHeardLocked(member, now) {
 			continue
 		}
-		if weight := xxhash.Sum64String(target + "@" + name); weight > highest {
+		weight := xxhash.Sum64String(target + "@" + name)
+		if now.Before(fleet.silentUntil[member.address]) {
+			silent = max(silent, weight)
+		} else if weight > highest {
 			address, highest = member.address, weight
 		}
 	}
-	return address, address == fleet.node.peerAddress
+	return address, address == fleet.node.peerAddress, silent > highest
+}
+
+// IsDeputy reports whether another host, which has not answered this node, is a target's home for others.
+// It implements permit.Peers.
+func (fleet *fleet) IsDeputy(target string) bool {
+	_, self, deputy := fleet.chooseHome(target)
+	return self && deputy
 }
 
 // isHeardLocked reports whether a host sends digests, or has only just come on the list.
@@ -47,19 +65,26 @@
 	return now.Sub(heard) <= homeDigestAge
 }
 
-// Heard returns the part of the hosts on the list that this node hears. The groups of a divided
-// fleet hear parts that add up to 1 at most. It implements permit.Peers.
+// Heard returns the part of the hosts on the list whose digests this node gets; zero before it knows the
+// list. The groups of a divided fleet hear parts that add up to 1 at most. It implements permit.Peers.
 func (fleet *fleet) Heard() float64 {
+	if !fleet.node.followers[hostTable].State().Synced {
+		return 0
+	}
 	now := time.Now()
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
+	if now.Sub(fleet.heardAt) < heardLifetime {
+		return fleet.heard
+	}
 	heard := 1
 	for _, member := range fleet.members {
-		if fleet.isHeardLocked(member, now) {
+		if now.Sub(fleet.lastHeardLocked(member)) <= homeDigestAge {
 			heard++
 		}
 	}
-	return float64(heard) / float64(len(fleet.members)+1)
+	fleet.heardAt, fleet.heard = now, float64(heard)/float64(len(fleet.members)+1)
+	return fleet.heard
 }
 
 // Ask implements permit.Peers.
@@ -81,7 +106,7 @@
 func (node *Node) handlePermitRequest(message gossip.PermitRequest, now time.Time) {
 	request := message.Request()
 	if _, self := node.fleet.Home(request.Target); !self {
-		request.Rate *= deputyShare
+		request.Rate *= permit.DeputyShare
 	}
 	verdict := node.permits.Issue(request, now)
 	node.hub.Send(message.From, gossip.EncodePermitResponse(message.Number, verdict))
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -102,7 +102,7 @@
 	}
 	tokens := handler.request.Tokens(account.TokensPerCall)
 	limit := allowance.Limit{Rate: account.Rate, Burst: account.Burst}
-	verdict := handler.gateway.Ledger.Admit(account.Name, limit, tokens, rand.Float64(), handler.arrived)
+	verdict := handler.gateway.Ledger.Admit(account.Name, limit, tokens, rand.Float64(), time.Now())
 	until := handler.arrived.Add(min(settlingWait, time.Duration(float64(handler.deadline.Sub(handler.arrived))*settlingShare)))
 	for !verdict.Granted && verdict.Settling && time.Now().Before(until) {
 		if !handler.wait(ctx, nil, settlingPoll) {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -164,6 +164,8 @@
 
 func (noPeers) Ask(string, uint64, permit.Request) {}
 
+func (noPeers) IsDeputy(string) bool { return false }
+
 func (noPeers) Heard() float64 { return 1 }
 
 func (noPeers) Silent(string) {}
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -57,7 +57,7 @@
 		answering = time.Since(handler.answerBegan)
 	}
 	known, found := handler.gateway.Targets.View().Instance(instance.ID)
-	if ctx.Err() != nil || found && known.Leaving || !handler.gateway.Client.Refuses(ctx, instance.Address) {
+	if ctx.Err() != nil || found && (known.Leaving || known.Evacuated) || !handler.gateway.Client.Refuses(ctx, instance.Address) {
 		return
 	}
 	suspected := answering < provenAfter
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -153,6 +153,9 @@
 	// urgent says that requests have waited longer than urgentAfter for the model
 	// that is being placed.
 	urgent bool
+	// displacedIdle is how long the displaced model that is being placed has been idle: those used since
+	// are not evicted for it.
+	displacedIdle time.Duration
 	// accept says on which engines it may be placed.
 	accept func(Engine) bool
 }
@@ -315,6 +318,7 @@
 	}
 	planner.placeBound()
 	for _, model := range planner.displaced() {
+		planner.displacedIdle = planner.Demand[model].Idle
 		planner.place(model, reasonDisplaced)
 	}
 	for _, model := range planner.busy() {
@@ -453,6 +457,9 @@
 		if reason == reasonAhead && !planner.evictableAhead(engine, holding.Model) {
 			continue
 		}
+		if used, known := planner.Demand[holding.Model]; reason == reasonDisplaced && known && used.Idle <= planner.displacedIdle {
+			continue
+		}
 		cost, evictable := planner.evictionCost(holding.Model, engine.weight(), reason)
 		if evictable {
 			candidates = append(candidates, candidate{holding: holding, cost: cost})
--- a/internal/permit/cold_test.go
+++ b/internal/permit/cold_test.go
@@ -127,3 +127,13 @@
 		t.Errorf("cold and limited to 2 a second by its own word: got %+v, want the lower rate, shared", bound)
 	}
 }
+
+// TestScheduleFollowsTheRate guards against targets that are left out for seconds because a home issued at a
+// low rate before: while it heard few nodes, or while the target was cold.
+func TestScheduleFollowsTheRate(t *testing.T) {
+	issuer, now := permit.NewIssuer(), time.Unix(1000, 0)
+	issuer.Issue(permit.Request{Target: "a", Rate: 0.1, Ahead: time.Millisecond}, now)
+	if verdict := issuer.Issue(permit.Request{Target: "a", Rate: 8, Ahead: time.Millisecond, Patience: 200 * time.Millisecond}, now.Add(200*time.Millisecond)); !verdict.Granted {
+		t.Errorf("at 8 a second, 0.2 s after a permit at 0.1 a second: got %+v, want granted", verdict)
+	}
+}
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -28,8 +28,13 @@
 	"mimosatide.example/mimosatide"
 )
 
-// answerTimeout is how long a home may take to answer. Without an answer there is no permit.
-const answerTimeout = 250 * time.Millisecond
+const (
+	// answerTimeout is how long a home may take to answer. Without an answer there is no permit.
+	answerTimeout = 250 * time.Millisecond
+	// DeputyShare is the part of a target's rate at which a node issues permits while, as far
+	// as it knows, another one is the home and issues the whole rate.
+	DeputyShare = 0.25
+)
 
 // Peers reaches the homes of targets.
 type Peers interface {
@@ -37,6 +42,9 @@
 	Home(target string) (address string, self bool)
 	// Heard returns the part of the nodes, from 0 to 1, that this node hears, itself included.
 	Heard() float64
+	// IsDeputy reports whether this node takes itself for a target's home only because another one has
+	// not answered it.
+	IsDeputy(target string) bool
 	// Ask sends a request to a home; Desk.Deliver takes the answer with the same number.
 	Ask(address string, number uint64, request Request)
 	// Silent tells that a home has not answered.
@@ -78,6 +86,9 @@
 	}
 	address, self := desk.peers.Home(instance.ID)
 	if self {
+		if request.Shared && desk.peers.IsDeputy(instance.ID) {
+			request.Rate *= DeputyShare
+		}
 		return desk.Issue(request, time.Now())
 	}
 	return desk.ask(ctx, address, request)
@@ -86,7 +97,9 @@
 // Issue answers a request as the home of its target.
 func (desk *Desk) Issue(request Request, now time.Time) Verdict {
 	if request.Shared {
-		request.Rate *= desk.peers.Heard()
+		if request.Rate *= desk.peers.Heard(); request.Rate <= 0 {
+			return Verdict{Wait: answerTimeout}
+		}
 	}
 	return desk.issuer.Issue(request, now)
 }
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -40,8 +40,9 @@
 // schedule spreads the permits for an incarnation of a target evenly.
 type schedule struct {
 	born time.Time
-	// next is when the next permit is due.
-	next time.Time
+	// last is when the last permit is due, zero before the first. The next one is due by the rate that
+	// then applies.
+	last time.Time
 }
 
 // Issuer issues the permits for the targets of which its node is the home. It is safe for
@@ -69,7 +70,11 @@
 		issuer.removeOld(now)
 	}
 	if !found || request.Born.After(kept.born) {
-		kept = schedule{born: request.Born, next: now}
+		kept = schedule{born: request.Born}
+	}
+	next := now
+	if !kept.last.IsZero() {
+		next = kept.last.Add(time.Duration(float64(time.Second) / request.Rate))
 	}
 	ahead := burstTime
 	if request.Ahead > 0 {
@@ -78,21 +83,21 @@
 	if request.Spare {
 		ahead = 0
 	}
-	wait := max(kept.next.Sub(now)-ahead, 0)
+	wait := max(next.Sub(now)-ahead, 0)
 	if wait > request.Patience {
 		return Verdict{Wait: wait}
 	}
-	if kept.next.Before(now) {
-		kept.next = now
+	kept.last = next
+	if next.Before(now) {
+		kept.last = now
 	}
-	kept.next = kept.next.Add(time.Duration(float64(time.Second) / request.Rate))
 	issuer.schedules[request.Target] = kept
 	return Verdict{Granted: true, Wait: wait}
 }
 
 func (issuer *Issuer) removeOld(now time.Time) {
 	for target, kept := range issuer.schedules {
-		if now.Sub(kept.next) > scheduleLifetime {
+		if now.Sub(kept.last) > scheduleLifetime {
 			delete(issuer.schedules, target)
 		}
 	}
--- a/internal/permit/limits.go
+++ b/internal/permit/limits.go
@@ -60,8 +60,8 @@
 // Bound returns the limit that binds the requests to a target now, named or because it is cold, and
 // false if there is none.
 func (limits *Limits) Bound(instance mimosatide.Instance, now time.Time) (Bound, bool) {
-	rate, named := limits.Rate(instance)
 	limits.lock.Lock()
+	rate, named := limits.rateLocked(instance)
 	cold := limits.cold[instance.Service]
 	limits.lock.Unlock()
 	bound := Bound{Rate: rate}
@@ -116,6 +116,10 @@
 func (limits *Limits) Rate(instance mimosatide.Instance) (float64, bool) {
 	limits.lock.Lock()
 	defer limits.lock.Unlock()
+	return limits.rateLocked(instance)
+}
+
+func (limits *Limits) rateLocked(instance mimosatide.Instance) (float64, bool) {
 	known, found := limits.byTarget[instance.ID]
 	if !found || !known.Born.Equal(instance.Born) || known.Rate == 0 {
 		return 0, false
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -151,6 +151,8 @@
 	return endpoint.node, true
 }
 
+func (endpoint endpoint) IsDeputy(string) bool { return false }
+
 // Heard implements permit.Peers: a node hears the nodes of its side.
 func (endpoint endpoint) Heard() float64 {
 	endpoint.network.lock.Lock()
@@ -272,6 +274,8 @@
 
 func (home homeElsewhere) Ask(_ string, number uint64, _ permit.Request) { home.asked <- number }
 
+func (homeElsewhere) IsDeputy(string) bool { return false }
+
 func (homeElsewhere) Heard() float64 { return 1 }
 
 func (homeElsewhere) Silent(string) {}
--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -6,6 +6,10 @@
 	"mimosatide.example/mimosatide"
 )
 
+// coldTolerance is by how much longer than known a target has to be cold for the targets to change: what answers
+// say differs by the time that each was under way.
+const coldTolerance = 250 * time.Millisecond
+
 // coldMark says until when an incarnation of a target counts as cold.
 type coldMark struct {
 	born  time.Time
@@ -25,7 +29,7 @@
 // incarnation is ignored, and the time is never shortened: rows and answers may arrive out of order.
 func (registry *Registry) markColdLocked(instance mimosatide.Instance, until, now time.Time) bool {
 	known, found := registry.cold[instance.ID]
-	if found && (known.born.After(instance.Born) || known.born.Equal(instance.Born) && !until.After(known.until)) {
+	if found && (known.born.After(instance.Born) || known.born.Equal(instance.Born) && !until.After(known.until.Add(coldTolerance))) {
 		return false
 	}
 	registry.cold[instance.ID] = coldMark{born: instance.Born, until: until}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -183,6 +183,10 @@
 	}
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
+	// A change wakes many requests at once: the first one builds the view for all.
+	if view := registry.view.Load(); view != nil {
+		return view
+	}
 	view := registry.buildView()
 	registry.view.Store(view)
 	return view
