Mend what a review of the limits of callers and of the pace found

Faults, each measured by the reviewer: slow readers of large answers and late ticks made targets look slow; a connection's stage and its age could be read apart, so that a request that had just arrived was cut; without descriptors running requests were closed; a refusal before the first configuration dropped too little of a body.

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -67,10 +67,20 @@
 		if tracker.heldUp(now) > 0 {
 			return
 		}
-		tracker.pace.Observe(timing.target, timing.expected, now.Sub(timing.sent), now)
+		if timing.counted == 0 {
+			tracker.pace.Observe(timing.target, timing.expected, now.Sub(timing.sent), now)
+		}
 	}
 }
 
+// ForgetTiming ends the timing of a request whose answer is sent on while it arrives: from then on it goes
+// at the caller's speed.
+func (inFlight *InFlight) ForgetTiming() {
+	inFlight.tracker.lock.Lock()
+	defer inFlight.tracker.lock.Unlock()
+	inFlight.stopWaiting()
+}
+
 // stopWaiting removes the request from those that wait for their first event.
 func (inFlight *InFlight) stopWaiting() {
 	if !inFlight.timing.waiting {
@@ -95,7 +105,7 @@
 	tracker.waitingAt = now
 	for _, inFlight := range tracker.waiting {
 		timing := &inFlight.timing
-		timing.sent = timing.sent.Add(min(heldUp, now.Sub(timing.sent)))
+		timing.sent = timing.sent.Add(max(0, min(heldUp, now.Sub(timing.sent))))
 		if tracker.pace.ObserveWaiting(timing.target, timing.expected, now.Sub(timing.sent), timing.counted, now) {
 			timing.counted++
 		}
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -144,3 +144,56 @@
 		}
 	}
 }
+
+// TestLateTicksDontSlowTargets guards against targets that look slow because this node looks at its waiting
+// requests late: a tick of before the send must not move the send back.
+func TestLateTicksDontSlowTargets(t *testing.T) {
+	learned := pace.New(logr.Discard())
+	tracker, other := balance.New("a", learned), mimosatide.Instance{ID: "b", Service: "llm"}
+	target := mimosatide.Instance{ID: "near", Service: "llm"}
+	for round := range 60 {
+		at := now.Add(time.Duration(round) * 200 * time.Millisecond)
+		for _, instance := range []mimosatide.Instance{target, other} {
+			inFlight := tracker.Begin(instance.ID, engineQuery(500), at)
+			inFlight.MarkSent(instance, at.Add(80*time.Millisecond))
+			if instance.ID == target.ID {
+				tracker.ObserveWaiting(at)
+			}
+			inFlight.MarkAnswered(at.Add(90 * time.Millisecond))
+			inFlight.End(balance.Served, at.Add(90*time.Millisecond))
+		}
+	}
+	for _, instance := range []mimosatide.Instance{target, other} {
+		key := pace.Target{ID: instance.ID, Service: instance.Service, Born: instance.Born}
+		if factor := learned.Factor(key, now.Add(12*time.Second)); factor != 1 {
+			t.Errorf("target %s answers in 10 ms: got factor %v, want 1", instance.ID, factor)
+		}
+	}
+}
+
+// TestSlowReaderTellsNothingOfItsTarget guards against targets that look slow because callers read their large
+// answers slowly.
+func TestSlowReaderTellsNothingOfItsTarget(t *testing.T) {
+	learned := pace.New(logr.Discard())
+	tracker, target := balance.New("a", learned), mimosatide.Instance{ID: "near", Service: "llm"}
+	at := now
+	for range 50 {
+		at = at.Add(50 * time.Millisecond)
+		inFlight := tracker.Begin(target.ID, engineQuery(500), at)
+		inFlight.MarkSent(target, at)
+		inFlight.MarkAnswered(at.Add(10 * time.Millisecond))
+		inFlight.End(balance.Served, at.Add(10*time.Millisecond))
+	}
+	for range 6 {
+		inFlight := tracker.Begin(target.ID, engineQuery(500), at)
+		inFlight.MarkSent(target, at)
+		inFlight.ForgetTiming()
+	}
+	for range 20 {
+		at = at.Add(200 * time.Millisecond)
+		tracker.ObserveWaiting(at)
+	}
+	if factor := learned.Factor(pace.Target{ID: target.ID, Service: target.Service, Born: target.Born}, at); factor != 1 {
+		t.Errorf("got factor %v, want 1", factor)
+	}
+}
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -160,7 +160,7 @@
 				joinAt = now.Add(joinInterval)
 				go fleet.join(ctx)
 			}
-			fleet.node.tracker.ObserveWaiting(now)
+			fleet.node.tracker.ObserveWaiting(time.Now())
 			digest, active := fleet.digest()
 			fleet.tally.Add(digest, now)
 			if active || now.Sub(sentAt) >= idleDigestFactor*digestInterval {
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -64,7 +64,11 @@
 		}
 	}
 	byMemory := float64(limits.MemoryMB) * (1 << 20) * connectionMemoryShare / connectionMemory
-	return int(max(1, min(byMemory, float64(descriptors)*connectionDescriptorShare, mostConnections)))
+	most := max(1, min(byMemory, mostConnections))
+	if descriptors > 0 {
+		most = max(1, min(most, float64(descriptors)*connectionDescriptorShare))
+	}
+	return int(most)
 }
 
 // callerLimits returns the limits of callers in force.
@@ -78,7 +82,7 @@
 		limits.HeaderTimeout = configured + headerMargin
 	}
 	if configured := deployment.Limits.IdleTimeout; configured > 0 {
-		limits.IdleTimeout = configured
+		limits.IdleTimeout = configured + headerMargin
 	}
 	if configured := deployment.Limits.HeaderBytes; configured > 0 {
 		limits.MaxHeader = configured
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -16,6 +16,8 @@
 	// dropTime, dropSlack bytes more than the largest body has.
 	dropTime  = 2 * time.Second
 	dropSlack = 64 << 10
+	// minDropped is read of a body whose limit is not known, because there is no configuration yet.
+	minDropped = 4 << 20
 	// noMemoryRetryAfter is the Retry-After of a request whose body found no memory.
 	noMemoryRetryAfter = 500 * time.Millisecond
 )
@@ -54,6 +56,6 @@
 		return
 	}
 	// After an error or the last byte the connection is closed.
-	_, _ = io.CopyN(io.Discard, handler.incoming.Body, handler.bodyLimit+dropSlack)
+	_, _ = io.CopyN(io.Discard, handler.incoming.Body, max(handler.bodyLimit, minDropped)+dropSlack)
 	_ = controller.SetReadDeadline(time.Now())
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -99,6 +99,7 @@
 // relayLarge sends an answer that can't be buffered while it arrives, after the part that
 // the buffer holds.
 func (handler *requestHandler) relayLarge(outcome sendOutcome) sendOutcome {
+	handler.inFlight.ForgetTiming()
 	platform.CopyAnswerHead(handler.writer.Header(), outcome.head.Header)
 	handler.headSent = true
 	handler.writer.WriteHeader(outcome.head.Status)
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -20,6 +20,9 @@
 	// still sends would get a reset connection in place of the refusal.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
+	// writePiece is the largest part of a response that is written at once: what the kernel has accepted
+	// counts as progress where it does not tell what the caller has acknowledged.
+	writePiece = 32 << 10
 )
 
 // longAgo is a deadline that ends a read at once.
@@ -96,10 +99,16 @@
 
 // Write writes to the connection. The sweep closes it if its caller accepts nothing for too long.
 func (connection *connection) Write(data []byte) (int, error) {
-	connection.BeginWrite(connection.server.now())
-	count, err := connection.Conn.Write(data)
-	connection.EndWrite()
-	return count, err
+	defer connection.EndWrite()
+	total := 0
+	for {
+		connection.BeginWrite(connection.server.now())
+		count, err := connection.Conn.Write(data[total:min(len(data), total+writePiece)])
+		total += count
+		if err != nil || total >= len(data) {
+			return total, err
+		}
+	}
 }
 
 // CloseWrite closes the direction towards the caller.
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -66,7 +66,8 @@
 	if member.blocked(now) >= WriteTimeout {
 		return CauseUnread
 	}
-	stage, age := member.Stage(), member.age(now)
+	stage, since := member.read()
+	age := now - since
 	switch {
 	case stage == StageIdle && age >= limits.IdleTimeout, stage == StageNew && age >= limits.HeaderTimeout:
 		return CauseIdle
--- a/internal/ingress/member.go
+++ b/internal/ingress/member.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -27,9 +28,9 @@
 // Member is what decisions about a connection depend on. It is safe for concurrent use but for
 // what the Roster keeps in it. All times are readings of one clock.
 type Member struct {
-	stage atomic.Int32
-	// since is when the stage began; for a body, when its bytes last arrived.
-	since atomic.Int64
+	// state holds the stage and when it began; for a body, when its bytes last arrived. They change
+	// together, so that no stage is judged by the time of another.
+	state atomic.Int64
 	// writing is when the write that is in progress began, or when its bytes were last accepted,
 	// plus one; zero if there is none.
 	writing atomic.Int64
@@ -41,25 +42,36 @@
 	owner *connection
 }
 
+// stageBits are the lowest bits of a state, which hold the stage.
+const stageBits = 3
+
+func stateOf(stage Stage, since time.Duration) int64 {
+	return int64(since)<<stageBits | int64(stage)
+}
+
+// read returns the stage and when it began.
+func (member *Member) read() (Stage, time.Duration) {
+	state := member.state.Load()
+	return Stage(state & (1<<stageBits - 1)), time.Duration(state >> stageBits)
+}
+
 // Stage returns the stage.
 func (member *Member) Stage() Stage {
-	return Stage(member.stage.Load())
+	stage, _ := member.read()
+	return stage
 }
 
 // Enter changes the stage and reports whether it was one of from.
 func (member *Member) Enter(to Stage, now time.Duration, from ...Stage) bool {
-	for _, stage := range from {
-		if member.stage.CompareAndSwap(int32(stage), int32(to)) {
-			member.since.Store(int64(now))
+	for {
+		before := member.state.Load()
+		if !slices.Contains(from, Stage(before&(1<<stageBits-1))) {
+			return false
+		}
+		if member.state.CompareAndSwap(before, stateOf(to, now)) {
 			return true
 		}
 	}
-	return false
-}
-
-// Progress records that bytes of a body have arrived.
-func (member *Member) Progress(now time.Duration) {
-	member.since.Store(int64(now))
 }
 
 // BeginWrite records that a write begins or that bytes of it were accepted, EndWrite that it ends.
@@ -80,7 +92,3 @@
 	}
 	return now - time.Duration(began-1)
 }
-
-func (member *Member) age(now time.Duration) time.Duration {
-	return now - time.Duration(member.since.Load())
-}
--- a/internal/ingress/roster.go
+++ b/internal/ingress/roster.go
@@ -64,7 +64,7 @@
 	}
 	from.count++
 	member := &Member{source: from, position: len(roster.members)}
-	member.since.Store(int64(now))
+	member.state.Store(stateOf(StageNew, now))
 	roster.members = append(roster.members, member)
 	return member
 }
@@ -86,7 +86,7 @@
 }
 
 // Choose returns the connection to close for a new one from an address, with its stage; nil if
-// the new one has to go.
+// the new one has to go. Without an address only one that waits for its caller is closed.
 func (roster *Roster) Choose(address string, now time.Duration) (*Member, Stage) {
 	addresses, own := len(roster.sources), roster.sources[address]
 	if own == nil {
@@ -95,27 +95,28 @@
 	share := max(roster.bound/addresses, 1)
 	var chosen *Member
 	var chosenStage Stage
+	var chosenSince time.Duration
 	chosenRank := rankKept
 	for _, member := range roster.members {
-		stage := member.Stage()
+		stage, since := member.read()
 		if own != nil && own.count >= share && member.source != own {
 			continue
 		}
-		ranked := member.rank(stage, member.source.count > share, now)
-		if own != nil && own.count >= share && ranked > rankWaiting {
+		ranked := member.rank(stage, now-since, member.source.count > share, now)
+		if (address == "" || own != nil && own.count >= share) && ranked > rankWaiting {
 			continue
 		}
-		if ranked < chosenRank || ranked == chosenRank && ranked != rankKept && member.before(chosen, ranked) {
-			chosen, chosenStage, chosenRank = member, stage, ranked
+		if ranked < chosenRank || ranked == chosenRank && ranked != rankKept && member.before(chosen, since, chosenSince, ranked) {
+			chosen, chosenStage, chosenSince, chosenRank = member, stage, since, ranked
 		}
 	}
 	return chosen, chosenStage
 }
 
-// rank returns when a connection is closed; aboveShare says that its address has more than its
-// share.
-func (member *Member) rank(stage Stage, aboveShare bool, now time.Duration) rank {
-	old := member.age(now) >= patience
+// rank returns when a connection is closed that has been in its stage for a time; aboveShare says that its
+// address has more than its share.
+func (member *Member) rank(stage Stage, age time.Duration, aboveShare bool, now time.Duration) rank {
+	old := age >= patience
 	idle := stage == StageIdle || stage == StageNew && old
 	waiting := (stage == StageHeader || stage == StageBody) && old || member.blocked(now) >= patience
 	switch {
@@ -141,12 +142,12 @@
 // before reports whether the member is closed before another one of the same rank: that of the
 // address with more connections, then the one that has been in its stage for longer. Of those
 // that are running, the latest has the least to lose.
-func (member *Member) before(other *Member, ranked rank) bool {
+func (member *Member) before(other *Member, since, otherSince time.Duration, ranked rank) bool {
 	if member.source.count != other.source.count {
 		return member.source.count > other.source.count
 	}
 	if ranked == rankRunningAboveShare {
-		return member.since.Load() > other.since.Load()
+		return since > otherSince
 	}
-	return member.since.Load() < other.since.Load()
+	return since < otherSince
 }
--- a/internal/ingress/roster_test.go
+++ b/internal/ingress/roster_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// TestNoRunningRequestEndsForLackOfDescriptors guards against requests of ordinary callers that are cut
+// because a connection could not be accepted: they may all come from one address, that of a balancer.
+func TestNoRunningRequestEndsForLackOfDescriptors(t *testing.T) {
+	roster := ingress.NewRoster(800)
+	for range 500 {
+		roster.Add("10.0.0.1", 0).Enter(ingress.StageRunning, 0, ingress.StageNew)
+	}
+	if victim, stage := roster.Choose("", time.Minute); victim != nil {
+		t.Errorf("only running requests: got one in stage %d closed, want none", stage)
+	}
+	roster.Add("10.0.0.1", 0).Enter(ingress.StageIdle, 0, ingress.StageNew)
+	if victim, stage := roster.Choose("", time.Minute); victim == nil || stage != ingress.StageIdle {
+		t.Errorf("beside an idle connection: got %v in stage %d, want the idle one", victim, stage)
+	}
+}
+
 // BenchmarkChoose measures the choice of a connection on a host with the most connections.
 func BenchmarkChoose(b *testing.B) {
 	const bound = 2000
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -162,7 +163,7 @@
 	for {
 		accepted, err := listener.Listener.Accept()
 		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 				listener.server.makeRoom("")
 			}
 			return nil, err
