exchange: take an answer without a length only after a clean end

A target answered an upload early, without a length and chunks, and reset the connection. The kernel reports the error of a reset once; the write of the upload took it, and the read got an end of file, so that a part passed for the whole answer. Statuses 000, 099, 101 and +20 were taken for informational ones and the request waited until its deadline; 600 and 999 were passed on.

The end of the input is now io.EOF only if the message was written completely and the target has acknowledged it (internal/framing). A write that is still going on ends then. Answers with a length or chunks never reach that check. The status is checked as soon as its digits have arrived.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -6,6 +6,9 @@
 // for one of the latest requests that it has carried: a late copy of the first answer could
 // not be told from the second one. The client never retries; that is left to its caller.
 //
+// An answer with a status outside 100 to 599 is none. An answer without a length and chunks
+// is whole only if the connection ended cleanly in both directions.
+//
 // # Usage
 //
 //	client := exchange.New(&net.Dialer{})
@@ -36,6 +39,7 @@
 	"golang.org/x/sys/unix"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/framing"
 )
 
 // The bounds of a connection.
@@ -116,6 +120,15 @@
 	carried recentRequests
 	// headLimit is what may still be read for the head of an answer; nil while no head is read.
 	headLimit *headLimit
+	// upload is the writing of the latest call's message.
+	upload *upload
+}
+
+// upload is the writing of a message.
+type upload struct {
+	// ended is closed when the writing has ended, with the error err.
+	ended chan struct{}
+	err   error
 }
 
 // New returns a client with an empty pool.
@@ -138,9 +151,7 @@
 	// stopWatch stops closing the connection when the call's context ends; false if
 	// the context has ended already.
 	stopWatch func() bool
-	// written receives the result of writing the message.
-	written  <-chan error
-	finished bool
+	finished  bool
 }
 
 // Send writes a message and reads the status line and header of its answer. A
@@ -159,7 +170,7 @@
 	acquired.calls++
 	acquired.carried.add(call.Request)
 	stop := context.AfterFunc(ctx, func() { _ = acquired.Close() })
-	written, failure, err := write(acquired, call.Message)
+	failure, err := acquired.send(call.Message)
 	if failure != mimosatide.CallSucceeded {
 		stop()
 		_ = acquired.Close()
@@ -182,30 +193,43 @@
 		address:      call.Address,
 		connection:   acquired,
 		stopWatch:    stop,
-		written:      written,
 	}, mimosatide.CallSucceeded, nil
 }
 
-// write sends the message. A long message is written concurrently with reading the
+// send writes the message. A long message is written concurrently with reading the
 // answer, because a target may answer before it has read the whole message.
-func write(to *connection, message []byte) (<-chan error, mimosatide.CallFailure, error) {
-	written := make(chan error, 1)
+func (open *connection) send(message []byte) (mimosatide.CallFailure, error) {
+	started := &upload{ended: make(chan struct{})}
+	open.upload = started
 	if len(message) > maxInlineWriteBytes {
 		go func() {
-			_, err := to.Write(message)
-			written <- err
+			defer close(started.ended)
+			_, started.err = open.Write(message)
 		}()
-		return written, mimosatide.CallSucceeded, nil
+		return mimosatide.CallSucceeded, nil
 	}
-	count, err := to.Write(message)
-	written <- err
+	count, err := open.Write(message)
+	started.err = err
+	close(started.ended)
 	if err == nil {
-		return written, mimosatide.CallSucceeded, nil
+		return mimosatide.CallSucceeded, nil
 	}
 	if count == 0 {
-		return nil, mimosatide.CallNotSent, errors.Trace(err)
+		return mimosatide.CallNotSent, errors.Trace(err)
+	}
+	return mimosatide.CallCut, errors.Trace(err)
+}
+
+// endOfInput returns the error with which the input ends that the target has ended: io.EOF
+// only if the target has all of the message. The end of an answer without a length is its
+// only framing, and the write of the message may have taken the error of a reset.
+func (open *connection) endOfInput() error {
+	// The writing ends at once: a target that has left may never end it.
+	if err := open.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Trace(err)
 	}
-	return nil, mimosatide.CallCut, errors.Trace(err)
+	<-open.upload.ended
+	return framing.EndOfInput(open.Conn, open.upload.err)
 }
 
 // acquire returns a reusable connection from the pool, or a new one.
@@ -343,7 +367,9 @@
 	return nil
 }
 
-// Body returns the answer's body.
+// Body returns the answer's body. It ends with io.EOF only if it is whole: a body without a
+// length and chunks is so only if its target had the whole message and ended the connection
+// cleanly.
 func (reply *Reply) Body() io.Reader {
 	return reply.Response.Body
 }
@@ -402,9 +428,10 @@
 }
 
 func (reply *Reply) fullyWritten() bool {
+	written := reply.connection.upload
 	select {
-	case err := <-reply.written:
-		return err == nil
+	case <-written.ended:
+		return written.err == nil
 	default:
 		return false
 	}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"regexp"
 	"slices"
 
 	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide/internal/framing"
 )
 
 // headLimit is a number of bytes and of lines.
@@ -24,7 +27,11 @@
 func (open *connection) Read(buffer []byte) (int, error) {
 	limit := open.headLimit
 	if limit == nil {
-		return open.Conn.Read(buffer)
+		count, err := open.Conn.Read(buffer)
+		if err == io.EOF {
+			err = open.endOfInput()
+		}
+		return count, err
 	}
 	if limit.bytes <= 0 || limit.lines <= 0 {
 		limit.exceeded = true
@@ -48,6 +55,12 @@
 	open.headLimit = limit
 	defer func() { open.headLimit = nil }()
 	for {
+		if err := open.checkStatusLine(); err != nil {
+			if limit.exceeded {
+				return nil, errors.Trace(ErrHeadTooLarge)
+			}
+			return nil, errors.Trace(err)
+		}
 		response, err := http.ReadResponse(open.reader, &http.Request{Method: method})
 		if limit.exceeded {
 			// The error may be that of the line which was cut off.
@@ -68,6 +81,26 @@
 	}
 }
 
+// checkStatusLine waits for the status of an answer, which stays unread, and checks it. The
+// library takes statuses that are no HTTP, and reports others only after the whole head.
+func (open *connection) checkStatusLine() error {
+	for size := 1; ; {
+		if _, err := open.reader.Peek(size); err == io.EOF {
+			return io.ErrUnexpectedEOF
+		} else if err != nil {
+			return err
+		}
+		begin, err := open.reader.Peek(open.reader.Buffered())
+		if err != nil {
+			return err
+		}
+		if status, err := framing.CheckStatusLine(begin); status != 0 || err != nil {
+			return err
+		}
+		size = len(begin) + 1
+	}
+}
+
 func countFields(header http.Header) int {
 	count := 0
 	for _, values := range header {
--- /dev/null
+++ b/internal/framing/doc.go
@@ -0,0 +1,20 @@
+// Package framing checks what the HTTP/1.1 libraries take on trust in an answer: the status,
+// and the end of a body that has neither a length nor chunks, which only the end of its
+// connection ends.
+//
+// Such a body is whole only if the connection ended cleanly in both directions. The kernel
+// reports the error of a reset once, to whichever of read and write meets it first; if that is
+// the write of a request, the read gets a clean end.
+//
+// # Usage
+//
+//	transport.DialContext = framing.Dial(dialer.DialContext)
+//	...
+//	ctx, upload := framing.Trace(ctx)
+//	response, err := client.Do(request.WithContext(ctx))
+//	...
+//	body, err := io.ReadAll(response.Body)
+//	if err == nil {
+//		err = upload.CheckResponse(response)
+//	}
+package framing
