--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -41,16 +41,18 @@
 
 // fixture is a gateway with targets whose answers the test determines.
 type fixture struct {
-	t       *testing.T
-	server  *httptest.Server
-	targets *registry.Registry
-	tracker *balance.Tracker
-	ledger  *allowance.Ledger
-	limits  *permit.Limits
-	loader  *fakeLoader
-	origins *fakeOrigins
-	engines *fakeEngines
-	answers *buffer.Budget
+	t      *testing.T
+	server *httptest.Server
+	// deployment is the configuration in force. A test may change it before its first request.
+	deployment *mimosatide.Deployment
+	targets    *registry.Registry
+	tracker    *balance.Tracker
+	ledger     *allowance.Ledger
+	limits     *permit.Limits
+	loader     *fakeLoader
+	origins    *fakeOrigins
+	engines    *fakeEngines
+	answers    *buffer.Budget
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
 	// age is the age of the gateway's copy of the configuration.
@@ -171,6 +173,7 @@
 		draining: make(chan struct{}),
 	}
 	deployment := testDeployment()
+	created.deployment = deployment
 	gate := gateway.New(gateway.Dependencies{
 		Deployment:    func() *mimosatide.Deployment { return deployment },
 		DeploymentAge: func() time.Duration { return created.age },
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,6 +16,7 @@
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/buffer"
 	"mimosatide.example/mimosatide/internal/exchange"
+	"mimosatide.example/mimosatide/internal/framing"
 	"mimosatide.example/mimosatide/internal/metric"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -59,6 +60,7 @@
 	}
 	if err != nil {
 		outcome.reply.Abort()
+		handler.countBroken(err)
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
 	handler.acquit(time.Now())
@@ -102,6 +104,7 @@
 	}
 	if err != nil {
 		outcome.reply.Abort()
+		handler.countBroken(err)
 		handler.inFlight.End(balance.Failed, time.Now())
 		handler.abort(sendOutcome{detail: err.Error()})
 	}
@@ -173,6 +176,7 @@
 func (handler *requestHandler) failStream(ctx context.Context, outcome sendOutcome, err error) sendOutcome {
 	outcome.reply.Abort()
 	handler.countOversize(err, metric.OversizeEvent)
+	handler.countBroken(err)
 	failed := handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	failed.reason = metric.RetryResume
 	return failed
@@ -191,6 +195,20 @@
 	}
 }
 
+// countBroken counts and logs an answer whose error says that it does not keep to the protocol.
+func (handler *requestHandler) countBroken(err error) {
+	kind := metric.AnswerBroken
+	switch {
+	case errors.Is(err, framing.ErrStatus):
+		kind = metric.AnswerInvalidStatus
+	case !errors.Is(err, framing.ErrUnfinished):
+		return
+	}
+	handler.gateway.Meter.CountAnswer(kind)
+	handler.gateway.log.Info("answer broken", "request", handler.request.ID, "target", handler.instance.ID, "kind", kind,
+		"detail", err.Error(), "sends", handler.sends, "after", time.Since(handler.sent))
+}
+
 // readEvent reads one server-sent event up to and including the empty line that
 // ends it into an empty buffer, and returns its bytes and its id. It returns io.EOF only
 // between events.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -219,6 +219,7 @@
 			handler.possibleRuns++
 		}
 		handler.countOversize(err, metric.OversizeHead)
+		handler.countBroken(err)
 		if failedDial(err) && ctx.Err() == nil {
 			handler.recordNotLoaded()
 		}
@@ -229,6 +230,7 @@
 	}
 	if err := handler.skipLateAnswers(reply); err != nil {
 		reply.Abort()
+		handler.countBroken(err)
 		handler.possibleRuns++
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -71,6 +71,10 @@
 	AnswerLate AnswerKind = "Late"
 	// AnswerUndeclared is a refusal that does not say that the request was not run.
 	AnswerUndeclared AnswerKind = "Undeclared"
+	// AnswerBroken is an answer whose connection ended before the target had the whole request.
+	AnswerBroken AnswerKind = "Broken"
+	// AnswerInvalidStatus is an answer whose status is not one of HTTP.
+	AnswerInvalidStatus AnswerKind = "InvalidStatus"
 )
 
 // OversizeReason says which bound an answer of a target exceeded.
