platform: no order or transaction is decided by a broken answer

net/http takes an answer to an order or a transaction that ends early and without a length for a whole one when its connection ends, although the store or engine has not read the request, and takes any three characters that are a number for a status.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,9 +43,11 @@
 // progress and all that was written is acknowledged; otherwise it ends with ErrUnfinished.
 type Conn struct {
 	net.Conn
-	// writing is held during a write, failure is the error of the first that failed.
+	// writing is held during a write.
 	writing sync.Mutex
+	// failure is the error of the first write that failed, ended says that the input has ended.
 	failure error
+	ended   bool
 }
 
 // Dial returns a dial function whose connections are of type Conn.
@@ -62,10 +63,13 @@
 	}
 }
 
-// Write writes to the connection.
+// Write writes to the connection. After the end of the input it fails: nothing would answer.
 func (conn *Conn) Write(data []byte) (int, error) {
 	conn.writing.Lock()
 	defer conn.writing.Unlock()
+	if conn.ended {
+		return 0, errors.Trace(net.ErrClosed)
+	}
 	count, err := conn.Conn.Write(data)
 	if err != nil && conn.failure == nil {
 		conn.failure = err
@@ -92,6 +96,7 @@
 		conn.writing.Lock()
 	}
 	defer conn.writing.Unlock()
+	conn.ended = true
 	return EndOfInput(conn.Conn, conn.failure)
 }
 
@@ -107,27 +112,64 @@
 	return io.EOF
 }
 
+// hookTimeout bounds the wait for the report that a request has been written. The write has
+// ended then, or has never begun, so that the bound only covers a process that gets no CPU.
+const hookTimeout = 100 * time.Millisecond
+
 // Upload tells whether a request has been written. It is safe for concurrent use.
 type Upload struct {
-	written atomic.Bool
+	lock sync.Mutex
+	// ended is closed when the latest attempt has been written, or not, by written.
+	ended   chan struct{}
+	written bool
 }
 
 // Trace returns a context for one request by an http.Client and the Upload that follows it.
 func Trace(ctx context.Context) (context.Context, *Upload) {
-	upload := &Upload{}
+	upload := &Upload{ended: make(chan struct{})}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) { upload.written.Store(info.Err == nil) },
+		GotConn:      func(httptrace.GotConnInfo) { upload.begin() },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { upload.end(info.Err == nil) },
 	}), upload
 }
 
-// CheckResponse checks the status of a response whose body has been read completely over a
-// Conn, and that a body without a length and chunks came after the whole request.
-func (upload *Upload) CheckResponse(response *http.Response) error {
-	if !CheckStatus(response.StatusCode) || response.StatusCode < http.StatusOK {
-		return errors.Annotatef(ErrStatus, "%.16q", response.Status)
+// begin begins an attempt; the client may make several.
+func (upload *Upload) begin() {
+	upload.lock.Lock()
+	defer upload.lock.Unlock()
+	upload.ended, upload.written = make(chan struct{}), false
+}
+
+func (upload *Upload) end(written bool) {
+	upload.lock.Lock()
+	defer upload.lock.Unlock()
+	upload.written = written
+	select {
+	case <-upload.ended:
+	default:
+		close(upload.ended)
 	}
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || upload.written.Load() {
+}
+
+// CheckBody checks a response whose body has been read completely over a Conn: without a length
+// and chunks it is whole only if the request had been written before.
+func (upload *Upload) CheckBody(response *http.Response) error {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
 		return nil
 	}
-	return errors.Trace(ErrUnfinished)
+	upload.lock.Lock()
+	ended := upload.ended
+	upload.lock.Unlock()
+	timer := time.NewTimer(hookTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+	upload.lock.Lock()
+	defer upload.lock.Unlock()
+	if !upload.written {
+		return errors.Trace(ErrUnfinished)
+	}
+	return nil
 }
--- a/internal/framing/doc.go
+++ b/internal/framing/doc.go
@@ -13,8 +13,11 @@
 //	ctx, upload := framing.Trace(ctx)
 //	response, err := client.Do(request.WithContext(ctx))
 //	...
+//	if err := framing.CheckFinalStatus(response.StatusCode); err != nil {
+//		return errors.Trace(err)
+//	}
 //	body, err := io.ReadAll(response.Body)
 //	if err == nil {
-//		err = upload.CheckResponse(response)
+//		err = upload.CheckBody(response)
 //	}
 package framing
--- a/internal/framing/status.go
+++ b/internal/framing/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 
 	"github.com/juju/errors"
 )
@@ -13,8 +14,12 @@
 // errStatusLine is the error of an answer that does not begin with a status line.
 var errStatusLine = errors.New("the answer does not begin with a status line")
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+const (
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+	// statusLimit is the least number above the statuses of HTTP.
+	statusLimit = 600
+)
 
 // CheckStatusLine checks the beginning of an answer, as much as has arrived of it. It returns
 // the status, zero if more has to arrive, or an error at the first byte that can't be part of
@@ -44,7 +49,7 @@
 		}
 		status = status*10 + int(next-'0')
 		digits++
-		if digits == statusDigits && !CheckStatus(status) || digits == 1 && (status < 1 || status > 5) {
+		if digits == statusDigits && !isStatus(status) || digits == 1 && (status < 1 || status > 5) {
 			return 0, errors.Trace(ErrStatus)
 		}
 	}
@@ -67,9 +72,16 @@
 	return nil
 }
 
-// CheckStatus reports whether a status is valid: informational or final, and no switch to
+// isStatus reports whether a status is valid: informational or final, and no switch to
 // another protocol, which no request asks for.
-func CheckStatus(status int) bool {
-	const switchingProtocols = 101
-	return status >= 100 && status <= 599 && status != switchingProtocols
+func isStatus(status int) bool {
+	return status >= http.StatusContinue && status < statusLimit && status != http.StatusSwitchingProtocols
+}
+
+// CheckFinalStatus returns ErrStatus for a status that no final answer has.
+func CheckFinalStatus(status int) error {
+	if status < http.StatusOK || status >= statusLimit {
+		return errors.Annotatef(ErrStatus, "%03d", status)
+	}
+	return nil
 }
