target, internal/platform: take no answer whose connection broke for a whole one

The client of hertz takes any error, a reset or a time-out too, for the end of a body without a length, reads such an answer with a status of 400 to 599 also after the request could not be written, and takes the status 000 for 200 and 0200 for 200. The connections that serve dials now check the status as it arrives and remember how their input and output ended (internal/framing/hertzconn); an answer that the end of its connection ends is an error if that end was not clean.

--- /dev/null
+++ b/internal/framing/hertzconn/conn.go
@@ -0,0 +1,170 @@
+// Package hertzconn has the checks of package framing for the client of hertz. That client takes
+// any error for the end of a body without a length, and the status 000 for 200.
+//
+// # Usage
+//
+//	client.NewClient(client.WithDialer(hertzconn.NewDialer()))
+//	...
+//	err := httpClient.Do(ctx, request, response)
+//	if err == nil {
+//		err = hertzconn.CheckEnd(response)
+//	}
+package hertzconn
+
+import (
+	"bytes"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide/internal/framing"
+)
+
+// Dialer dials connections of type Conn.
+type Dialer struct {
+	network.Dialer
+}
+
+// NewDialer returns a dialer.
+func NewDialer() Dialer {
+	return Dialer{Dialer: standard.NewDialer()}
+}
+
+// DialConnection dials a connection.
+func (dialer Dialer) DialConnection(
+	kind, address string, timeout time.Duration, config *tls.Config,
+) (network.Conn, error) {
+	return dialer.Dial(kind, address, timeout, config)
+}
+
+// Dial dials a connection.
+func (dialer Dialer) Dial(kind, address string, timeout time.Duration, config *tls.Config) (*Conn, error) {
+	dialled, err := dialer.Dialer.DialConnection(kind, address, timeout, config)
+	if err != nil {
+		return nil, err
+	}
+	conn, ok := dialled.(*standard.Conn)
+	if !ok {
+		_ = dialled.Close()
+		return nil, errors.Errorf("connection of type %T", dialled)
+	}
+	return &Conn{Conn: conn}, nil
+}
+
+// Conn is a connection that checks the status of each answer and remembers how its input and
+// its output ended. The client uses a connection for one request at a time.
+type Conn struct {
+	*standard.Conn
+	// statusDue says that a status has to come next, and interim that the last one was
+	// informational, so that another follows its head.
+	statusDue bool
+	interim   bool
+	// readErr and writeErr are the errors of the first read and write that failed.
+	readErr  error
+	writeErr error
+}
+
+// endpoint is the address of a connection's other side. An answer of the library names its
+// connection only by this address.
+type endpoint struct {
+	net.Addr
+	conn *Conn
+}
+
+// RemoteAddr returns the address of the other side.
+func (conn *Conn) RemoteAddr() net.Addr {
+	return endpoint{Addr: conn.Conn.RemoteAddr(), conn: conn}
+}
+
+// Flush writes a request.
+func (conn *Conn) Flush() error {
+	conn.statusDue, conn.interim = true, false
+	err := conn.Conn.Flush()
+	if err != nil && conn.writeErr == nil {
+		conn.writeErr = err
+	}
+	return err
+}
+
+// Peek returns the next size bytes. It fails at a status that is none.
+func (conn *Conn) Peek(size int) ([]byte, error) {
+	next, err := conn.Conn.Peek(size)
+	if err != nil {
+		conn.remember(err)
+		return next, err
+	}
+	if conn.statusDue {
+		if err := conn.checkStatus(); err != nil {
+			return nil, err
+		}
+	}
+	return next, nil
+}
+
+// Read reads what comes next.
+func (conn *Conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if err != nil {
+		conn.remember(err)
+	}
+	return count, err
+}
+
+func (conn *Conn) remember(err error) {
+	if conn.readErr == nil {
+		conn.readErr = err
+	}
+}
+
+// checkStatus checks what has arrived of a status line.
+func (conn *Conn) checkStatus() error {
+	begin, err := conn.Conn.Peek(conn.Len())
+	if err != nil {
+		return err
+	}
+	// The library passes over empty lines before a status line.
+	status, err := framing.CheckStatusLine(bytes.TrimLeft(begin, "\r\n"))
+	if err != nil {
+		return err
+	}
+	conn.statusDue = status == 0
+	conn.interim = status != 0 && status < http.StatusOK
+	return nil
+}
+
+// Skip consumes the next size bytes.
+func (conn *Conn) Skip(size int) error {
+	if conn.interim {
+		// The library consumes a head at once.
+		conn.statusDue, conn.interim = true, false
+	}
+	return conn.Conn.Skip(size)
+}
+
+// CheckEnd returns an error if the connection of an answer has ended, and the answer is not
+// known to be whole: the connection broke, or the request could not be written completely.
+// It must be called before the body of a streamed answer is closed.
+func CheckEnd(response *protocol.Response) error {
+	source, ok := response.RemoteAddr().(endpoint)
+	if !ok || !response.ConnectionClose() {
+		// The end of such a connection ends no body, and another request may use it already.
+		return nil
+	}
+	switch conn := source.conn; {
+	case conn.readErr == nil:
+		return nil
+	case conn.writeErr != nil:
+		return errors.Annotate(framing.ErrUnfinished, conn.writeErr.Error())
+	case conn.readErr != io.EOF:
+		return errors.Annotate(framing.ErrUnfinished, conn.readErr.Error())
+	default:
+		return nil
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/juju/errors"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/framing/hertzconn"
 )
 
 // maxConnections bounds the connections to the platform's address.
@@ -36,7 +36,7 @@
 // New returns a client for the platform's services.
 func New(settings Settings) (*Client, error) {
 	http, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(hertzconn.NewDialer()),
 		client.WithDialTimeout(settings.Timeout),
 		client.WithClientReadTimeout(settings.Timeout),
 		client.WithWriteTimeout(settings.Timeout),
@@ -153,5 +153,8 @@
 	if err := platform.http.Do(ctx, request, response); err != nil {
 		return 0, nil, errors.Trace(err)
 	}
+	if err := hertzconn.CheckEnd(response); err != nil {
+		return 0, nil, errors.Trace(err)
+	}
 	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -9,11 +9,11 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/juju/errors"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/framing/hertzconn"
 )
 
 // Headers of the protocol between nodes and targets.
@@ -96,7 +96,7 @@
 
 func newHTTPClient(settings Settings, keepAlive bool) (*client.Client, error) {
 	return client.NewClient(
-		client.WithDialer(boundedDialer{Dialer: standard.NewDialer(), maxAnswer: settings.MaxAnswer}),
+		client.WithDialer(boundedDialer{Dialer: hertzconn.NewDialer(), maxAnswer: settings.MaxAnswer}),
 		client.WithDialTimeout(settings.DialTimeout),
 		client.WithClientReadTimeout(settings.ProgressTimeout),
 		client.WithResponseBodyStream(true),
@@ -122,6 +122,10 @@
 	if err := httpClient.Do(ctx, request, response); err != nil {
 		return failedAnswer(ctx, err)
 	}
+	if err := hertzconn.CheckEnd(response); err != nil {
+		forceClose(response)
+		return mimosatide.Answer{Failure: mimosatide.CallCut, Detail: err.Error()}
+	}
 	if response.StatusCode() < 200 {
 		// The library returns an informational answer if the final one is cut.
 		forceClose(response)
@@ -250,6 +254,10 @@
 	if err := target.unpooled.Do(ctx, request, response); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if err := hertzconn.CheckEnd(response); err != nil {
+		forceClose(response)
+		return nil, errors.Trace(err)
+	}
 	answer := target.readBody(ctx, response)
 	if answer.Failure != mimosatide.CallSucceeded {
 		return nil, errors.Errorf("%s %s: %s %s", method, path, answer.Failure, answer.Detail)
--- a/internal/target/dialer.go
+++ b/internal/target/dialer.go
@@ -5,8 +5,9 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/juju/errors"
+
+	"mimosatide.example/mimosatide/internal/framing/hertzconn"
 )
 
 // maxHeadBytes bounds the head of an answer, and its trailers.
@@ -20,7 +21,7 @@
 // boundedDialer dials connections that bound what the HTTP library holds of an answer. It
 // reads heads, trailers, and bodies without a length completely, and has no bounds for them.
 type boundedDialer struct {
-	network.Dialer
+	hertzconn.Dialer
 	maxAnswer int
 }
 
@@ -28,22 +29,17 @@
 func (dialer boundedDialer) DialConnection(
 	kind, address string, timeout time.Duration, config *tls.Config,
 ) (network.Conn, error) {
-	dialled, err := dialer.Dialer.DialConnection(kind, address, timeout, config)
+	dialled, err := dialer.Dial(kind, address, timeout, config)
 	if err != nil {
 		return nil, err
 	}
-	conn, ok := dialled.(*standard.Conn)
-	if !ok {
-		_ = dialled.Close()
-		return nil, errors.Errorf("connection of type %T", dialled)
-	}
-	return &boundedConn{Conn: conn, maxAnswer: dialer.maxAnswer}, nil
+	return &boundedConn{Conn: dialled, maxAnswer: dialer.maxAnswer}, nil
 }
 
 // boundedConn is a connection that holds at most maxHeadBytes that nobody has consumed, and
 // at most maxAnswer consumed ones whose memory was not released.
 type boundedConn struct {
-	*standard.Conn
+	*hertzconn.Conn
 	maxAnswer int
 	// consumed is what was consumed since the memory was last released, in bytes.
 	consumed int
