--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -229,6 +229,7 @@
 			handler.possibleRuns++
 		}
 		handler.countOversize(err, metric.OversizeHead)
+		handler.countBroken(err)
 		if failedDial(err) && ctx.Err() == nil {
 			handler.recordNotLoaded()
 		}
@@ -239,6 +240,7 @@
 	}
 	if err := handler.skipLateAnswers(reply); err != nil {
 		reply.Abort()
+		handler.countBroken(err)
 		handler.possibleRuns++
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
