--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -22,6 +22,11 @@
 	sharedParts = 3
 	// meanDeadlyPause is the mean pause between two requests that crash their targets.
 	meanDeadlyPause = 400 * time.Millisecond
+	// In a run with long uploads, one of longUploadEvery requests that have a body has one of
+	// longUpload bytes. The sockets between a node, a proxy and a target hold less, so that a
+	// target that doesn't read it can end its answer while the node still writes.
+	longUpload      = 7_500_000
+	longUploadEvery = 4
 	// callerDeadline is the time for an answer that a request names.
 	callerDeadline = 3 * time.Second
 	// clientTimeout bounds a request at the HTTP client.
@@ -60,6 +65,8 @@
 	after int
 	// model is the model that the request asks for, if its route has any.
 	model string
+	// uploadBytes is the least length of its body.
+	uploadBytes int
 }
 
 // routes are the names of the routes that callers use.
@@ -73,6 +80,7 @@
 	method, body := http.MethodGet, ""
 	if outcome.route != "look" {
 		method, body = http.MethodPost, "body of "+outcome.id
+		body += strings.Repeat(".", max(0, outcome.uploadBytes-len(body)))
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/"+outcome.route+"/1", strings.NewReader(body))
 	if err != nil {
@@ -137,6 +145,9 @@
 					id: fmt.Sprintf("c%d-%d", index, count), route: routes[random.IntN(len(routes))],
 					node: testbed.nodes[random.IntN(len(testbed.nodes))], key: testbed.schoolKey(),
 				}
+				if testbed.longUploads && count%longUploadEvery == index%longUploadEvery {
+					request.uploadBytes = longUpload
+				}
 				tokens := 50
 				if index%3 == 0 {
 					request.key, tokens = "club", 400
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -293,6 +293,8 @@
 		return "was denied although its route and key had long been in force"
 	case notRun[result.status] && len(runs) > 0:
 		return "was refused as not run but has run"
+	case result.status != 0 && (result.status < http.StatusOK || result.status > 599):
+		return "got a status that is none of HTTP"
 	case result.status == http.StatusOK:
 		return checkBody(result)
 	case result.status == 0 && len(runs) > 0 && !result.node.disrupted(result.sent):
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -122,6 +122,16 @@
 	return drawn
 }
 
+// brokenFaults returns the fault that lets targets break answers. The requests of such a run
+// have long uploads, so that targets can answer while they are still written.
+func brokenFaults(random *rand.Rand) []fault {
+	return []fault{{"let a target break answers", func(testbed *testbed, _ string) func() {
+		target := testbed.targets[random.IntN(len(testbed.targets))]
+		target.SendBroken(random.Float64() / 2)
+		return func() { target.SendBroken(0) }
+	}}}
+}
+
 func (testbed *testbed) randomNode() *node {
 	return testbed.nodes[testbed.random.IntN(len(testbed.nodes))]
 }
@@ -287,6 +297,7 @@
 		target.SendAnswersTwice(0)
 		target.RefuseRequests(0)
 		target.SendWithoutEnd(0)
+		target.SendBroken(0)
 		testbed.replaceLeaving(target)
 	}
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"slices"
@@ -8,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mimosatide.example/mimosatide/internal/framing"
 )
 
 // linkCondition is the network condition that a proxy imposes on one direction.
@@ -77,7 +80,8 @@
 		if err != nil {
 			return
 		}
-		server, err := net.Dial("tcp", proxy.server)
+		// A reset by the server must not look like its regular end, whichever direction meets it.
+		server, err := framing.Dial((&net.Dialer{}).DialContext)(context.Background(), "tcp", proxy.server)
 		if err != nil {
 			proxy.refuse()
 			_ = client.Close()
@@ -148,9 +152,9 @@
 	for {
 		count, err := from.Read(buffer)
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+			if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, framing.ErrUnfinished) {
 				// A reset must not look like the regular end of an answer.
-				_ = tcp.SetLinger(0)
+				resetOnClose(to)
 			}
 			if direction == toClient && !accepts(proxy.server) {
 				proxy.refuse()
@@ -166,6 +170,8 @@
 			time.Sleep(condition.delay)
 		}
 		if _, err := to.Write(buffer[:count]); err != nil {
+			// The write may have taken the error of a reset.
+			resetOnClose(from)
 			return
 		}
 	}
@@ -212,15 +218,23 @@
 	defer proxy.lock.Unlock()
 	proxy.markDisrupted()
 	for connection := range proxy.open {
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			// With a linger time of zero, Close sends a reset.
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(connection)
 		_ = connection.Close()
 		delete(proxy.open, connection)
 	}
 }
 
+// resetOnClose makes a connection end with a reset.
+func resetOnClose(connection net.Conn) {
+	if checked, ok := connection.(*framing.Conn); ok {
+		connection = checked.Conn
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		// With a linger time of zero, Close sends a reset.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // moments are the times at which something happened, in order.
 type moments []time.Time
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	nodeCount       = flag.Int("soak.nodes", 4, "number of nodes, 59 at most; relays are used from 22 on")
 	runKnownFailing = flag.Bool("soak.red", false, "also run the seeds that are listed in KNOWN-RED.txt")
 	sendTwice       = flag.Bool("soak.twice", true, "let targets send answers and refusals twice in some runs")
+	sendBroken      = flag.Bool("soak.broken", true, "let targets break answers in some runs, with long uploads")
 	sendEndless     = flag.Bool("soak.endless", true, "let targets send bytes without end in some runs")
 	restoreStore    = flag.Bool("soak.restore", true, "restore the store from older copies in some runs")
 	releaseSoftware = flag.Bool("soak.releases", true, "replace targets by such with other software in some runs")
@@ -81,6 +82,8 @@
 	testbed.waitRecovered(client, "the start", "none")
 	ctx, cancel := context.WithTimeout(context.Background(), *soakTime)
 	defer cancel()
+	breaks := rand.New(rand.NewPCG(seed, 8))
+	testbed.longUploads = breaks.IntN(2) == 0 && *sendBroken
 	var callers, deadlyCallers sync.WaitGroup
 	testbed.runCallers(ctx, &callers)
 	if seed%deadlySeeds == 0 {
@@ -100,12 +103,15 @@
 	answers, restores := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	var added sync.WaitGroup
 	added.Go(func() { testbed.injectFaults(ctx, program, answerFaults(answers), answers, onFault) })
+	if testbed.longUploads {
+		added.Go(func() { testbed.injectFaults(ctx, program, brokenFaults(breaks), breaks, onFault) })
+	}
 	restored := restores.IntN(2) == 0 && *restoreStore
 	if restored {
 		added.Go(func() { testbed.injectRestores(ctx, program, restores, onFault) })
 		testbed.runOldKeyCaller(ctx, &callers, rand.New(rand.NewPCG(seed, 4)))
 	}
-	if evacuations := rand.New(rand.NewPCG(seed, 8)); !restored && *evacuateZones {
+	if evacuations := rand.New(rand.NewPCG(seed, 9)); !restored && *evacuateZones {
 		added.Go(func() { testbed.injectEvacuations(ctx, evacuations, onFault) })
 	}
 	if releases := rand.New(rand.NewPCG(seed, 5)); releases.IntN(2) == 0 && *releaseSoftware {
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -43,9 +43,11 @@
 	networkPrefix string
 	// bootstrap is the nodes' setting for the first start of the fleet.
 	bootstrap bool
-	store     *emulator.Store
-	recorder  *emulator.Recorder
-	nodes     []*node
+	// longUploads says that some requests have long bodies.
+	longUploads bool
+	store       *emulator.Store
+	recorder    *emulator.Recorder
+	nodes       []*node
 	// targetProxies has the proxy of each target at the same index.
 	targets       []*emulator.Target
 	targetProxies []*proxy
@@ -229,7 +231,7 @@
 	 "services":[{"name":"desk","healthPath":"/health","maxConns":100},
 	  {"name":"llm","healthPath":"/health","maxConns":300,"engine":{"slots":16,"kvCapacity":200000,"weightsSizeMb":215000,
 	   "hostMb":100000,"diskMb":900000,"adapterSlots":4,"loadsPerS":3,"models":[%s]}}],
-	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":8000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 	 "tenants":[{"name":"school","apiKeys":[%q],"unit":"tokens","plainTokens":10},
 	  {"name":"club","apiKeys":["club"],"unit":"tokens","plainTokens":10,"ratePerS":%f,"burst":%f}]}`,
 		testbed.version,
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -78,5 +78,9 @@
 mutate incarnation internal/gateway/resume.go 's/!report\.Born\.Equal\(instance\.Born\)/false/' ./internal/gateway TestStreamIsNotContinuedByAnotherIncarnation
 mutate origin-restored internal/origin/origin.go 's/!tracker\.restoredAt\.IsZero\(\) && /false \&\& /' ./internal/origin TestRestoredRowIsNotTakenForTheOnlyVersion
 mutate origin-named internal/origin/origin.go 's/\tif state\.read \{/\tif false {/; s/return len\(state\.everNamed\) == 0 \|\| .*/return true/' ./internal/origin TestStreamDoesNotBeginAtTheOnlyVersionLeftBeforeItIsNamed
+mutate unclean-end internal/framing/conn.go 's/if failure != nil \{/if failure != nil \&\& false {/; s/if !Acknowledged\(connection\) \{/if false {/' ./internal/exchange TestAnswerWithoutLengthIsBroken
+mutate odd-status internal/framing/status.go 's/return status >= http\.StatusContinue && status < statusLimit/return status >= 0 \&\& status < 10*statusLimit/; s/ \|\| digits == 1 && \(status < 1 \|\| status > 5\)//' ./internal/exchange TestOddStatusIsAProtocolError
+mutate unclean-order internal/framing/conn.go 's/if failure != nil \{/if failure != nil \&\& false {/; s/if !Acknowledged\(connection\) \{/if false {/; s/if !upload\.written \{/if false {/' ./platform 'TestBrokenAnswerDecidesNo'
+mutate unclean-hertz internal/framing/hertzconn/conn.go 's/case conn\.readErr != io\.EOF:/case conn.readErr == io.ErrNoProgress:/' ./internal/target TestBrokenAnswer
 echo "$((ran - survived)) passed, $survived failed"
 [ "$survived" -eq 0 ]
