--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -56,7 +56,7 @@
 
 // newUploadFixture returns a gateway that takes uploads of uploadBytes.
 func newUploadFixture(t *testing.T) *fixture {
-	fixture := newFixture(t)
+	fixture := newFixtureWith(t, 4*uploadBytes)
 	fixture.deployment.Limits.BodyBytes = 2 * uploadBytes
 	return fixture
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -173,6 +173,12 @@
 func (noPeers) Silent(string) {}
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, requestMemory)
+}
+
+// newFixtureWith returns a fixture with the given memory for callers' requests, in bytes.
+func newFixtureWith(t *testing.T, memory int64) *fixture {
 	t.Helper()
 	paces := pace.New(logr.Discard())
 	created := &fixture{
@@ -186,7 +192,7 @@
 		origins:  &fakeOrigins{known: map[string]string{}, sent: map[string]string{}},
 		engines:  &fakeEngines{born: map[string]time.Time{}},
 		answers:  buffer.NewBudget(answerMemory),
-		intake:   intake.NewBudget(requestMemory),
+		intake:   intake.NewBudget(memory),
 		draining: make(chan struct{}),
 	}
 	deployment := testDeployment()
