--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -221,20 +221,6 @@
 	controller.startAdapters(class, now)
 }
 
-// displaced returns the models that engines of evacuated zones hold.
-func (controller *Controller) displaced() map[string]bool {
-	var models map[string]bool
-	for _, instance := range controller.targets.View().Evacuated(controller.settings.Service) {
-		for _, holding := range instance.Holdings {
-			if models == nil {
-				models = map[string]bool{}
-			}
-			models[holding.Model] = true
-		}
-	}
-	return models
-}
-
 // checkHolders has the engines checked that are known to hold a model for which requests wait
 // nevertheless, and those that did not answer the last check.
 func (controller *Controller) checkHolders(snapshot Snapshot) {
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -37,14 +37,9 @@
 	// starts at the scale, falls with idle time and has halved after evictionIdleScale.
 	evictionCostScale = 4 * time.Second
 	evictionIdleScale = 4 * time.Second
-	// crowdingCostScale is the cost of a load on an engine that reads prompts all the time.
-	crowdingCostScale = 2 * time.Second
 	// maxAbsentShare is the share of the models without a copy at any engine up to which they are
 	// loaded before a request comes.
 	maxAbsentShare = 0.1
-	// displacedIdle is how long a model may have been idle to be loaded elsewhere, before a request
-	// comes, when the zone of its replicas is evacuated: about the time of a load from the weight store.
-	displacedIdle = 8 * time.Second
 	// aheadIdle is how long a model must have been idle to be evicted for one that nobody has
 	// asked for.
 	aheadIdle = 10 * time.Second
@@ -207,26 +202,6 @@
 	return copied
 }
 
-// displaced returns the models that were in use and have lost all their replicas to the evacuation of
-// a zone, the busiest first. Their next requests are expected soon.
-func (planner *planner) displaced() []string {
-	var models []string
-	for name := range planner.Displaced {
-		demand, known := planner.Demand[name]
-		if known && planner.replicas[name] == 0 && demand.Idle < displacedIdle {
-			models = append(models, name)
-		}
-	}
-	sort.Slice(models, func(i, j int) bool {
-		first, second := planner.Demand[models[i]], planner.Demand[models[j]]
-		if first.PrefillLoad != second.PrefillLoad {
-			return first.PrefillLoad > second.PrefillLoad
-		}
-		return models[i] < models[j]
-	})
-	return models
-}
-
 // busy returns the models that need another replica, the busiest first.
 func (planner *planner) busy() []string {
 	var models []string
@@ -407,18 +382,6 @@
 	return step, cost, true
 }
 
-// crowdingCost returns the cost of a further model at an engine that already reads prompts for those
-// that it holds, without the victims: they would all wait for each other.
-func (planner *planner) crowdingCost(engine Engine, victims []string) time.Duration {
-	load := 0.0
-	for _, holding := range engine.Instance.Holdings {
-		if count := planner.replicas[holding.Model]; count > 0 && !slices.Contains(victims, holding.Model) {
-			load += planner.Demand[holding.Model].PrefillLoad / count
-		}
-	}
-	return time.Duration(load * float64(crowdingCostScale))
-}
-
 // waitForCopy reports whether a model without a replica should wait for an engine
 // that has a copy of its weights instead of being fetched from the weight store.
 func (planner *planner) waitForCopy(model mimosatide.EngineModel, reason string) bool {
@@ -484,43 +447,6 @@
 	return victims, totalCost, free >= memoryMB
 }
 
-// evictableAhead reports whether a model may be evicted for one that nobody has asked for: it is
-// idle and has another replica or a copy at the engine.
-func (planner *planner) evictableAhead(engine Engine, name string) bool {
-	if demand, known := planner.Demand[name]; known && demand.Idle < aheadIdle {
-		return false
-	}
-	tier, _ := Tier(engine.Instance, planner.Class.Models[name])
-	return tier != mimosatide.TierRemote || planner.replicas[name] > engine.weight()
-}
-
-// evictionCost returns the cost of evicting one replica of a model, which counts for
-// weight, as load time. It
-// reports false if the replica may not be evicted: requests wait for the model, the
-// other replicas would come close to the replica threshold, or an only replica is
-// in use.
-func (planner *planner) evictionCost(name string, weight float64, reason string) (time.Duration, bool) {
-	demand, known := planner.Demand[name]
-	if !known {
-		demand.Idle = time.Hour
-	}
-	if demand.Waiting || len(demand.Bound) > 0 {
-		return 0, false
-	}
-	if others := planner.replicas[name] - weight; others > 0 {
-		after := demand.PrefillLoad / others
-		if after > planner.replicaThreshold()*0.8 {
-			return 0, false
-		}
-		return time.Duration(after * float64(evictionCostScale)), true
-	}
-	if demand.Idle < minEvictionIdle && !planner.urgent || reason != reasonWaiting && demand.PrefillLoad > planner.replicaThreshold()/4 {
-		return 0, false
-	}
-	idle := demand.Idle.Seconds() / evictionIdleScale.Seconds()
-	return evictionCostScale/2 + time.Duration(float64(evictionCostScale)/(1+idle*idle)), true
-}
-
 // UsedMB returns the memory that an engine's models and adapters take, in megabytes.
 func UsedMB(class mimosatide.EngineClass, instance mimosatide.Instance) float64 {
 	sum := 0.0
