Soak: cold targets, and evacuations over restores of the store

Targets turn cold and are counted by second; evacuations go on over restores, and the operator writes them again.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -80,6 +80,7 @@
 	violations = append(violations, testbed.checkPauses(results)...)
 	violations = append(violations, testbed.checkLimits(results)...)
 	violations = append(violations, testbed.checkEvacuations(results)...)
+	violations = append(violations, testbed.checkCold()...)
 	violations = append(violations, testbed.checkDeadly(results)...)
 	violations = append(violations, testbed.checkConfigurations(results)...)
 	violations = append(violations, testbed.checkStaleOrders()...)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -79,6 +79,10 @@
 			target.SetPause(pauseMargin + time.Duration(testbed.random.Int64N(int64(maxFaultDuration))))
 			return func() { target.SetPause(0) }
 		}},
+		{"let a target be cold", func(testbed *testbed, _ string) func() {
+			testbed.targets[testbed.random.IntN(len(testbed.targets))].SetCold(coldSpread + time.Duration(testbed.random.Int64N(int64(maxFaultDuration))))
+			return nil
+		}},
 		{"let a target limit its requests", func(testbed *testbed, _ string) func() {
 			// The limit lasts to the end of the faults, since it binds only after some seconds.
 			testbed.targets[testbed.random.IntN(len(testbed.targets))].SetLimit(0.5 + 4*testbed.random.Float64())
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -57,6 +57,7 @@
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(maxRewriteDelay))))
 		testbed.store.WriteAgain(lost)
+		testbed.writeEvacuationAgain()
 		onFault("write again")
 		testbed.lock.Lock()
 		for _, row := range lost {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -106,12 +106,11 @@
 	if testbed.longUploads {
 		added.Go(func() { testbed.injectFaults(ctx, program, brokenFaults(breaks), breaks, onFault) })
 	}
-	restored := restores.IntN(2) == 0 && *restoreStore
-	if restored {
+	if restores.IntN(2) == 0 && *restoreStore {
 		added.Go(func() { testbed.injectRestores(ctx, program, restores, onFault) })
 		testbed.runOldKeyCaller(ctx, &callers, rand.New(rand.NewPCG(seed, 4)))
 	}
-	if evacuations := rand.New(rand.NewPCG(seed, 9)); !restored && *evacuateZones {
+	if evacuations := rand.New(rand.NewPCG(seed, 9)); *evacuateZones {
 		added.Go(func() { testbed.injectEvacuations(ctx, evacuations, onFault) })
 	}
 	if releases := rand.New(rand.NewPCG(seed, 5)); releases.IntN(2) == 0 && *releaseSoftware {
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -228,8 +228,8 @@
 		 "timeoutMs":4000,"targetLatencyMs":500,"priority":1,"resumable":%t}`, name, name, kind, service, attempts, resumable)
 	}
 	testbed.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],
-	 "services":[{"name":"desk","healthPath":"/health","maxConns":100},
-	  {"name":"llm","healthPath":"/health","maxConns":300,"engine":{"slots":16,"kvCapacity":200000,"weightsSizeMb":215000,
+	 "services":[{"name":"desk","healthPath":"/health","maxConns":100,"coldStartS":2,"coldPerS":8},
+	  {"name":"llm","healthPath":"/health","maxConns":300,"coldStartS":2,"coldPerS":8,"engine":{"slots":16,"kvCapacity":200000,"weightsSizeMb":215000,
 	   "hostMb":100000,"diskMb":900000,"adapterSlots":4,"loadsPerS":3,"models":[%s]}}],
 	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":8000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 	 "tenants":[{"name":"school","apiKeys":[%q],"unit":"tokens","plainTokens":10},
@@ -266,6 +266,8 @@
 bounds.configApplyMs=%d
 bounds.retryBudgetRatio=0.2
 bounds.budgetSlack=56
+bounds.coldOverage=1.5
+bounds.coldSlack=5
 platform.address=%s
 `, node.name, node.ip, node.callers, node.readiness, testbed.bootstrap, int(shutdownGrace.Seconds()),
 		drainTime.Milliseconds(), configurationSpread.Milliseconds(), node.storeProxy.address())
