Count the first report of a host as load of its model

Cause: the owner of the engines ignored the first total of prefill time that a host reported of a model, since it does not say when its prompts came.

Change: a report says which part of the total is new; that part counts where the total before is not known.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -28,11 +28,12 @@
 	expectedAt time.Time
 	// prefillSeconds are this node's running totals of prefill time by model.
 	prefillSeconds map[string]float64
-	// usedAdapters and usedModels are those used since the last usage report.
+	// usedAdapters and usedModels are those used since the last usage report; of the models with the
+	// prefill time in seconds.
 	usedAdapters map[loading.AdapterAt]bool
 	// runningRequests counts this node's requests that use an adapter at a target.
 	runningRequests map[loading.AdapterAt]int
-	usedModels      map[string]bool
+	usedModels      map[string]float64
 }
 
 // loader sends needs and usage to the owner of each service: the holder of the
@@ -110,7 +111,7 @@
 		prefillSeconds:  map[string]float64{},
 		usedAdapters:    map[loading.AdapterAt]bool{},
 		runningRequests: map[loading.AdapterAt]int{},
-		usedModels:      map[string]bool{},
+		usedModels:      map[string]float64{},
 	}
 }
 
@@ -185,7 +186,7 @@
 	defer loader.lock.Unlock()
 	if service, found := loader.services[serviceName]; found {
 		service.prefillSeconds[model] += prefill.Seconds()
-		service.usedModels[model] = true
+		service.usedModels[model] += prefill.Seconds()
 	}
 }
 
@@ -226,8 +227,8 @@
 			continue
 		}
 		usage := gossip.Usage{Node: loader.node.settings.Node, Service: service.name, Models: map[string]gossip.ModelUse{}}
-		for model := range service.usedModels {
-			usage.Models[model] = gossip.ModelUse{PrefillMillis: service.prefillSeconds[model] * 1000}
+		for model, recent := range service.usedModels {
+			usage.Models[model] = gossip.ModelUse{PrefillMillis: service.prefillSeconds[model] * 1000, RecentMillis: recent * 1000}
 		}
 		for adapter := range service.usedAdapters {
 			usage.Adapters = append(usage.Adapters, gossip.AdapterUse{
@@ -258,7 +259,7 @@
 func addUsage(service *serviceState, message gossip.Usage, now time.Time) {
 	demand := service.controller.Demand()
 	for model, use := range message.Models {
-		demand.RecordUsage(message.Node, model, use.PrefillMillis/1000, use.Running, now)
+		demand.RecordUsage(message.Node, model, use.PrefillMillis/1000, use.RecentMillis/1000, use.Running, now)
 	}
 	for _, use := range message.Adapters {
 		demand.RecordAdapterUse(loading.AdapterAt{Instance: use.Instance, Model: use.Model, Adapter: use.Adapter}, now)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -155,6 +155,8 @@
 	PrefillMillis float64 `cbor:"1,keyasint"`
 	// Running is the number of running requests.
 	Running int `cbor:"2,keyasint,omitempty"`
+	// RecentMillis is the part of the total that was added since the node's last report to this owner.
+	RecentMillis float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // AdapterUse is an adapter that a request used at a target.
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -137,8 +137,9 @@
 }
 
 // RecordUsage records a node's usage of a model: total is the node's running total
-// of prefill time in seconds, running the number of its requests in flight.
-func (demand *Demand) RecordUsage(node, model string, total float64, running int, now time.Time) {
+// of prefill time in seconds, recent the part of it that is new in this report, running the number of
+// its requests in flight.
+func (demand *Demand) RecordUsage(node, model string, total, recent float64, running int, now time.Time) {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
 	totals, found := demand.totals[node]
@@ -160,9 +161,10 @@
 		usage.add(total-before, now)
 	}
 	if !found {
-		// The first total from a node does not say when its prompts were prefilled,
-		// so it does not count towards the load.
+		// The first total from a node does not say when its prompts were prefilled. In a fleet of many
+		// hosts most reports are the first of their host and model.
 		usage.lastUsed = now
+		usage.add(min(max(recent, 0), total), now)
 	}
 }
 
