Give busy models all their replicas at once, and evict by what callers lose

Cause: a busy model got one replica a plan, by a two-second average that for one long prompt a second swings by half of its value. A model that shared its engines with other busy ones got none, as only its own load counted. The only replica of a model in use was evicted after a request had waited a second, or for a further replica of a busy model, whatever its own callers lost.

Change: the gain of a load and the loss by an eviction are both the time that callers wait in sum. An only replica is evicted only if the loss is not larger than the gain, unless the model was asked for four times, so that rare models are served. A busy model gets all the replicas that it needs in one plan, waits up to 1.5 s for an engine with a copy rather than for the weight store, and is placed only where its requests meet less load. Its load counts if chance alone does not explain it, by averages over 2 and 8 s. Models on an engine with a load of more than 0.35 get replicas elsewhere too. Whether to wait for a copy is decided once for each model, not for each engine.

Measured: the tests of busy models fail before, but for that of one prompt a second, which guards the averages.

--- a/internal/loading/cost.go
+++ b/internal/loading/cost.go
@@ -1,7 +1,6 @@
 package loading
 
 import (
-	"slices"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -20,12 +19,11 @@
 	return tier != mimosatide.TierRemote || planner.replicas[name] > engine.weight()
 }
 
-// evictionCost returns the cost of evicting one replica of a model, which counts for
-// weight, as load time. It
+// evictionCost returns the cost of evicting one replica of a model from an engine, as load time. It
 // reports false if the replica may not be evicted: requests wait for the model, the
 // other replicas would come close to the replica threshold, or an only replica is
-// in use.
-func (planner *planner) evictionCost(name string, weight float64, reason string) (time.Duration, bool) {
+// in use or is worth more to its callers than the load.
+func (planner *planner) evictionCost(engine Engine, name string) (time.Duration, bool) {
 	demand, known := planner.Demand[name]
 	if !known {
 		demand.Idle = time.Hour
@@ -33,28 +31,25 @@
 	if demand.Waiting || len(demand.Bound) > 0 {
 		return 0, false
 	}
-	if others := planner.replicas[name] - weight; others > 0 {
-		after := demand.PrefillLoad / others
+	load := demand.likelyLoad()
+	if others := planner.replicas[name] - engine.weight(); others > 0 {
+		after := load / others
 		if after > planner.replicaThreshold()*0.8 {
 			return 0, false
 		}
 		return time.Duration(after * float64(evictionCostScale)), true
 	}
-	if demand.Idle < minEvictionIdle && !planner.urgent || reason != reasonWaiting && demand.PrefillLoad > planner.replicaThreshold()/4 {
+	if demand.Idle < minEvictionIdle && !planner.urgent || planner.reason != reasonWaiting && load > planner.replicaThreshold()/4 {
 		return 0, false
 	}
-	idle := demand.Idle.Seconds() / evictionIdleScale.Seconds()
-	return evictionCostScale/2 + time.Duration(float64(evictionCostScale)/(1+idle*idle)), true
+	if !planner.worthLoss(engine, name, demand.Idle) {
+		return 0, false
+	}
+	return evictionCostScale/2 + time.Duration(float64(evictionCostScale)*soon(demand.Idle)), true
 }
 
 // crowdingCost returns the cost of a further model at an engine that already reads prompts for those
 // that it holds, without the victims: they would all wait for each other.
 func (planner *planner) crowdingCost(engine Engine, victims []string) time.Duration {
-	load := 0.0
-	for _, holding := range engine.Instance.Holdings {
-		if count := planner.replicas[holding.Model]; count > 0 && !slices.Contains(victims, holding.Model) {
-			load += planner.Demand[holding.Model].PrefillLoad / count
-		}
-	}
-	return time.Duration(load * float64(crowdingCostScale))
+	return time.Duration(planner.engineLoad(engine.Instance, victims...) * float64(crowdingCostScale))
 }
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -16,8 +16,6 @@
 	refusedTimeConstant = 20 * time.Second
 	// minAsked is the number of such requests below which a model is no longer in line.
 	minAsked = 0.3
-	// prefillTimeConstant is the time constant of the moving average of prefill time.
-	prefillTimeConstant = 2 * time.Second
 )
 
 // Need is a model or an adapter that a request waits for.
@@ -46,29 +44,18 @@
 	// have been waiting for the model, by version.
 	Bound map[string]time.Duration
 	// PrefillLoad is the engine time spent on the model's prompts, in seconds per second.
-	PrefillLoad float64
+	// LoadDeviation is the standard deviation of this figure.
+	PrefillLoad   float64
+	LoadDeviation float64
+	// SteadyLoad is the same over a longer time, and SteadyDeviation its standard deviation.
+	SteadyLoad      float64
+	SteadyDeviation float64
+	// RequestRate is the number of requests a second, at least.
+	RequestRate float64
 	// Idle is the time since the model was last requested.
 	Idle time.Duration
 }
 
-// modelUsage is the recent usage of a model.
-type modelUsage struct {
-	prefillLoad float64
-	updatedAt   time.Time
-	lastUsed    time.Time
-}
-
-// add counts prompts that take the given number of seconds to prefill.
-func (usage *modelUsage) add(seconds float64, now time.Time) {
-	usage.prefillLoad = usage.value(now) + seconds/prefillTimeConstant.Seconds()
-	usage.updatedAt = now
-}
-
-// value returns the moving average of the prefill load at the given time.
-func (usage *modelUsage) value(now time.Time) float64 {
-	return usage.prefillLoad * math.Exp(-now.Sub(usage.updatedAt).Seconds()/prefillTimeConstant.Seconds())
-}
-
 // fadingCount counts events, older ones less.
 type fadingCount struct {
 	count     float64
@@ -151,7 +138,7 @@
 	totals[model] = total
 	usage, known := demand.usage[model]
 	if !known {
-		usage = &modelUsage{updatedAt: now}
+		usage = newModelUsage()
 		demand.usage[model] = usage
 	}
 	if running > 0 || total != before {
@@ -225,7 +212,7 @@
 	defer demand.lock.Unlock()
 	models := make(map[string]ModelDemand, len(demand.usage))
 	for name, usage := range demand.usage {
-		models[name] = ModelDemand{PrefillLoad: usage.value(now), Idle: now.Sub(usage.lastUsed)}
+		models[name] = usage.demand(now)
 	}
 	for name, asked := range demand.asked {
 		value := asked.value(now)
--- /dev/null
+++ b/internal/loading/gain.go
@@ -0,0 +1,87 @@
+package loading
+
+import (
+	"math"
+	"time"
+
+	"mimosatide.example/mimosatide"
+)
+
+// The gain of a load and the loss by an eviction are both the time that callers wait in sum, so
+// that they can be compared.
+const (
+	// longPromptTime is the time that an engine takes to read a long prompt, of 9,190 tokens.
+	longPromptTime = 230 * time.Millisecond
+	// lostCallerTime is what a caller loses at most, by a refusal or by any wait: the shortest
+	// deadline of a request.
+	lostCallerTime = 5 * time.Second
+	// replicaGainTime is the time over which a further replica gains. It is that of a load from the
+	// weight store, after which a model that was evicted for it can be back.
+	replicaGainTime = 8 * time.Second
+	// steepLoad is the load from which on the delay by prompts in the queue grows linearly with the
+	// load. A queue that grows all the time has no mean length.
+	steepLoad = 0.9
+	// promisedRequests is the number of requests after which a model is served whatever that costs
+	// others, so that none starves: a model that was asked for four times over 8 s has to be served.
+	promisedRequests = 4
+)
+
+// promptDelay returns the mean time for which a request waits until an engine with the given load has
+// read the prompts before it.
+func promptDelay(load float64) time.Duration {
+	steep := 0.0
+	if load > steepLoad {
+		steep = (load - steepLoad) / ((1 - steepLoad) * (1 - steepLoad))
+		load = steepLoad
+	}
+	return time.Duration(float64(longPromptTime) / 2 * (load/(1-load) + steep))
+}
+
+// requestRate returns the number of requests a second for a model. Reports may join several requests,
+// but each takes at most about the time of a long prompt.
+func (demand ModelDemand) requestRate() float64 {
+	return max(demand.RequestRate, demand.likelyLoad()/longPromptTime.Seconds())
+}
+
+// gain returns how much less the callers of a model wait in sum if it is loaded.
+func (planner *planner) gain(name, reason string) time.Duration {
+	demand := planner.Demand[name]
+	if reason != reasonBusy {
+		return time.Duration(max(demand.Asked, 1) * float64(lostCallerTime))
+	}
+	count := max(planner.replicas[name], limitedReplica)
+	load := planner.loadMet(name)
+	saved := promptDelay(load) - promptDelay(load*count/(count+1))
+	return time.Duration(demand.requestRate() * replicaGainTime.Seconds() * float64(saved))
+}
+
+// loss returns how much longer the callers of a model wait in sum if its only replica is evicted from
+// an engine: the next one, if it comes soon, and those that come until the model is loaded again.
+func (planner *planner) loss(engine Engine, name string, idle time.Duration) time.Duration {
+	model := planner.Class.Models[name]
+	tier, reload := Tier(engine.Instance, model)
+	if tier == mimosatide.TierRemote && planner.copied()[name] {
+		reload = model.DiskLoadTime
+	}
+	reload = min(reload, lostCallerTime)
+	callers := 1 + planner.Demand[name].requestRate()*reload.Seconds()/2
+	chance := soon(idle)
+	if rate := planner.Demand[name].requestRate(); rate > 0 {
+		chance = min(chance, 1-math.Exp(-rate*replicaGainTime.Seconds()))
+	}
+	return time.Duration(chance * callers * float64(reload))
+}
+
+// soon returns the chance that a model that has been idle for the given time is asked for soon.
+func soon(idle time.Duration) float64 {
+	ratio := idle.Seconds() / evictionIdleScale.Seconds()
+	return 1 / (1 + ratio*ratio)
+}
+
+// worthLoss reports whether a model may take the place of an only replica.
+func (planner *planner) worthLoss(engine Engine, victim string, idle time.Duration) bool {
+	if planner.reason == reasonWaiting && planner.Demand[planner.model].Asked >= promisedRequests {
+		return true
+	}
+	return planner.modelGain >= planner.loss(engine, victim, idle)
+}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -1,23 +1,17 @@
 package loading
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"mimosatide.example/mimosatide"
 )
 
 const (
-	// A model gets another replica when its prompts take more than the replica
-	// threshold of its engines' time: replicaThresholdBase plus
-	// replicaThresholdSpread divided by the number of engines, but at most
-	// replicaThresholdMax. The threshold is higher with few engines, as a replica
-	// displaces other models there.
-	replicaThresholdBase   = 0.2
-	replicaThresholdSpread = 1.8
-	replicaThresholdMax    = 0.35
 	// minEvictionIdle is how long the only replica of a model must have been idle
 	// before it is evicted, unless the model to be loaded is urgent.
 	minEvictionIdle = 1500 * time.Millisecond
@@ -40,6 +34,8 @@
 	// maxAbsentShare is the share of the models without a copy at any engine up to which they are
 	// loaded before a request comes.
 	maxAbsentShare = 0.1
+	// usualHoldings is the number of models that an engine usually holds.
+	usualHoldings = 4
 	// aheadIdle is how long a model must have been idle to be evicted for one that nobody has
 	// asked for.
 	aheadIdle = 10 * time.Second
@@ -148,6 +144,15 @@
 	// urgent says that requests have waited longer than urgentAfter for the model
 	// that is being placed.
 	urgent bool
+	// model is the model that is being placed, reason why, and modelGain what its callers gain.
+	model     string
+	reason    string
+	modelGain time.Duration
+	// modelLoad is the load that its requests meet.
+	modelLoad float64
+	// holders are the engines that hold each model, placed counts the steps by model.
+	holders map[string][]int
+	placed  map[string]int
 	// displacedIdle is how long the displaced model that is being placed has been idle: those used since
 	// are not evicted for it.
 	displacedIdle time.Duration
@@ -155,12 +160,6 @@
 	accept func(Engine) bool
 }
 
-// replicaThreshold returns the load per replica, in seconds per second, above
-// which a model gets another replica.
-func (planner *planner) replicaThreshold() float64 {
-	return min(replicaThresholdBase+replicaThresholdSpread/float64(max(len(planner.Engines), 1)), replicaThresholdMax)
-}
-
 // missing returns the models in line: those without a replica that requests wait for, or that
 // recent requests have found missing, if they can only be loaded from the weight store. The one
 // that most requests have found missing is first, then the one that has been waited for longest.
@@ -202,25 +201,6 @@
 	return copied
 }
 
-// busy returns the models that need another replica, the busiest first.
-func (planner *planner) busy() []string {
-	var models []string
-	for name, demand := range planner.Demand {
-		count := planner.replicas[name]
-		if count > 0 && count < float64(len(planner.Engines)) && demand.PrefillLoad/count > planner.replicaThreshold() {
-			models = append(models, name)
-		}
-	}
-	sort.Slice(models, func(i, j int) bool {
-		first, second := planner.Demand[models[i]].PrefillLoad, planner.Demand[models[j]].PrefillLoad
-		if first != second {
-			return first > second
-		}
-		return models[i] < models[j]
-	})
-	return models
-}
-
 // place adds the cheapest step that loads the model, if any is possible.
 func (planner *planner) place(name, reason string) {
 	planner.urgent = planner.Demand[name].Waited > urgentAfter
@@ -234,6 +214,9 @@
 		return
 	}
 	planner.accept = accept
+	planner.model, planner.reason, planner.modelGain = name, reason, planner.gain(name, reason)
+	planner.modelLoad = planner.loadMet(name)
+	waitForCopy := planner.waitForCopy(model)
 	best, found := Step{}, false
 	var lowestCost time.Duration
 	for index := range planner.Engines {
@@ -244,7 +227,7 @@
 		if engine.Limited && reason == reasonBusy {
 			continue
 		}
-		step, cost, possible := planner.evaluate(*engine, model, reason)
+		step, cost, possible := planner.evaluate(*engine, model, waitForCopy)
 		if possible && (!found || cost < lowestCost) {
 			best, lowestCost, found = step, cost, true
 		}
@@ -255,6 +238,7 @@
 	best.Reason = reason
 	best.Waited, best.Asked = planner.Demand[name].Waited, planner.Demand[name].Asked
 	planner.steps = append(planner.steps, best)
+	planner.placed[name]++
 	weight := planner.weightOf(best.Instance)
 	planner.replicas[name] += weight
 	for _, victim := range best.Victims {
@@ -271,12 +255,13 @@
 }
 
 func newPlanner(snapshot Snapshot) *planner {
-	planner := &planner{Snapshot: snapshot, replicas: map[string]float64{}}
-	for _, engine := range snapshot.Engines {
+	planner := &planner{Snapshot: snapshot, replicas: map[string]float64{}, holders: map[string][]int{}, placed: map[string]int{}}
+	for index, engine := range snapshot.Engines {
 		if engine.Down {
 			continue
 		}
 		for _, holding := range engine.Instance.Holdings {
+			planner.holders[holding.Model] = append(planner.holders[holding.Model], index)
 			planner.replicas[holding.Model] += engine.weight()
 		}
 	}
@@ -296,9 +281,7 @@
 		planner.displacedIdle = planner.Demand[model].Idle
 		planner.place(model, reasonDisplaced)
 	}
-	for _, model := range planner.busy() {
-		planner.place(model, reasonBusy)
-	}
+	planner.placeBusy()
 	planner.loadAhead()
 }
 
@@ -362,15 +345,18 @@
 // time plus the eviction costs of the victims. It reports false if the load has to
 // wait: for the weight store, for an engine that has a copy of the weights, or for
 // memory on this engine.
-func (planner *planner) evaluate(engine Engine, model mimosatide.EngineModel, reason string) (Step, time.Duration, bool) {
+func (planner *planner) evaluate(engine Engine, model mimosatide.EngineModel, waitForCopy bool) (Step, time.Duration, bool) {
 	tier, loadTime := Tier(engine.Instance, model)
-	if tier == mimosatide.TierRemote && (planner.RemoteLoadsToStart <= 0 || planner.waitForCopy(model, reason)) {
+	if tier == mimosatide.TierRemote && (planner.RemoteLoadsToStart <= 0 || waitForCopy) {
 		return Step{}, 0, false
 	}
-	victims, evictionCost, possible := planner.selectVictims(engine, model.MemoryMB, reason)
+	victims, evictionCost, possible := planner.selectVictims(engine, model.MemoryMB)
 	if !possible {
 		return Step{}, 0, false
 	}
+	if planner.reason == reasonBusy && !planner.relieves(engine, victims) {
+		return Step{}, 0, false
+	}
 	cost := loadTime + evictionCost + planner.crowdingCost(engine, victims)
 	step := Step{
 		Instance: engine.Instance.ID,
@@ -382,10 +368,10 @@
 	return step, cost, true
 }
 
-// waitForCopy reports whether a model without a replica should wait for an engine
+// waitForCopy reports whether a model without a replica, or a busy one, should wait for an engine
 // that has a copy of its weights instead of being fetched from the weight store.
-func (planner *planner) waitForCopy(model mimosatide.EngineModel, reason string) bool {
-	if reason != reasonWaiting {
+func (planner *planner) waitForCopy(model mimosatide.EngineModel) bool {
+	if planner.RemoteLoadsToStart <= 0 || planner.reason != reasonWaiting && planner.reason != reasonBusy {
 		return false
 	}
 	for _, engine := range planner.Engines {
@@ -393,6 +379,16 @@
 		if tier == mimosatide.TierRemote || engine.Instance.Leaving || !planner.accept(engine) {
 			continue
 		}
+		if planner.reason == reasonBusy {
+			if engine.Down || engine.Limited || engine.Instance.Holds(model.Name) {
+				continue
+			}
+			// An engine that refuses the load for the models that it holds may do so for long.
+			if engine.FreeIn > 0 && engine.FreeIn < evictionCooldown || planner.Now.Sub(engine.PlacedAt) < evictionCooldown {
+				return true
+			}
+			continue
+		}
 		if !planner.urgent || engine.FreeIn > 0 && engine.FreeIn+loadTime < model.LoadTime {
 			return true
 		}
@@ -400,10 +396,16 @@
 	return false
 }
 
+// candidate is a model that may be evicted at a cost.
+type candidate struct {
+	holding mimosatide.Holding
+	cost    time.Duration
+}
+
 // selectVictims returns the models to evict so that the engine has memoryMB free,
 // the cheapest first, and the sum of their eviction costs. It reports false if
 // that is not possible.
-func (planner *planner) selectVictims(engine Engine, memoryMB float64, reason string) ([]string, time.Duration, bool) {
+func (planner *planner) selectVictims(engine Engine, memoryMB float64) ([]string, time.Duration, bool) {
 	free := planner.Class.MemoryMB - UsedMB(planner.Class, engine.Instance)
 	if free >= memoryMB {
 		return nil, 0, true
@@ -411,28 +413,21 @@
 	if planner.Now.Sub(engine.PlacedAt) < evictionCooldown {
 		return nil, 0, false
 	}
-	type candidate struct {
-		holding mimosatide.Holding
-		cost    time.Duration
-	}
-	var candidates []candidate
+	candidates := make([]candidate, 0, usualHoldings)
 	for _, holding := range engine.Instance.Holdings {
-		if reason == reasonAhead && !planner.evictableAhead(engine, holding.Model) {
+		if planner.reason == reasonAhead && !planner.evictableAhead(engine, holding.Model) {
 			continue
 		}
-		if used, known := planner.Demand[holding.Model]; reason == reasonDisplaced && known && used.Idle <= planner.displacedIdle {
+		if used, known := planner.Demand[holding.Model]; planner.reason == reasonDisplaced && known && used.Idle <= planner.displacedIdle {
 			continue
 		}
-		cost, evictable := planner.evictionCost(holding.Model, engine.weight(), reason)
+		cost, evictable := planner.evictionCost(engine, holding.Model)
 		if evictable {
 			candidates = append(candidates, candidate{holding: holding, cost: cost})
 		}
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		if candidates[i].cost != candidates[j].cost {
-			return candidates[i].cost < candidates[j].cost
-		}
-		return candidates[i].holding.Model < candidates[j].holding.Model
+	slices.SortFunc(candidates, func(first, second candidate) int {
+		return cmp.Or(cmp.Compare(first.cost, second.cost), strings.Compare(first.holding.Model, second.holding.Model))
 	})
 	var victims []string
 	var totalCost time.Duration
