--- a/internal/loading/cost.go
+++ b/internal/loading/cost.go
@@ -6,8 +6,13 @@
 	"mimosatide.example/mimosatide"
 )
 
-// crowdingCostScale is the cost of a load on an engine that reads prompts all the time.
-const crowdingCostScale = 2 * time.Second
+const (
+	// crowdingCostScale is the cost of a load on an engine that reads prompts all the time.
+	crowdingCostScale = 2 * time.Second
+	// soonCostScale is the cost, as load time, of the eviction of an only replica that is certainly asked
+	// for soon. It is a load from the weight store: less, and models in use make room for each other.
+	soonCostScale = float64(8 * time.Second)
+)
 
 // evictableAhead reports whether a model may be evicted for one that nobody has asked for: it is
 // idle and has another replica or a copy at the engine.
@@ -45,7 +50,7 @@
 	if !planner.worthLoss(engine, name, demand.Idle) {
 		return 0, false
 	}
-	return evictionCostScale/2 + time.Duration(float64(evictionCostScale)*soon(demand.Idle)), true
+	return evictionCostScale/2 + time.Duration(soonCostScale*planner.soon(name, demand.Idle)), true
 }
 
 // crowdingCost returns the cost of a further model at an engine that already reads prompts for those
--- a/internal/loading/gain.go
+++ b/internal/loading/gain.go
@@ -65,15 +65,15 @@
 	}
 	reload = min(reload, lostCallerTime)
 	callers := 1 + planner.Demand[name].requestRate()*reload.Seconds()/2
-	chance := soon(idle)
-	if rate := planner.Demand[name].requestRate(); rate > 0 {
-		chance = min(chance, 1-math.Exp(-rate*replicaGainTime.Seconds()))
-	}
-	return time.Duration(chance * callers * float64(reload))
+	return time.Duration(planner.soon(name, idle) * callers * float64(reload))
 }
 
-// soon returns the chance that a model that has been idle for the given time is asked for soon.
-func soon(idle time.Duration) float64 {
+// soon returns the chance that a model is asked for soon: by the rate of its requests, or by how long
+// it has been idle if that is not known.
+func (planner *planner) soon(name string, idle time.Duration) float64 {
+	if rate := planner.Demand[name].requestRate(); rate > 0 {
+		return 1 - math.Exp(-rate*replicaGainTime.Seconds())
+	}
 	ratio := idle.Seconds() / evictionIdleScale.Seconds()
 	return 1 / (1 + ratio*ratio)
 }
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -27,8 +27,8 @@
 	// was placed on it, or after its report was applied to bring its state up to date.
 	evictionCooldown = 1500 * time.Millisecond
 	// evictionCostScale converts the use of a model into the cost of its eviction, which
-	// is added to the load time. An only replica costs half the scale, plus a part that
-	// starts at the scale, falls with idle time and has halved after evictionIdleScale.
+	// is added to the load time. An only replica costs half the scale, plus a part by how likely it is asked
+	// for soon. Without a known rate of requests that falls with idle time and has halved after evictionIdleScale.
 	evictionCostScale = 4 * time.Second
 	evictionIdleScale = 4 * time.Second
 	// maxAbsentShare is the share of the models without a copy at any engine up to which they are
--- a/internal/loading/usage.go
+++ b/internal/loading/usage.go
@@ -12,6 +12,9 @@
 	// steadyTimeConstant is that of the average for models with about one request a second, of which the
 	// fast average swings by half of its value.
 	steadyTimeConstant = 8 * time.Second
+	// rateTimeConstant is that of the rate of requests, by which models make room for others: models that
+	// are asked for every few seconds have to differ from those that are asked for once.
+	rateTimeConstant = 20 * time.Second
 )
 
 // average is a moving average of events of different sizes, per second. Its error is that of events
@@ -52,7 +55,7 @@
 	return &modelUsage{
 		fast:     average{timeConstant: prefillTimeConstant},
 		steady:   average{timeConstant: steadyTimeConstant},
-		requests: average{timeConstant: steadyTimeConstant},
+		requests: average{timeConstant: rateTimeConstant},
 	}
 }
 
