Issue permits for cold targets only where no other home counts the same hosts

Cause: for up to 1.5 s after a fleet divides each side issued the parts of both; the larger side issued the whole rate once it had removed the others, while these still issued theirs; a home that started again, or took over, issued permits ahead of time that the one before had issued too; hosts without contact each issued one permit at once.

A new schedule allows one permit. A home issues at least a fifth of the rate or nothing.

The deputy share remains for limits that targets name.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -10,6 +10,7 @@
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/pace"
+	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/relay"
 	"mimosatide.example/mimosatide/internal/zone"
 	"mimosatide.example/mimosatide/platform"
@@ -73,7 +74,11 @@
 	// silentUntil holds, by peer address, how long a host is no target's home because it has
 	// not answered a request for a permit.
 	silentUntil map[string]time.Time
-	// heard is the last result of Heard, at heardAt.
+	// contacts holds with which hosts this node is in contact, listedFrom from when on the others know that it
+	// is on the list, zero if it is not.
+	contacts   *permit.Contacts
+	listedFrom time.Time
+	// heard is the part of the rates of cold targets that this node may issue, as of heardAt.
 	heard   float64
 	heardAt time.Time
 
@@ -109,6 +114,7 @@
 		lastSpent:   map[string]float64{},
 		spentAt:     map[string]int{},
 		silentUntil: map[string]time.Time{},
+		contacts:    permit.NewContacts(),
 		tally:       zone.New(platform.ConfigurationTable, loadLifetime),
 		zones:       map[string]zoneState{},
 
@@ -170,6 +176,7 @@
 			}
 			fleet.node.loader.sendUsage(now)
 			fleet.updateWatch()
+			fleet.updateContacts(time.Now())
 			fleet.removeSilentHosts(ctx, now)
 			fleet.dropLostHosts(now)
 		}
--- a/internal/entrynode/hosts.go
+++ b/internal/entrynode/hosts.go
@@ -66,6 +66,9 @@
 		if change.Deleted {
 			delete(fleet.members, change.Key)
 			fleet.joined = fleet.joined && !own
+			if own {
+				fleet.recordOwnRowLocked(false, false, time.Now())
+			}
 			log.Info("host left", "host", change.Key, "row", change.Version)
 			continue
 		}
@@ -80,6 +83,7 @@
 		}
 		if own {
 			fleet.joined = row.Incarnation == fleet.node.incarnation
+			fleet.recordOwnRowLocked(true, !fleet.joined, time.Now())
 			continue
 		}
 		joined := &member{
--- a/internal/gossip/permit.go
+++ b/internal/gossip/permit.go
@@ -53,6 +53,8 @@
 	// limits that targets name.
 	AheadMillis int64 `cbor:"8,keyasint,omitempty"`
 	Shared      bool  `cbor:"9,keyasint,omitempty"`
+	// MinPart is that of the limit.
+	MinPart float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // EncodePermitRequest returns the message for a request.
@@ -60,7 +62,7 @@
 	return PermitRequest{
 		From: from, Number: number, Target: request.Target, Born: request.Born.UnixMilli(), Rate: request.Rate,
 		PatienceMillis: request.Patience.Milliseconds(), Spare: request.Spare,
-		AheadMillis: request.Ahead.Milliseconds(), Shared: request.Shared,
+		AheadMillis: request.Ahead.Milliseconds(), Shared: request.Shared, MinPart: request.MinPart,
 	}
 }
 
@@ -69,7 +71,7 @@
 	return permit.Request{
 		Target: message.Target, Born: time.UnixMilli(message.Born), Rate: message.Rate,
 		Patience: time.Duration(message.PatienceMillis) * time.Millisecond, Spare: message.Spare,
-		Ahead: time.Duration(message.AheadMillis) * time.Millisecond, Shared: message.Shared,
+		Ahead: time.Duration(message.AheadMillis) * time.Millisecond, Shared: message.Shared, MinPart: message.MinPart,
 	}
 }
 
--- a/internal/permit/cold.go
+++ b/internal/permit/cold.go
@@ -1,14 +1,21 @@
 package permit
 
 import (
+	"math"
 	"time"
 
 	"mimosatide.example/mimosatide"
 )
 
-// minAhead is the least time by which permits for a cold target may be issued ahead of their even
-// distribution, so that two requests that arrive together don't both wait.
-const minAhead = 10 * time.Millisecond
+const (
+	// minAhead is the least time by which permits for a cold target may be issued ahead of their even
+	// distribution, so that two requests that arrive together don't both wait.
+	minAhead = 10 * time.Millisecond
+	// maxIssuers is the largest number of hosts that may issue permits for one cold target at a time, each
+	// to its side of a divided fleet: each adds one permit to what the rate allows in a second. With fewer
+	// a fleet that has lost the contact between its availability zones could not use cold targets.
+	maxIssuers = 5
+)
 
 // Bound is what binds the requests to a target.
 type Bound struct {
@@ -19,6 +26,8 @@
 	// Shared says that a home that hears only some of the nodes issues only their part of the rate:
 	// the target crashes if the parts of a divided fleet together exceed it.
 	Shared bool
+	// MinPart is the least part of the rate that a home may issue, so that few homes issue at a time.
+	MinPart float64
 }
 
 // ColdLimit limits the requests to the cold targets of a service.
@@ -29,18 +38,23 @@
 	Rate float64
 	// Ahead is how far ahead of their even distribution permits may be issued.
 	Ahead time.Duration
+	// MinPart is the least part of the rate that a home may issue.
+	MinPart float64
 }
 
 // NewColdLimit returns the limit of targets that bear rate requests a second while they are cold, where in
-// no second more than rate times overage and slack requests may arrive. Half of the room above the
-// rate is left for permits that are issued one after the other and used at the same time.
+// no second more than rate times overage and slack requests may arrive. The room above the rate is
+// used for the permits of answerTimeout, since they may be used later than they are issued by that, for
+// one permit of each issuer, and for those that are issued ahead of time.
 func NewColdLimit(coldTime time.Duration, rate, overage, slack float64) ColdLimit {
 	if rate <= 0 {
 		return ColdLimit{}
 	}
-	room := (overage - 1) + (slack-1)/rate
-	ahead := time.Duration(room / 2 * float64(time.Second))
-	return ColdLimit{Time: coldTime, Rate: rate, Ahead: min(max(ahead, minAhead), burstTime)}
+	room := rate*(overage-1) + slack - rate*answerTimeout.Seconds()
+	issuers := math.Floor(room - rate*minAhead.Seconds())
+	issuers = min(max(issuers, 1), maxIssuers)
+	ahead := time.Duration((room - issuers) / rate * float64(time.Second))
+	return ColdLimit{Time: coldTime, Rate: rate, Ahead: min(max(ahead, minAhead), burstTime), MinPart: 1 / issuers}
 }
 
 // appliesTo reports whether a target is cold at a time. After the evacuation of its zone it counts as cold
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -31,8 +31,8 @@
 const (
 	// answerTimeout is how long a home may take to answer. Without an answer there is no permit.
 	answerTimeout = 250 * time.Millisecond
-	// DeputyShare is the part of a target's rate at which a node issues permits while, as far
-	// as it knows, another one is the home and issues the whole rate.
+	// DeputyShare is the part of the rate that a target has named at which a node issues permits while, as
+	// far as it knows, another one is the home and issues the whole rate. For cold targets it issues none.
 	DeputyShare = 0.25
 )
 
@@ -40,10 +40,11 @@
 type Peers interface {
 	// Home returns the peer address of a target's home, and whether it is this node.
 	Home(target string) (address string, self bool)
-	// Heard returns the part of the nodes, from 0 to 1, that this node hears, itself included.
+	// Heard returns the part of the rates of cold targets, from 0 to 1, that this node may issue for the
+	// nodes that it hears, itself included.
 	Heard() float64
-	// IsDeputy reports whether this node takes itself for a target's home only because another one has
-	// not answered it.
+	// IsDeputy reports whether another node may still issue permits for a cold target to nodes that this one
+	// hears.
 	IsDeputy(target string) bool
 	// Ask sends a request to a home; Desk.Deliver takes the answer with the same number.
 	Ask(address string, number uint64, request Request)
@@ -82,13 +83,11 @@
 		return Verdict{Granted: true}
 	}
 	request := Request{
-		Target: instance.ID, Born: instance.Born, Rate: bound.Rate, Ahead: bound.Ahead, Shared: bound.Shared, Patience: patience, Spare: spare,
+		Target: instance.ID, Born: instance.Born, Rate: bound.Rate, Ahead: bound.Ahead, Shared: bound.Shared, MinPart: bound.MinPart,
+		Patience: patience, Spare: spare,
 	}
 	address, self := desk.peers.Home(instance.ID)
 	if self {
-		if request.Shared && desk.peers.IsDeputy(instance.ID) {
-			request.Rate *= DeputyShare
-		}
 		return desk.Issue(request, time.Now())
 	}
 	return desk.ask(ctx, address, request)
@@ -97,9 +96,11 @@
 // Issue answers a request as the home of its target.
 func (desk *Desk) Issue(request Request, now time.Time) Verdict {
 	if request.Shared {
-		if request.Rate *= desk.peers.Heard(); request.Rate <= 0 {
+		part := desk.peers.Heard()
+		if part <= 0 || part < request.MinPart || desk.peers.IsDeputy(request.Target) {
 			return Verdict{Wait: answerTimeout}
 		}
+		request.Rate *= part
 	}
 	return desk.issuer.Issue(request, now)
 }
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -19,9 +19,10 @@
 	Born time.Time
 	// Rate is the target's limit as the asking node knows it, in requests a second.
 	Rate float64
-	// Ahead and Shared are those of the limit's Bound.
-	Ahead  time.Duration
-	Shared bool
+	// Ahead, Shared and MinPart are those of the limit's Bound.
+	Ahead   time.Duration
+	Shared  bool
+	MinPart float64
 	// Patience is how long the request may wait for its turn.
 	Patience time.Duration
 	// Spare asks for a permit only if none has been issued ahead of time, because the
@@ -43,6 +44,29 @@
 	// last is when the last permit is due, zero before the first. The next one is due by the rate that
 	// then applies.
 	last time.Time
+	// rate is the rate of the last request of which several homes issue parts, zero before the first.
+	rate float64
+}
+
+// interval returns the time between two permits at a rate.
+func interval(rate float64) time.Duration {
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// share adapts a schedule to a rate of which several homes issue parts. What was not issued at a lower rate
+// must not be made up for at a higher one, and a schedule that has just begun allows one permit only: the
+// home before may have issued all that may be issued ahead of time.
+func (kept schedule) share(rate float64, ahead time.Duration, now time.Time) schedule {
+	if kept.rate == 0 {
+		if begin := now.Add(ahead - interval(rate)); begin.After(kept.last) {
+			kept.last = begin
+		}
+	} else if rate > kept.rate {
+		issued := max(kept.last.Sub(now), -interval(kept.rate))
+		kept.last = now.Add(ahead - time.Duration(float64(ahead-issued)*kept.rate/rate))
+	}
+	kept.rate = rate
+	return kept
 }
 
 // Issuer issues the permits for the targets of which its node is the home. It is safe for
@@ -72,14 +96,18 @@
 	if !found || request.Born.After(kept.born) {
 		kept = schedule{born: request.Born}
 	}
-	next := now
-	if !kept.last.IsZero() {
-		next = kept.last.Add(time.Duration(float64(time.Second) / request.Rate))
-	}
 	ahead := burstTime
 	if request.Ahead > 0 {
 		ahead = min(request.Ahead, burstTime)
 	}
+	if request.Shared {
+		kept = kept.share(request.Rate, ahead, now)
+		issuer.schedules[request.Target] = kept
+	}
+	next := now
+	if !kept.last.IsZero() {
+		next = kept.last.Add(interval(request.Rate))
+	}
 	if request.Spare {
 		ahead = 0
 	}
--- a/internal/permit/limits.go
+++ b/internal/permit/limits.go
@@ -68,7 +68,7 @@
 	if !cold.appliesTo(instance, now) {
 		return bound, named
 	}
-	bound.Ahead, bound.Shared = cold.Ahead, true
+	bound.Ahead, bound.Shared, bound.MinPart = cold.Ahead, true, cold.MinPart
 	if !named || cold.Rate < rate {
 		bound.Rate = cold.Rate
 	}
