Take targets for cold at a host that starts until others say which zones have returned

Cause: a host that started after the evacuation of a zone had ended did not know that the zone's targets may be cold, and sent what it liked until their rows said so.

Change: hosts report the ends of evacuations of the last minute in digests and summaries (new keys).

--- a/internal/entrynode/evacuation.go
+++ b/internal/entrynode/evacuation.go
@@ -36,6 +36,51 @@
 	node.limits.SetCold(cold)
 }
 
+// returnsOf returns the ends of evacuations that this node knows, for a message.
+func (node *Node) returnsOf(now time.Time) (ages map[string]int64, all bool) {
+	returns, all := node.targets.Returns(now)
+	for zone, at := range returns {
+		if ages == nil {
+			ages = map[string]int64{}
+		}
+		ages[zone] = now.Sub(at).Milliseconds()
+	}
+	return ages, all
+}
+
+// applyReturns takes the ends of evacuations that a host reports; all says that it knows all of them up to the
+// time at which its copy of the configuration's table was current.
+func (node *Node) applyReturns(ages map[string]int64, all bool, copyAge time.Duration, now time.Time) {
+	returns := make(map[string]time.Time, len(ages))
+	for zone, age := range ages {
+		returns[zone] = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	node.targets.ApplyReturns(returns, all && copyAge > 0 && copyAge <= freshTargets, now)
+}
+
+// unawareHosts are those that have said that they, too, don't know which evacuations have ended.
+type unawareHosts struct {
+	hosts, zones map[string]bool
+}
+
+// stopAssumingReturns ends the time in which all targets count as cold after the start of this node, once all
+// hosts have said that they have just started as well: no host is left that can tell, and the rows of the
+// targets are newer than all of them.
+func (fleet *fleet) stopAssumingReturns(now time.Time) {
+	if _, all := fleet.node.targets.Returns(now); all || !fleet.node.followers[hostTable].State().Synced {
+		return
+	}
+	fleet.lock.Lock()
+	unaware := len(fleet.members) > 0
+	for name, member := range fleet.members {
+		unaware = unaware && (fleet.unaware.hosts[name] || fleet.unaware.zones[member.zone])
+	}
+	fleet.lock.Unlock()
+	if unaware {
+		fleet.node.targets.ApplyReturns(nil, true, now)
+	}
+}
+
 // evacuationWatch follows what this node still has in flight at the targets of evacuated zones.
 type evacuationWatch struct {
 	// emptied holds, by zone, the start of the evacuation for which it was logged that nothing is left.
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -78,6 +78,8 @@
 	// is on the list, zero if it is not.
 	contacts   *permit.Contacts
 	listedFrom time.Time
+	// unaware are the hosts that don't know which evacuations have ended.
+	unaware unawareHosts
 	// heard is the part of the rates of cold targets that this node may issue, as of heardAt.
 	heard   float64
 	heardAt time.Time
@@ -115,6 +117,7 @@
 		spentAt:     map[string]int{},
 		silentUntil: map[string]time.Time{},
 		contacts:    permit.NewContacts(),
+		unaware:     unawareHosts{hosts: map[string]bool{}, zones: map[string]bool{}},
 		tally:       zone.New(platform.ConfigurationTable, loadLifetime),
 		zones:       map[string]zoneState{},
 
@@ -177,6 +180,7 @@
 			fleet.node.loader.sendUsage(now)
 			fleet.updateWatch()
 			fleet.updateContacts(time.Now())
+			fleet.stopAssumingReturns(time.Now())
 			fleet.removeSilentHosts(ctx, now)
 			fleet.dropLostHosts(now)
 		}
@@ -236,6 +240,7 @@
 
 		Paces: gossip.EncodePaces(node.pace.Heard(maxPaceReports(others), time.Now())),
 	}
+	digest.ReturnedMillis, digest.KnowsReturns = node.returnsOf(time.Now())
 	for id, born := range node.targets.ToldLeaving(time.Now()) {
 		if digest.Leaving == nil {
 			digest.Leaving = map[string]int64{}
@@ -296,6 +301,9 @@
 	if known, found := fleet.members[digest.Node]; found {
 		known.lastDigest = now
 		known.relaysTables = relaysTables
+		if !digest.Partial {
+			fleet.unaware.hosts[digest.Node] = !digest.KnowsReturns
+		}
 		fleet.chooser.DigestReceived(known.address, now)
 		if digest.StoreOutage {
 			fleet.chooser.MarkStoreOutage(known.address, now)
@@ -303,6 +311,7 @@
 	}
 	fleet.lock.Unlock()
 	if !digest.Partial {
+		node.applyReturns(digest.ReturnedMillis, digest.KnowsReturns, time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond, now)
 		node.ledger.ApplyPeerTotals(digest.Node, digest.Incarnation, digest.Spent, !digest.RecentSpent, now)
 		node.tracker.SetPeerLoads(digest.Node, decodeLoads(digest.Loads), now.Add(loadLifetimeDigests*fleet.maxDigestAge()))
 	}
--- a/internal/entrynode/hosts.go
+++ b/internal/entrynode/hosts.go
@@ -65,6 +65,7 @@
 		}
 		if change.Deleted {
 			delete(fleet.members, change.Key)
+			delete(fleet.unaware.hosts, change.Key)
 			fleet.joined = fleet.joined && !own
 			if own {
 				fleet.recordOwnRowLocked(false, false, time.Now())
@@ -173,6 +174,7 @@
 	for name, member := range fleet.members {
 		if member.rowLost && now.Sub(fleet.silentSinceLocked(member)) >= hostTimeout {
 			delete(fleet.members, name)
+			delete(fleet.unaware.hosts, name)
 			dropped = true
 			fleet.node.log.Info("host left", "host", name, "lastDigest", formatAge(now, member.lastDigest))
 		}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -162,6 +162,9 @@
 	node.permits = permit.NewDesk(node.limits, node.issuer, node.fleet, log)
 	node.loader = newLoader(node)
 	node.origins = newOrigins(node)
+	if !settings.FirstStart {
+		node.targets.AssumeReturned(time.Now())
+	}
 	node.addFollower(platform.ConfigurationTable, node.applyConfiguration)
 	node.addFollower(platform.TargetTable, node.applyTargets)
 	node.addFollower(hostTable, node.fleet.applyHosts)
--- a/internal/entrynode/summary.go
+++ b/internal/entrynode/summary.go
@@ -85,6 +85,7 @@
 	summary := fleet.tally.Summary(now)
 	summary.Zone, summary.Relay, summary.Incarnation = own.Zone, own.Node, fleet.node.incarnation
 	summary.Idle = !fleet.summaryActive
+	summary.ReturnedMillis, summary.KnowsReturns = fleet.node.returnsOf(now)
 	for name, member := range fleet.members {
 		if member.zone != own.Zone {
 			continue
@@ -112,6 +113,7 @@
 	}
 	fleet.lock.Lock()
 	fleet.zones[summary.Zone] = zoneState{receivedAt: now, silent: summary.SilentMillis}
+	fleet.unaware.zones[summary.Zone] = !summary.KnowsReturns
 	if known, found := fleet.members[summary.Relay]; found {
 		from = known.address
 	}
@@ -120,6 +122,13 @@
 	source := allowance.Source{Node: summary.Relay, Incarnation: summary.Incarnation}
 	node.ledger.ApplyZoneTotals(summary.Zone, source, summary.Hosts, summary.Spent, now)
 	node.tracker.SetPeerLoads("zone "+summary.Zone, decodeLoads(summary.Loads), now.Add(summaryLifetime))
+	copyAge := time.Duration(0)
+	for _, age := range summary.ConfigurationAgeMillis {
+		if told := time.Duration(age) * time.Millisecond; copyAge == 0 || told < copyAge {
+			copyAge = told
+		}
+	}
+	node.applyReturns(summary.ReturnedMillis, summary.KnowsReturns, copyAge, now)
 	clock := bootClock{}.Now()
 	for version, age := range summary.ConfigurationAgeMillis {
 		node.followers[platform.ConfigurationTable].Confirm(
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -73,6 +73,10 @@
 	// Paces holds the targets whose pace has recently differed from the usual one of their
 	// service in requests of the node, at most pace.MaxReports.
 	Paces []Pace `cbor:"21,keyasint,omitempty"`
+	// ReturnedMillis holds the time since the evacuation of zones has ended, for a minute. KnowsReturns says
+	// that these are all: the node did not start while others may have ended.
+	ReturnedMillis map[string]int64 `cbor:"22,keyasint,omitempty"`
+	KnowsReturns   bool             `cbor:"23,keyasint,omitempty"`
 }
 
 // Events returns the part of the digest that no Summary of the node's zone holds, and whether
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -30,4 +30,7 @@
 	// NewerConfiguration is the version of the configuration that the relay has in force if the
 	// store was restored to an older one; otherwise zero. Key 12 is the era of the versions.
 	NewerConfiguration int64 `cbor:"13,keyasint,omitempty"`
+	// ReturnedMillis and KnowsReturns are those of the relay's digest.
+	ReturnedMillis map[string]int64 `cbor:"14,keyasint,omitempty"`
+	KnowsReturns   bool             `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"time"
 
 	"mimosatide.example/mimosatide"
@@ -48,3 +49,50 @@
 		}
 	}
 }
+
+// AssumeReturned takes the zones of all targets for ones whose evacuation has just ended, until ApplyReturns says
+// which ones have: a process that starts does not know of an evacuation that has ended before.
+func (registry *Registry) AssumeReturned(now time.Time) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	registry.assumedAt = now
+	registry.markChanged()
+}
+
+// Returns returns when the evacuation of zones has recently ended, and whether these are all: false while
+// AssumeReturned is in force.
+func (registry *Registry) Returns(now time.Time) (returns map[string]time.Time, all bool) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	return maps.Clone(registry.returns), registry.assumedAt.IsZero() || now.Sub(registry.assumedAt) > returnMemory
+}
+
+// ApplyReturns takes what a host reports of its Returns. If these are all, it ends what AssumeReturned began.
+func (registry *Registry) ApplyReturns(returns map[string]time.Time, all bool, now time.Time) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	changed := all && !registry.assumedAt.IsZero()
+	if changed {
+		registry.assumedAt = time.Time{}
+	}
+	for zone, at := range returns {
+		_, known := registry.returns[zone]
+		if _, evacuated := registry.evacuations[zone]; known || evacuated || now.Sub(at) > returnMemory {
+			continue
+		}
+		registry.returns[zone] = at
+		registry.log.Info("evacuation ended before", "zone", zone, "ago", now.Sub(at))
+		changed = true
+	}
+	if changed {
+		registry.markChanged()
+	}
+}
+
+// returnedAt returns when the evacuation of a zone may last have ended.
+func (registry *Registry) returnedAt(zone string) time.Time {
+	if at := registry.returns[zone]; at.After(registry.assumedAt) {
+		return at
+	}
+	return registry.assumedAt
+}
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -118,3 +118,33 @@
 	default:
 	}
 }
+
+// TestStartingHostTakesTargetsForCold guards against a herd at the targets of a zone that has just returned, from a
+// host that starts after its evacuation has ended and before its targets' rows say that they are cold.
+func TestStartingHostTakesTargetsForCold(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	targets.AssumeReturned(now)
+	targets.Put(targetIn("a1", "a"))
+	targets.Put(targetIn("b1", "b"))
+	returned := func(id string) time.Time {
+		known, _ := targets.View().Instance(id)
+		return known.ReturnedAt
+	}
+	if !returned("a1").Equal(now) || !returned("b1").Equal(now) {
+		t.Errorf("before others are heard: got returns at %v and %v, want %v for both", returned("a1"), returned("b1"), now)
+	}
+	ended := now.Add(-time.Second)
+	targets.ApplyReturns(map[string]time.Time{"b": ended}, false, now)
+	if _, all := targets.Returns(now); all || returned("a1").IsZero() {
+		t.Error("after the word of another host that has just started: got it taken for all, want all zones cold still")
+	}
+	targets.ApplyReturns(map[string]time.Time{"b": now}, true, now)
+	if !returned("a1").IsZero() || !returned("b1").Equal(ended) {
+		t.Errorf("after the word of a host that knows: got returns at %v and %v, want none and %v", returned("a1"), returned("b1"), ended)
+	}
+	targets.Evacuate("a", 1, now)
+	targets.ApplyReturns(map[string]time.Time{"a": ended}, true, now)
+	if known, _ := targets.View().Instance("a1"); !known.Evacuated {
+		t.Error("word of an earlier end of an evacuation that is in force: got it ended, want it in force")
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -138,7 +138,9 @@
 	// evacuations holds the evacuated availability zones, returns when the evacuation of a zone ended.
 	evacuations map[string]evacuation
 	returns     map[string]time.Time
-	changed     chan struct{}
+	// assumedAt is when all zones were taken for ones whose evacuation has ended, zero if they are not.
+	assumedAt time.Time
+	changed   chan struct{}
 }
 
 // pendingRemoval is the deletion of a row that may only be an effect of an outage of
@@ -429,7 +431,7 @@
 		instance := registry.effective(registry.instances[id], now)
 		instance.Leaving = registry.isLeaving(instance)
 		_, instance.Evacuated = registry.evacuations[instance.Zone]
-		instance.ReturnedAt = registry.returns[instance.Zone]
+		instance.ReturnedAt = registry.returnedAt(instance.Zone)
 		if mark := registry.cold[id]; mark.born.Equal(instance.Born) {
 			instance.ColdUntil = mark.until
 		}
