--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -10,6 +10,7 @@
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/pace"
+	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/relay"
 	"mimosatide.example/mimosatide/internal/zone"
 	"mimosatide.example/mimosatide/platform"
@@ -73,7 +74,13 @@
 	// silentUntil holds, by peer address, how long a host is no target's home because it has
 	// not answered a request for a permit.
 	silentUntil map[string]time.Time
-	// heard is the last result of Heard, at heardAt.
+	// contacts holds with which hosts this node is in contact, listedFrom from when on the others know that it
+	// is on the list, zero if it is not.
+	contacts   *permit.Contacts
+	listedFrom time.Time
+	// unaware are the hosts that don't know which evacuations have ended.
+	unaware unawareHosts
+	// heard is the part of the rates of cold targets that this node may issue, as of heardAt.
 	heard   float64
 	heardAt time.Time
 
@@ -109,6 +116,8 @@
 		lastSpent:   map[string]float64{},
 		spentAt:     map[string]int{},
 		silentUntil: map[string]time.Time{},
+		contacts:    permit.NewContacts(),
+		unaware:     unawareHosts{hosts: map[string]bool{}, zones: map[string]bool{}},
 		tally:       zone.New(platform.ConfigurationTable, loadLifetime),
 		zones:       map[string]zoneState{},
 
@@ -170,6 +179,8 @@
 			}
 			fleet.node.loader.sendUsage(now)
 			fleet.updateWatch()
+			fleet.updateContacts(time.Now())
+			fleet.stopAssumingReturns(time.Now())
 			fleet.removeSilentHosts(ctx, now)
 			fleet.dropLostHosts(now)
 		}
@@ -229,6 +240,7 @@
 
 		Paces: gossip.EncodePaces(node.pace.Heard(maxPaceReports(others), time.Now())),
 	}
+	digest.ReturnedMillis, digest.KnowsReturns = node.returnsOf(time.Now())
 	for id, born := range node.targets.ToldLeaving(time.Now()) {
 		if digest.Leaving == nil {
 			digest.Leaving = map[string]int64{}
@@ -289,6 +301,9 @@
 	if known, found := fleet.members[digest.Node]; found {
 		known.lastDigest = now
 		known.relaysTables = relaysTables
+		if !digest.Partial {
+			fleet.unaware.hosts[digest.Node] = !digest.KnowsReturns
+		}
 		fleet.chooser.DigestReceived(known.address, now)
 		if digest.StoreOutage {
 			fleet.chooser.MarkStoreOutage(known.address, now)
@@ -296,6 +311,7 @@
 	}
 	fleet.lock.Unlock()
 	if !digest.Partial {
+		node.applyReturns(digest.ReturnedMillis, digest.KnowsReturns, time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond, now)
 		node.ledger.ApplyPeerTotals(digest.Node, digest.Incarnation, digest.Spent, !digest.RecentSpent, now)
 		node.tracker.SetPeerLoads(digest.Node, decodeLoads(digest.Loads), now.Add(loadLifetimeDigests*fleet.maxDigestAge()))
 	}
--- a/internal/entrynode/hosts.go
+++ b/internal/entrynode/hosts.go
@@ -65,7 +65,11 @@
 		}
 		if change.Deleted {
 			delete(fleet.members, change.Key)
+			delete(fleet.unaware.hosts, change.Key)
 			fleet.joined = fleet.joined && !own
+			if own {
+				fleet.recordOwnRowLocked(false, false, time.Now())
+			}
 			log.Info("host left", "host", change.Key, "row", change.Version)
 			continue
 		}
@@ -80,6 +84,7 @@
 		}
 		if own {
 			fleet.joined = row.Incarnation == fleet.node.incarnation
+			fleet.recordOwnRowLocked(true, !fleet.joined, time.Now())
 			continue
 		}
 		joined := &member{
@@ -169,6 +174,7 @@
 	for name, member := range fleet.members {
 		if member.rowLost && now.Sub(fleet.silentSinceLocked(member)) >= hostTimeout {
 			delete(fleet.members, name)
+			delete(fleet.unaware.hosts, name)
 			dropped = true
 			fleet.node.log.Info("host left", "host", name, "lastDigest", formatAge(now, member.lastDigest))
 		}
