Correct the bucket of a contended account over 2.5 times the time in which hosts hear of each other

Cause: the lot corrected the level within two digest intervals (0.4 s), while hosts hear of each other after 0.5 to 1 s. A request counted as light up to a quarter of the mean, which most small requests exceed where they are the majority.

Now the lot corrects over 2.5 times at least 0.8 s. Light requests have a lot of their own that goes on below zero with at most 0.4 of the rate, and drawn requests may take the bucket 0.5 s of the rate below zero. A request is light up to a quarter of the size of the request that a mean token belongs to.

--- a/internal/allowance/contention.go
+++ b/internal/allowance/contention.go
@@ -8,8 +8,8 @@
 const (
 	// recentTimeConstant is the time constant of the average by which a node notices that an account
 	// spends faster: short enough to follow within the time in which a full bucket is emptied.
-	recentTimeConstant = time.Second
-	// horizonDigests is how many digest intervals pass until all nodes know what one has spent.
+	recentTimeConstant = 500 * time.Millisecond
+	// horizonDigests is how many digest intervals pass until all nodes know what one has spent, at least.
 	horizonDigests = 2
 	// sizesTimeConstant is the time constant of the averages of the sizes of requests: some dozens of
 	// them come to a node in that time.
@@ -20,12 +20,28 @@
 	// marginTime is how much of the rate is kept in the bucket of a contended account, for what the other
 	// nodes have spent and this one has not heard of.
 	marginTime = 300 * time.Millisecond
-	// lightShare is the share of the mean request up to which a request counts as light:
-	// refusing one of mean size makes room for four of them.
+	// lightShare is the share of the size of the request that a mean token belongs to, up to which a request
+	// counts as light: refusing one of that size makes room for four of them. The size of the mean
+	// request would not do: where most requests are light, they are hardly smaller than that.
 	lightShare = 0.25
-	// lightRoomShare is the largest share of the account's room that is kept for light requests, so
-	// that the others are not starved by them.
-	lightRoomShare = 0.5
+	// lightRoomShare is the largest share of the account's room that light requests take from the others,
+	// so that those are not starved.
+	lightRoomShare = 0.75
+	// lightDebtTime and heavyDebtTime are how much of the rate light requests and drawn ones may take the bucket
+	// below zero. A sudden demand of six times the rate makes a debt of more than two seconds of the rate before
+	// the nodes hear of each other. Light requests are granted also then, but below zero they get
+	// lightDebtShare of the rate at most, so that the bucket recovers well within 8 s.
+	lightDebtTime  = 3 * time.Second
+	lightDebtShare = 0.4
+	heavyDebtTime  = 500 * time.Millisecond
+	// hearingTime is the time within which most nodes of a large fleet hear of each other under load. Digests
+	// that relays forward take half a second to a second.
+	hearingTime = 800 * time.Millisecond
+	// correctionHorizons is the number of horizons over which the level is corrected. A correction that is faster
+	// than about three times the delay of what it is based on overshoots, so that the level swings.
+	correctionHorizons = 2.5
+	// sharePrior is the number of requests of an account as which the sizes of all accounts count for its own.
+	sharePrior = 4
 	// maxSpread bounds the time over which the callers of a contended account are told to return.
 	maxSpread = 4 * time.Second
 )
@@ -34,28 +50,34 @@
 // of one account to tell its light ones from the others.
 type requestSizes struct {
 	at time.Time
-	// tokens and light are the tokens of all requests and of the light ones, count the number of all.
-	tokens float64
-	light  float64
-	count  float64
+	// tokens and light are the tokens of all requests and of the light ones, squares the sum of the squares of
+	// all.
+	tokens  float64
+	light   float64
+	squares float64
 }
 
 // record adds a request and reports whether it is light.
 func (sizes *requestSizes) record(tokens float64, now time.Time) bool {
 	if now.After(sizes.at) {
 		decay := math.Exp(-now.Sub(sizes.at).Seconds() / sizesTimeConstant.Seconds())
-		sizes.tokens, sizes.light, sizes.count = sizes.tokens*decay, sizes.light*decay, sizes.count*decay
+		sizes.tokens, sizes.light, sizes.squares = sizes.tokens*decay, sizes.light*decay, sizes.squares*decay
 		sizes.at = now
 	}
-	isLight := sizes.count >= 1 && tokens <= lightShare*sizes.tokens/sizes.count
 	sizes.tokens += tokens
-	sizes.count++
+	sizes.squares += tokens * tokens
+	isLight := tokens <= lightShare*sizes.typical()
 	if isLight {
 		sizes.light += tokens
 	}
 	return isLight
 }
 
+// typical returns the size of the request that a mean token belongs to.
+func (sizes *requestSizes) typical() float64 {
+	return sizes.squares / max(sizes.tokens, 1)
+}
+
 // lightPart returns the part of the tokens that light requests ask for.
 func (sizes *requestSizes) lightPart() float64 {
 	if sizes.tokens <= 0 {
@@ -71,18 +93,35 @@
 // contention is what a node knows of the demand for an account's tokens. It answers an account that
 // asks for several times its rate at many nodes at once: each node alone would grant what it has in
 // its copy of the bucket before it hears of the others, and all of them together overspend. A node
-// therefore grants only the part of the requests that fits the room of all nodes, and keeps that of
-// the light ones free.
+// therefore grants only the part of the requests that fits the room of all nodes, light ones first.
 type contention struct {
 	// spent and refused are moving averages of what all nodes have granted and refused, in tokens.
 	spent   float64
 	refused float64
+	// asked and light are moving averages of the tokens that callers ask of this node, of all requests and
+	// of light ones.
+	asked float64
+	light float64
 }
 
 func (contention *contention) decay(elapsed time.Duration) {
 	decay := math.Exp(-elapsed.Seconds() / recentTimeConstant.Seconds())
 	contention.spent *= decay
 	contention.refused *= decay
+	decay = math.Exp(-elapsed.Seconds() / sizesTimeConstant.Seconds())
+	contention.asked *= decay
+	contention.light *= decay
+}
+
+// record adds a request and returns the part of the account's tokens that light requests ask for. While few
+// requests of the account are known, it is taken from the sizes of all accounts.
+func (contention *contention) record(asked request, sizes *requestSizes) float64 {
+	contention.asked += asked.tokens
+	if asked.light {
+		contention.light += asked.tokens
+	}
+	prior := sharePrior * sizes.typical()
+	return (contention.light + prior*sizes.lightPart()) / max(contention.asked+prior, 1)
 }
 
 // demand returns the tokens a second that callers ask of all nodes.
@@ -95,21 +134,50 @@
 	return min(limit.Rate*marginTime.Seconds(), limit.Burst/2)
 }
 
+// needed returns the level that a request needs which may leave the bucket in debt.
+func (limit Limit) needed(tokens float64, debt time.Duration) float64 {
+	return min(tokens, limit.margin()) - limit.Rate*debt.Seconds()
+}
+
+// odds are the probabilities with which the requests of a contended account are granted.
+type odds struct {
+	light float64
+	heavy float64
+}
+
+// oddsOf returns the odds that let all nodes together grant the rate and, over the correction time, bring the
+// level to the margin. Light requests, whose part of the demand is lightPart, take the room of the others up to a
+// share of it, since refusing one large request makes room for at least four of them. They go on below the
+// margin, and with a part of the rate also while the bucket is in debt.
+func oddsOf(limit Limit, demand, level, lightPart float64, correction time.Duration) odds {
+	room := max(limit.Rate+(level-limit.margin())/correction.Seconds(), 0)
+	light, heavy := demand*lightPart, demand*(1-lightPart)
+	heavyRoom := min(room-min(light, lightRoomShare*room), heavy)
+	lightRoom := max(limit.Rate+level/correction.Seconds()-heavyRoom, lightDebtShare*limit.Rate)
+	return odds{light: probability(lightRoom, light), heavy: probability(heavyRoom, heavy)}
+}
+
+func probability(room, demand float64) float64 {
+	if room >= demand {
+		return 1
+	}
+	return max(room, 0) / demand
+}
+
 // admit decides whether a request may try the bucket, which holds level tokens; if not, it returns the
-// time until the caller should return. A request that was drawn while the account is contended may take
-// the level below zero, since its part was counted: otherwise the level would never hold the largest ones. Light requests, whose part of all tokens is lightPart, always may.
-// The others get by lot what these leave, so that the level stays at a margin above zero: it is the
-// copy of the bucket of one node, and the others spend from it too.
+// time until the caller should return. A heavy request that was drawn while the account is contended may take
+// the level below zero, since its part was counted: otherwise the level would never hold the largest ones.
 func (contention *contention) admit(limit Limit, asked request, level, lightPart float64, horizon time.Duration) (drawn bool, wait time.Duration) {
 	demand := contention.demand()
-	wanted := demand * horizon.Seconds()
-	accrues := limit.Rate * horizon.Seconds()
-	if asked.light || wanted <= level+accrues || demand < contendedShare*limit.Rate {
+	if demand < contendedShare*limit.Rate || demand*horizon.Seconds() <= level+limit.Rate*horizon.Seconds() {
+		return false, 0
+	}
+	correction := time.Duration(correctionHorizons * float64(horizon))
+	odds := oddsOf(limit, demand, level, lightPart, correction)
+	if asked.light && asked.draw < odds.light {
 		return false, 0
 	}
-	room := level + accrues - limit.margin()
-	room -= min(wanted*lightPart, lightRoomShare*max(room, 0))
-	if asked.draw*wanted*(1-lightPart) < room {
+	if !asked.light && asked.draw < odds.heavy {
 		return true, 0
 	}
 	return false, max(contention.spread(limit, asked.draw, horizon), horizon)
--- a/internal/allowance/contention_test.go
+++ b/internal/allowance/contention_test.go
@@ -21,6 +21,49 @@
 	granted map[float64]int
 	// spends holds the tokens that were granted in each tick.
 	spends []float64
+	// lowest and highest are those of the level at the first node, once the contention has lasted for some seconds.
+	lowest  float64
+	highest float64
+}
+
+// most returns the largest number of tokens that were granted within 8 s.
+func (run contendedRun) most() float64 {
+	const window = int(8 * time.Second / contendedTick)
+	most, sum := 0.0, 0.0
+	for index, spent := range run.spends {
+		sum += spent
+		if index >= window {
+			sum -= run.spends[index-window]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func (run contendedRun) total() float64 {
+	total := 0.0
+	for _, spent := range run.spends {
+		total += spent
+	}
+	return total
+}
+
+// share returns the part of the requests of a size that were granted.
+func (run contendedRun) share(tokens float64) float64 {
+	return float64(run.granted[tokens]) / float64(max(run.asked[tokens], 1))
+}
+
+// contendedLoad is what one account asks of a fleet.
+type contendedLoad struct {
+	nodes int
+	limit allowance.Limit
+	// excess is the demand as a multiple of the rate, lightShare the part of the requests that are light.
+	excess     float64
+	lightShare float64
+	length     time.Duration
+	// digestInterval is the time between two digests, delay how long each takes.
+	digestInterval time.Duration
+	delay          time.Duration
 }
 
 const contendedTick = 10 * time.Millisecond
@@ -28,7 +71,14 @@
 // runContended lets one account ask nodes for excess times its rate for some time, after an ordinary
 // start. Totals reach the other nodes after one digest interval and a half; callers are spread unevenly.
 func runContended(nodes int, limit allowance.Limit, excess float64, length time.Duration) contendedRun {
-	const digestInterval = 300 * time.Millisecond
+	return contendedLoad{
+		nodes: nodes, limit: limit, excess: excess, lightShare: 0.4, length: length,
+		digestInterval: 300 * time.Millisecond, delay: 150 * time.Millisecond,
+	}.run()
+}
+
+func (load contendedLoad) run() contendedRun {
+	nodes, limit := load.nodes, load.limit
 	random := rand.New(rand.NewPCG(7, uint64(nodes)))
 	names := make([]string, nodes)
 	ledgers := make([]*allowance.Ledger, nodes)
@@ -44,7 +94,7 @@
 				others = append(others, name)
 			}
 		}
-		ledger.SetPeers(others, nil, digestInterval)
+		ledger.SetPeers(others, nil, load.digestInterval)
 		ledger.SetAccounts(map[string]allowance.Limit{"a": limit}, start)
 	}
 	type report struct {
@@ -54,12 +104,12 @@
 	}
 	var underWay []report
 	run := contendedRun{asked: map[float64]int{}, granted: map[float64]int{}}
-	for now := start; now.Sub(start) < length; now = now.Add(contendedTick) {
+	for now := start; now.Sub(start) < load.length; now = now.Add(contendedTick) {
 		tick := int(now.Sub(start) / contendedTick)
 		for index, ledger := range ledgers {
-			if (tick+index)%int(digestInterval/contendedTick) == 0 {
+			if (tick+index)%int(load.digestInterval/contendedTick) == 0 {
 				ledger.MarkReported()
-				underWay = append(underWay, report{from: index, at: now.Add(digestInterval / 2), spent: ledger.Spent()})
+				underWay = append(underWay, report{from: index, at: now.Add(load.delay), spent: ledger.Spent()})
 			}
 		}
 		for len(underWay) > 0 && !underWay[0].at.After(now) {
@@ -77,17 +127,16 @@
 			// The nodes have not heard of each other yet.
 			rate = 0
 		case elapsed > 3*time.Second:
-			rate = limit.Rate * excess
+			rate = limit.Rate * load.excess
 		}
 		spent := 0.0
-		// Two in five requests are light.
-		mean := 0.4*lightTokens + 0.6*heavyTokens
+		mean := load.lightShare*lightTokens + (1-load.lightShare)*heavyTokens
 		for wanted := rate * contendedTick.Seconds() / mean; wanted > 0; wanted-- {
 			if random.Float64() > wanted {
 				break
 			}
 			tokens := float64(heavyTokens)
-			if random.Float64() < 0.4 {
+			if random.Float64() < load.lightShare {
 				tokens = lightTokens
 			}
 			// A quarter of the nodes has most of the account's callers.
@@ -96,7 +145,11 @@
 				node = random.IntN(max(nodes/4, 1))
 			}
 			run.asked[tokens]++
-			if ledgers[node].Admit("a", limit, tokens, random.Float64(), now).Granted {
+			verdict := ledgers[node].Admit("a", limit, tokens, random.Float64(), now)
+			if now.Sub(start) > load.length/2 {
+				run.lowest, run.highest = min(run.lowest, verdict.Level), max(run.highest, verdict.Level)
+			}
+			if verdict.Granted {
 				run.granted[tokens]++
 				spent += tokens
 			}
@@ -113,28 +166,15 @@
 	limit := allowance.Limit{Rate: 150_000, Burst: 150_000}
 	for _, nodes := range []int{8, 80} {
 		run := runContended(nodes, limit, 6, 22*time.Second)
-		const window = int(8 * time.Second / contendedTick)
-		most, sum := 0.0, 0.0
-		for index, spent := range run.spends {
-			sum += spent
-			if index >= window {
-				sum -= run.spends[index-window]
-			}
-			most = max(most, sum)
-		}
+		most, total := run.most(), run.total()
 		// The users accept a tenth and 110,000 tokens above the limit in 8 s.
 		if allowed := (8*limit.Rate+limit.Burst)*1.1 + 110_000; most > allowed {
 			t.Errorf("%d nodes: got %.0f tokens in 8 s, want at most %.0f", nodes, most, allowed)
 		}
-		total := 0.0
-		for _, spent := range run.spends {
-			total += spent
-		}
 		if least := 0.85 * 19 * limit.Rate; total < least {
 			t.Errorf("%d nodes: got %.0f tokens granted, want at least %.0f: nothing is refused while there is room", nodes, total, least)
 		}
-		light := float64(run.granted[lightTokens]) / float64(run.asked[lightTokens])
-		heavy := float64(run.granted[heavyTokens]) / float64(run.asked[heavyTokens])
+		light, heavy := run.share(lightTokens), run.share(heavyTokens)
 		if light < 0.7 || heavy < 0.05 {
 			t.Errorf("%d nodes: got %.2f of the light and %.2f of the heavy requests granted, want 0.7 and 0.05 at least", nodes, light, heavy)
 		}
@@ -142,6 +182,40 @@
 	}
 }
 
+// TestContendedBucketDoesNotSwing guards against a correction that is too strong for the delay with which nodes
+// hear of each other: the bucket swung between large debts, in which light requests were refused like heavy
+// ones, and levels at which all were granted.
+func TestContendedBucketDoesNotSwing(t *testing.T) {
+	for name, load := range map[string]contendedLoad{
+		"digests take 0.3 s": {excess: 6, lightShare: 0.4, delay: 300 * time.Millisecond, limit: allowance.Limit{Rate: 147_000, Burst: 147_000}},
+		"digests take 0.8 s": {excess: 6, lightShare: 0.4, delay: 800 * time.Millisecond, limit: allowance.Limit{Rate: 147_000, Burst: 147_000}},
+		"large burst":        {excess: 6, lightShare: 0.4, delay: 800 * time.Millisecond, limit: allowance.Limit{Rate: 147_000, Burst: 735_000}},
+		"light beyond rate":  {excess: 6, lightShare: 0.92, delay: 800 * time.Millisecond, limit: allowance.Limit{Rate: 500_000, Burst: 500_000}},
+		"only light":         {excess: 6, lightShare: 1, delay: 800 * time.Millisecond, limit: allowance.Limit{Rate: 147_000, Burst: 147_000}},
+		"little excess":      {excess: 1.5, lightShare: 0.4, delay: 800 * time.Millisecond, limit: allowance.Limit{Rate: 147_000, Burst: 147_000}},
+	} {
+		load.nodes, load.digestInterval, load.length = 80, 200*time.Millisecond, 30*time.Second
+		run := load.run()
+		light, heavy := run.share(lightTokens), run.share(heavyTokens)
+		if allowed := (8*load.limit.Rate+load.limit.Burst)*1.1 + 110_000; run.most() > allowed {
+			t.Errorf("%s: got %.0f tokens in 8 s, want at most %.0f", name, run.most(), allowed)
+		}
+		// The demand lasts for 27 s.
+		if least := 0.95 * 27 * load.limit.Rate; run.total() < least {
+			t.Errorf("%s: got %.0f tokens granted, want at least %.0f", name, run.total(), least)
+		}
+		if asked := load.excess * load.lightShare; asked < 3 && light < 0.85 {
+			t.Errorf("%s: got %.2f of the light requests granted, want 0.85 at least", name, light)
+		}
+		// With little excess the level follows the demand, which varies by a second of the rate by itself.
+		if swing := run.highest - run.lowest; load.excess >= 6 && swing > 1.6*load.limit.Rate+heavyTokens {
+			t.Errorf("%s: got a level from %.0f to %.0f, want a swing of 1.6 s of the rate at most", name, run.lowest, run.highest)
+		}
+		t.Logf("%s: light %.2f, heavy %.2f, most in 8 s %.0f, total %.0f, level %.0f to %.0f", name, light, heavy, run.most(),
+			run.total(), run.lowest, run.highest)
+	}
+}
+
 // TestAccountWithinItsRateIsNeverContended guards against refusals while there is room.
 func TestAccountWithinItsRateIsNeverContended(t *testing.T) {
 	run := runContended(80, allowance.Limit{Rate: 500_000, Burst: 500_000}, 0.6, 20*time.Second)
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -270,13 +270,17 @@
 	fraction := ledger.reachableFraction(now)
 	held.limit = limit
 	held.refill(fraction, ledger.digestInterval, now)
-	available, horizon := limit.scaled(fraction), horizonDigests*ledger.digestInterval
+	available, horizon := limit.scaled(fraction), max(horizonDigests*ledger.digestInterval, hearingTime)
 	asked := request{tokens: tokens, light: ledger.sizes.record(tokens, now), draw: draw}
 	verdict := Verdict{Level: held.level, Fraction: fraction}
+	settling := !ledger.startFull && now.Sub(held.createdAt) < settlingTime
 	needed := tokens
-	drawn, wait := held.admit(available, asked, held.level, ledger.sizes.lightPart(), horizon)
-	if drawn {
-		needed = min(tokens, available.margin())
+	drawn, wait := held.admit(available, asked, held.level, held.record(asked, &ledger.sizes), horizon)
+	switch {
+	case drawn:
+		needed = available.needed(tokens, heavyDebtTime)
+	case asked.light && !settling:
+		needed = available.needed(tokens, lightDebtTime)
 	}
 	verdict.Wait = wait
 	if wait == 0 {
@@ -286,7 +290,7 @@
 		}
 		verdict.Wait += held.spread(available, draw, horizon)
 	}
-	verdict.Settling = !ledger.startFull && now.Sub(held.createdAt) < settlingTime
+	verdict.Settling = settling
 	held.refused += tokens
 	ledger.spent[account+refusedSuffix] += tokens
 	return verdict
