Order the requests that wait for room at a target, and refuse those that no target can answer in time

Cause: requests that waited for room polled for it independently, so that chance decided which of them got a free place; requests at plain services were never held back; and none was refused for the queue at every engine.

Change: package triage decides by pure functions who goes next (begun streams, objectives that can still be met, priority, time left, age, with a floor for each account, model and size), which request has no hope, and when refused callers return. The gateway queues long prompts for engines without room, and requests for plain services whose slots this node has taken itself, within the bounds that deferred prompts had. The tokens in flight at an engine count towards its room. Off with --no-triage or MIMOSATIDE_TRIAGE=false, and without effect where routes of a service have the same rank.

Tests of triage, gateway, balance, gossip and metric pass, also the existing ones for deferred prompts on the new path.

--- a/cmd/mimosatide/entry.go
+++ b/cmd/mimosatide/entry.go
@@ -50,6 +50,7 @@
 type entryCommand struct {
 	Settings    string `help:"Path of the platform's settings file." env:"MIMOSATIDE_NODE_FILE" required:""`
 	MetricsPort string `help:"Port that serves the metrics." default:"9464" env:"MIMOSATIDE_METRICS_PORT"`
+	Triage      bool   `help:"Order the requests that wait for room at a target by rank and time left, and refuse those that no target can answer in time." default:"true" negatable:"" env:"MIMOSATIDE_TRIAGE"`
 	LogLevel    string `help:"Minimum level that is logged: debug, info or error." enum:"debug,info,error" default:"info" env:"MIMOSATIDE_LOG_LEVEL"`
 }
 
@@ -66,7 +67,11 @@
 	defer writer.Close()
 	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "error": slog.LevelError}
 	log := logr.FromSlogHandler(slog.NewTextHandler(writer, &slog.HandlerOptions{Level: levels[command.LogLevel]}))
-	node, err := entrynode.New(settings, command.MetricsPort, log)
+	var options []entrynode.Option
+	if !command.Triage {
+		options = append(options, entrynode.WithoutTriage())
+	}
+	node, err := entrynode.New(settings, command.MetricsPort, log, options...)
 	if err != nil {
 		log.Error(err, "node not started")
 		return errors.Trace(err)
--- a/deployment.go
+++ b/deployment.go
@@ -142,6 +142,8 @@
 	routesByHost map[string][]PathRoute
 	// shortestEventGaps maps each service to the shortest event gap objective of its routes.
 	shortestEventGaps map[string]time.Duration
+	// ranked holds, of each service, the priority and the latency objective of its routes.
+	ranked map[string]ranking
 	// resumable holds the longest timeout of the resumable streams of each service that has any.
 	resumable map[string]time.Duration
 }
@@ -150,11 +152,13 @@
 func (deployment Deployment) WithRoutes(routes []PathRoute) Deployment {
 	deployment.routesByHost = map[string][]PathRoute{}
 	deployment.shortestEventGaps = map[string]time.Duration{}
+	deployment.ranked = map[string]ranking{}
 	deployment.resumable = map[string]time.Duration{}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		deployment.routesByHost[host] = append(deployment.routesByHost[host], route)
 		deployment.recordEventGap(route)
+		deployment.recordRanking(route)
 		if route.Kind == StreamRoute && route.Resumable {
 			for _, share := range route.Services {
 				deployment.resumable[share.Service] = max(deployment.resumable[share.Service], route.Timeout)
@@ -179,6 +183,31 @@
 	}
 }
 
+// ranking is the priority and the latency objective of the routes to a service; differs says that they have
+// more than one.
+type ranking struct {
+	priority  int
+	objective time.Duration
+	differs   bool
+}
+
+func (deployment Deployment) recordRanking(route PathRoute) {
+	own := ranking{priority: route.Priority, objective: route.LatencyObjective}
+	for _, share := range route.Services {
+		known, found := deployment.ranked[share.Service]
+		if !found {
+			known = own
+		}
+		known.differs = known.differs || known.priority != own.priority || known.objective != own.objective
+		deployment.ranked[share.Service] = known
+	}
+}
+
+// RanksDiffer reports whether the routes to a service differ in priority or latency objective.
+func (deployment Deployment) RanksDiffer(service string) bool {
+	return deployment.ranked[service].differs
+}
+
 // ShortestEventGap returns the shortest event gap objective among the routes to a
 // service, or zero if no such route has one.
 func (deployment Deployment) ShortestEventGap(service string) time.Duration {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -64,6 +64,12 @@
 	return time.Duration(query.Request.PromptTokens) * time.Second / prefillTokensPerSecond
 }
 
+// UnsharedPrefillTime returns the time that an engine takes to read the part of the prompt that no other request
+// shares.
+func (query Query) UnsharedPrefillTime() time.Duration {
+	return query.PrefillTime() - query.sharedPrefillTime()
+}
+
 func (query Query) sharedPrefillTime() time.Duration {
 	return time.Duration(query.Request.SharedPrefixTokens()) * time.Second / prefillTokensPerSecond
 }
--- /dev/null
+++ b/internal/balance/room.go
@@ -0,0 +1,40 @@
+package balance
+
+import (
+	"time"
+
+	"mimosatide.example/mimosatide"
+)
+
+// cacheTokens returns the tokens of the cache that the request takes at an engine. The shared prefix of its prompt
+// doesn't count: an engine holds it once for all requests that share it.
+func (query Query) cacheTokens() int {
+	if !query.Engine {
+		return 0
+	}
+	return max(query.Request.PromptTokens-query.Request.SharedPrefixTokens()+query.Request.OutputTokens, 0)
+}
+
+// FitsCache reports whether the tokens of the request fit the cache of an engine, in tokens, beside those of the
+// requests in flight there. It is true if the capacity is not known, or if nothing is in flight.
+func (tracker *Tracker) FitsCache(query Query, id string, capacity int, now time.Time) bool {
+	if capacity <= 0 {
+		return true
+	}
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	taken := tracker.total(id, now).Tokens
+	return taken <= 0 || taken+query.cacheTokens() <= capacity
+}
+
+// HasFreeSlot reports whether this node's own requests leave a slot of a target free. What other nodes have
+// reported is older than requests of a plain service last, and doesn't count.
+func (tracker *Tracker) HasFreeSlot(instance mimosatide.Instance) bool {
+	if instance.Slots <= 0 {
+		return true
+	}
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	state, found := tracker.targets[instance.ID]
+	return !found || state.load.Running < instance.Slots
+}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -66,6 +66,8 @@
 	LongPrefills int
 	// Deferred counts the requests with long prompts that are deferred.
 	Deferred int
+	// Tokens are those of the engine's cache that the running requests take.
+	Tokens int
 }
 
 func (load Load) plus(more Load) Load {
@@ -74,12 +76,14 @@
 		Prefill:      load.Prefill + more.Prefill,
 		LongPrefills: load.LongPrefills + more.LongPrefills,
 		Deferred:     load.Deferred + more.Deferred,
+		Tokens:       load.Tokens + more.Tokens,
 	}
 }
 
 func (load Load) minus(less Load) Load {
 	return load.plus(Load{
 		Running: -less.Running, Prefill: -less.Prefill, LongPrefills: -less.LongPrefills, Deferred: -less.Deferred,
+		Tokens: -less.Tokens,
 	})
 }
 
@@ -255,6 +259,7 @@
 	id          string
 	engine      bool
 	prefill     time.Duration
+	tokens      int
 	prefillDone bool
 	ended       bool
 	timing      timing
@@ -266,10 +271,11 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state := tracker.state(id)
-	inFlight := &InFlight{tracker: tracker, id: id, engine: query.Engine, prefill: query.expectedPrefill(state)}
+	inFlight := &InFlight{tracker: tracker, id: id, engine: query.Engine, prefill: query.expectedPrefill(state), tokens: query.cacheTokens()}
 	state.load.Running++
 	state.load.Prefill += inFlight.prefill
 	state.load.LongPrefills += inFlight.longPrefills()
+	state.load.Tokens += inFlight.tokens
 	if key := query.prefixKey(); key != "" {
 		state.addPrefix(key, now)
 	}
@@ -313,6 +319,7 @@
 	inFlight.stopWaiting()
 	state := inFlight.tracker.state(inFlight.id)
 	state.load.Running--
+	state.load.Tokens -= inFlight.tokens
 	if outcome == Withdrawn {
 		return
 	}
--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -238,6 +238,7 @@
 	for id, load := range node.tracker.Loads() {
 		digest.Loads[id] = gossip.Load{
 			Running: load.Running, PrefillMillis: load.Prefill.Milliseconds(), LongPrefills: load.LongPrefills, Deferred: load.Deferred,
+			Tokens: load.Tokens,
 		}
 	}
 	for _, table := range []string{platform.ConfigurationTable, platform.TargetTable, hostTable} {
@@ -345,7 +346,7 @@
 	for id, load := range encoded {
 		loads[id] = balance.Load{
 			Running: load.Running, Prefill: time.Duration(load.PrefillMillis) * time.Millisecond,
-			LongPrefills: load.LongPrefills, Deferred: load.Deferred,
+			LongPrefills: load.LongPrefills, Deferred: load.Deferred, Tokens: load.Tokens,
 		}
 	}
 	return loads
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -29,6 +29,7 @@
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
 	"mimosatide.example/mimosatide/internal/shutdown"
+	"mimosatide.example/mimosatide/internal/triage"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -102,8 +103,10 @@
 	limits        *permit.Limits
 	issuer        *permit.Issuer
 	permits       *permit.Desk
-	fleet         *fleet
-	loader        *loader
+	// triage is nil if the requests that wait for room are not ordered.
+	triage *triage.Queues
+	fleet  *fleet
+	loader *loader
 
 	draining atomic.Bool
 	// refuseWaiting is closed when waiting requests can no longer be served before the process ends.
@@ -116,7 +119,7 @@
 
 // New returns a node that has not started, but already listens for its peers. The
 // metrics are served at metricsPort of the node's IP address.
-func New(settings platform.Settings, metricsPort string, log logr.Logger) (*Node, error) {
+func New(settings platform.Settings, metricsPort string, log logr.Logger, options ...Option) (*Node, error) {
 	dialer := newDialer()
 	paces := pace.New(log)
 	node := &Node{
@@ -143,6 +146,10 @@
 		refuseWaiting:  make(chan struct{}),
 		stop:           newStop(settings.Bounds),
 		metricsAddress: net.JoinHostPort(settings.IP, metricsPort),
+		triage:         triage.New(log),
+	}
+	for _, option := range options {
+		option(node)
 	}
 	node.engines = platform.NewEngines(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout,
@@ -298,6 +305,9 @@
 			node.recordPeerMessages()
 			node.meter.SetGauge("answer_buffer_bytes", float64(node.answers.Used()))
 			node.meter.SetGauge("request_memory_bytes", float64(node.intake.Used()))
+			if node.triage != nil {
+				node.meter.SetGauge("requests_waiting_for_room", float64(node.triage.Waiting()))
+			}
 			node.targets.Expire(now)
 			node.recordEvacuations(now)
 			view := node.targets.View()
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -121,6 +121,7 @@
 		Loader:        node.loader,
 		Origins:       node.origins,
 		RetryBudget:   node.retryBudget,
+		Triage:        node.triage,
 		Quarantine:    node.quarantine,
 		Meter:         node.meter,
 		Draining:      node.refuseWaiting,
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -54,6 +54,7 @@
 	name := pickService(route, request.ID)
 	handler.service = deployment.Services[name]
 	handler.gapObjective = deployment.ShortestEventGap(name)
+	handler.triaged = handler.gateway.Triage != nil && deployment.RanksDiffer(name)
 	if handler.service.Name == "" {
 		return mimosatide.Refuse(mimosatide.ReasonNoCapacity, "the route's service is not configured")
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -28,6 +28,7 @@
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
+	"mimosatide.example/mimosatide/internal/triage"
 )
 
 // answerMemory is the memory for buffered answers, in bytes.
@@ -63,6 +64,9 @@
 	engines    *fakeEngines
 	answers    *buffer.Budget
 	intake     *intake.Budget
+	// triage holds the waiting requests, gate is the gateway.
+	triage *triage.Queues
+	gate   *gateway.Gateway
 	// draining is closed to make the gateway refuse waiting requests.
 	draining chan struct{}
 	// age is the age of the gateway's copy of the configuration.
@@ -193,6 +197,7 @@
 		engines:  &fakeEngines{born: map[string]time.Time{}},
 		answers:  buffer.NewBudget(answerMemory),
 		intake:   intake.NewBudget(memory),
+		triage:   triage.New(logr.Discard()),
 		draining: make(chan struct{}),
 	}
 	deployment := testDeployment()
@@ -213,11 +218,13 @@
 		Loader:        created.loader,
 		Origins:       created.origins,
 		RetryBudget:   gateway.NewRetryBudget(0.2, 56),
+		Triage:        created.triage,
 		Quarantine:    quarantine.New(logr.Discard()),
 		Meter:         metric.New(),
 		Draining:      created.draining,
 		EndsBy:        created.endsBy,
 	}, logr.Discard())
+	created.gate = gate
 	created.server = httptest.NewServer(gate)
 	t.Cleanup(created.server.Close)
 	return created
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
 	"mimosatide.example/mimosatide/internal/registry"
+	"mimosatide.example/mimosatide/internal/triage"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -96,6 +97,8 @@
 	Loader      Loader
 	Origins     Origins
 	RetryBudget *RetryBudget
+	// Triage holds the requests that wait for room at targets; nil if they poll for it.
+	Triage *triage.Queues
 	// Quarantine holds the requests that crash targets.
 	Quarantine *quarantine.Tracker
 	Meter      *metric.Meter
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -21,6 +21,9 @@
 // target already reads as many long prompts as the gap objective of its streams
 // allows: sent at once, it would slow those streams and not be read any sooner.
 func (handler *requestHandler) selectTarget(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
+	if handler.triaged {
+		return handler.selectByRank(ctx)
+	}
 	until := handler.deferralEnd()
 	deferredFor, release := "", func() {}
 	defer func() { release() }()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -42,6 +42,8 @@
 	gapObjective time.Duration
 	account      mimosatide.AccountLimit
 	priority     int
+	// triaged says that the routes to the service differ in rank, so that requests are ordered by it.
+	triaged bool
 	// version is that of the configuration, versionAge the age of this node's copy of it.
 	version       int64
 	versionAge    time.Duration
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -97,6 +97,8 @@
 	LongPrefills int `cbor:"3,keyasint,omitempty"`
 	// Deferred is the number of requests with long prompts that are deferred.
 	Deferred int `cbor:"4,keyasint,omitempty"`
+	// Tokens are those of the target's cache that the requests take.
+	Tokens int `cbor:"5,keyasint,omitempty"`
 }
 
 // Plus returns the sum of two loads.
@@ -104,6 +106,7 @@
 	return Load{
 		Running: load.Running + more.Running, PrefillMillis: load.PrefillMillis + more.PrefillMillis,
 		LongPrefills: load.LongPrefills + more.LongPrefills, Deferred: load.Deferred + more.Deferred,
+		Tokens: load.Tokens + more.Tokens,
 	}
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -153,6 +153,12 @@
 	meter.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("target_answers").Inc(1)
 }
 
+// CountTriage counts a request that waited for room at a target, by how its wait ended, or that was refused because
+// no target could answer it in time.
+func (meter *Meter) CountTriage(outcome string) {
+	meter.scope.Tagged(map[string]string{"outcome": outcome}).Counter("triage").Inc(1)
+}
+
 // CountOversize counts an answer of a target that exceeded a bound.
 func (meter *Meter) CountOversize(reason OversizeReason) {
 	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("oversized_answers").Inc(1)
