--- a/internal/allowance/contention.go
+++ b/internal/allowance/contention.go
@@ -42,8 +42,11 @@
 	correctionHorizons = 2.5
 	// sharePrior is the number of requests of an account as which the sizes of all accounts count for its own.
 	sharePrior = 4
-	// maxSpread bounds the time over which the callers of a contended account are told to return.
+	// maxSpread bounds the time over which the callers of a contended account are told to return: a third of
+	// the longest deadlines of their requests, after which they return anyway.
 	maxSpread = 4 * time.Second
+	// returnShare is the share of the rate that light requests get which return, and that others get.
+	returnShare = 0.5
 )
 
 // requestSizes are moving averages of the requests of all accounts at a node. A node sees too few requests
@@ -102,6 +105,9 @@
 	// of light ones.
 	asked float64
 	light float64
+	// lightReturns and heavyReturns are when the callers that were refused last have been told to return.
+	lightReturns time.Time
+	heavyReturns time.Time
 }
 
 func (contention *contention) decay(elapsed time.Duration) {
@@ -164,23 +170,20 @@
 	return max(room, 0) / demand
 }
 
-// admit decides whether a request may try the bucket, which holds level tokens; if not, it returns the
-// time until the caller should return. A heavy request that was drawn while the account is contended may take
+// admit decides whether a request may try the bucket, which holds level tokens. A heavy request that was drawn while the account is contended may take
 // the level below zero, since its part was counted: otherwise the level would never hold the largest ones.
-func (contention *contention) admit(limit Limit, asked request, level, lightPart float64, horizon time.Duration) (drawn bool, wait time.Duration) {
+func (contention *contention) admit(limit Limit, asked request, level, lightPart float64, horizon time.Duration) (may, drawn bool) {
 	demand := contention.demand()
 	if demand < contendedShare*limit.Rate || demand*horizon.Seconds() <= level+limit.Rate*horizon.Seconds() {
-		return false, 0
+		return true, false
 	}
 	correction := time.Duration(correctionHorizons * float64(horizon))
 	odds := oddsOf(limit, demand, level, lightPart, correction)
-	if asked.light && asked.draw < odds.light {
-		return false, 0
-	}
-	if !asked.light && asked.draw < odds.heavy {
-		return true, 0
+	if asked.light {
+		return asked.draw < odds.light, false
 	}
-	return false, max(contention.spread(limit, asked.draw, horizon), horizon)
+	drawn = asked.draw < odds.heavy
+	return drawn, drawn
 }
 
 // request is a request for tokens; draw is a random number from 0 to 1.
@@ -190,12 +193,29 @@
 	draw   float64
 }
 
-// spread returns a time that grows with what is asked beyond the limit, different for each draw, so that
-// the refused callers don't return all at once.
-func (contention *contention) spread(limit Limit, draw float64, horizon time.Duration) time.Duration {
-	excess := contention.demand()/max(limit.Rate, 1) - 1
-	if excess <= 0 {
-		return 0
+// returnIn returns the time after which the caller of a refused request should return, if there is room for one
+// after room at the earliest. Callers return one after the other, at the rate of the node's part of the account's
+// demand: half of it for light requests and half for the others. Those that would return later than
+// maxSpread return at random in the second half of that time.
+func (contention *contention) returnIn(limit Limit, asked request, part float64, room time.Duration, now time.Time) time.Duration {
+	returns := &contention.heavyReturns
+	if asked.light {
+		returns = &contention.lightReturns
 	}
-	return min(time.Duration(excess*(0.5+draw)*float64(horizon)), maxSpread)
+	work := time.Duration(min(asked.tokens/max(limit.Rate*part*returnShare, 1), maxSpread.Seconds()) * float64(time.Second))
+	next := returns.Add(work)
+	if earliest := now.Add(room); next.Before(earliest) {
+		next = earliest
+	}
+	if next.Sub(now) <= max(maxSpread, room) {
+		*returns = next
+		return next.Sub(now)
+	}
+	return max(time.Duration((0.5+asked.draw/2)*float64(maxSpread)), room)
+}
+
+// part returns the part of the account's demand that comes to this node, one of nodes.
+func (contention *contention) part(nodes int) float64 {
+	own := contention.asked / sizesTimeConstant.Seconds()
+	return min(1, max(own/max(contention.demand(), 1), 1/float64(nodes)))
 }
--- a/internal/allowance/contention_test.go
+++ b/internal/allowance/contention_test.go
@@ -288,3 +288,30 @@
 		t.Errorf("got none of %d large requests granted", asked)
 	}
 }
+
+// TestRefusedCallersReturnAtDifferentTimes guards against callers that are told the same time and find no room again.
+// They return one after the other at the rate, those that were refused first before the others; with a demand far
+// beyond the rate they are spread.
+func TestRefusedCallersReturnAtDifferentTimes(t *testing.T) {
+	ledger, small := allowance.New(true), allowance.Limit{Rate: 10_000, Burst: 10_000}
+	random, told, refused, last := rand.New(rand.NewPCG(5, 1)), map[time.Duration]int{}, 0, time.Duration(0)
+	for index := range 200 {
+		now := start.Add(time.Duration(index) * 5 * time.Millisecond)
+		verdict := ledger.Admit("a", small, 3_000, random.Float64(), now)
+		if verdict.Granted {
+			continue
+		}
+		at := now.Add(verdict.Wait).Sub(start)
+		// 3,000 tokens accrue in 300 ms.
+		if refused > 0 && refused < 5 && at < last+300*time.Millisecond {
+			t.Errorf("caller %d: got a return at %v, want one 300 ms after %v", refused, at, last)
+		}
+		refused, last = refused+1, at
+		told[at.Truncate(100*time.Millisecond)]++
+	}
+	for at, callers := range told {
+		if callers > refused/5 {
+			t.Errorf("got %d of %d callers told to return at %v, want a fifth at most", callers, refused, at)
+		}
+	}
+}
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -275,21 +275,22 @@
 	verdict := Verdict{Level: held.level, Fraction: fraction}
 	settling := !ledger.startFull && now.Sub(held.createdAt) < settlingTime
 	needed := tokens
-	drawn, wait := held.admit(available, asked, held.level, held.record(asked, &ledger.sizes), horizon)
+	may, drawn := held.admit(available, asked, held.level, held.record(asked, &ledger.sizes), horizon)
 	switch {
 	case drawn:
 		needed = available.needed(tokens, heavyDebtTime)
 	case asked.light && !settling:
 		needed = available.needed(tokens, lightDebtTime)
 	}
-	verdict.Wait = wait
-	if wait == 0 {
+	room := horizon
+	if may {
 		verdict = ledger.spend(account, limit, tokens, needed, now)
 		if verdict.Granted {
 			return verdict
 		}
-		verdict.Wait += held.spread(available, draw, horizon)
+		room = verdict.Wait
 	}
+	verdict.Wait = held.returnIn(available, asked, held.part(ledger.size()), room, now)
 	verdict.Settling = settling
 	held.refused += tokens
 	ledger.spent[account+refusedSuffix] += tokens
