Let the long prompts of all nodes take turns at the engines

Cause: hosts hear of each other's prompts some hundred milliseconds late.

Change: each engine has a home, a host chosen as for permits, which knows the long prompts that all hosts send there and the shared prefixes that it has read. Prompts wait for their turn there in the order of triage, within the bounds that deferred prompts had; without an answer of the home they are sent.

--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -38,3 +38,19 @@
 	state, found := tracker.targets[instance.ID]
 	return !found || state.load.Running < instance.Slots
 }
+
+// Reading is the work of reading a prompt at an engine.
+type Reading struct {
+	// Own is the time for the part that no other prompt shares, Shared that for the shared prefix.
+	Own    time.Duration
+	Shared time.Duration
+	// Prefix identifies the shared prefix, for the request's model and adapter; empty if there is none.
+	Prefix string
+}
+
+// Reading returns the work of reading the request's prompt at an engine, at its pace.
+func (tracker *Tracker) Reading(query Query, instance mimosatide.Instance, now time.Time) Reading {
+	factor := tracker.pace.Factor(paceTarget(instance), now)
+	shared := query.sharedPrefillTime()
+	return Reading{Own: atPace(query.PrefillTime()-shared, factor), Shared: atPace(shared, factor), Prefix: query.prefixKey()}
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -27,6 +27,7 @@
 	"mimosatide.example/mimosatide/internal/peer"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/quarantine"
+	"mimosatide.example/mimosatide/internal/reading"
 	"mimosatide.example/mimosatide/internal/registry"
 	"mimosatide.example/mimosatide/internal/shutdown"
 	"mimosatide.example/mimosatide/internal/triage"
@@ -105,8 +106,10 @@
 	permits       *permit.Desk
 	// triage is nil if the requests that wait for room are not ordered.
 	triage *triage.Queues
-	fleet  *fleet
-	loader *loader
+	// readings lets long prompts take turns at the engines.
+	readings *reading.Desk
+	fleet    *fleet
+	loader   *loader
 
 	draining atomic.Bool
 	// refuseWaiting is closed when waiting requests can no longer be served before the process ends.
@@ -167,6 +170,7 @@
 	node.hub = hub
 	node.fleet = newFleet(node)
 	node.permits = permit.NewDesk(node.limits, node.issuer, node.fleet, log)
+	node.readings = reading.NewDesk(reading.NewHome(triage.New(log), node.refuseWaiting), node.fleet, log)
 	node.loader = newLoader(node)
 	node.origins = newOrigins(node)
 	if !settings.FirstStart {
@@ -387,6 +391,10 @@
 		node.handlePermitRequest(message, now)
 	case gossip.PermitResponse:
 		node.permits.Deliver(message.Number, message.Verdict())
+	case gossip.TurnRequest:
+		node.handleTurnRequest(message, now)
+	case gossip.TurnResponse:
+		node.readings.Deliver(message.Number, message.Given)
 	case gossip.RowsRequest:
 		node.sendRows(from, message)
 	case gossip.RowsResponse:
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -122,6 +122,7 @@
 		Origins:       node.origins,
 		RetryBudget:   node.retryBudget,
 		Triage:        node.triage,
+		Turns:         node.readings,
 		Quarantine:    node.quarantine,
 		Meter:         node.meter,
 		Draining:      node.refuseWaiting,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,9 @@
 	RetryBudget *RetryBudget
 	// Triage holds the requests that wait for room at targets; nil if they poll for it.
 	Triage *triage.Queues
+	// Turns lets long prompts take turns at the engines, together with those of the other nodes; nil if each
+	// node goes by what it has heard of them.
+	Turns Turns
 	// Quarantine holds the requests that crash targets.
 	Quarantine *quarantine.Tracker
 	Meter      *metric.Meter
--- a/internal/gateway/triage.go
+++ b/internal/gateway/triage.go
@@ -33,6 +33,11 @@
 			}
 			instance = placed
 		}
+		if proceed, refusal := handler.awaitReading(ctx, instance, until); refusal.Refused() {
+			return mimosatide.Instance{}, refusal
+		} else if !proceed {
+			continue
+		}
 		permitted, refusal := handler.awaitPermit(ctx, instance)
 		if permitted || refusal.Refused() {
 			return instance, refusal
@@ -69,7 +74,13 @@
 		}
 		return triage.NoRoom
 	}
-	if !tracker.FitsGap(handler.query(), instance, handler.gapObjective, now) || !tracker.FitsCache(handler.query(), instance.ID, engine.CacheTokens, now) {
+	if !tracker.FitsCache(handler.query(), instance.ID, engine.CacheTokens, now) {
+		return triage.NoRoom
+	}
+	if handler.gateway.Turns != nil {
+		return triage.Send
+	}
+	if !tracker.FitsGap(handler.query(), instance, handler.gapObjective, now) {
 		return triage.NoRoom
 	}
 	slots := tracker.PrefillSlots(instance.ID, handler.gapObjective, now)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -282,6 +282,8 @@
 	kindChanges
 	kindPermitRequest
 	kindPermitResponse
+	kindTurnRequest
+	kindTurnResponse
 )
 
 // envelope is the encoding of a message with its kind.
@@ -330,6 +332,10 @@
 		messageKind = kindPermitRequest
 	case PermitResponse:
 		messageKind = kindPermitResponse
+	case TurnRequest:
+		messageKind = kindTurnRequest
+	case TurnResponse:
+		messageKind = kindTurnResponse
 	default:
 		return nil, errors.NotSupportedf("message %T", message)
 	}
@@ -368,6 +374,10 @@
 		return decode[PermitRequest](wrapped.Body)
 	case kindPermitResponse:
 		return decode[PermitResponse](wrapped.Body)
+	case kindTurnRequest:
+		return decode[TurnRequest](wrapped.Body)
+	case kindTurnResponse:
+		return decode[TurnResponse](wrapped.Body)
 	default:
 		return nil, errors.NotSupportedf("message kind %d", wrapped.Kind)
 	}
