--- a/internal/gateway/reading.go
+++ b/internal/gateway/reading.go
@@ -10,9 +10,10 @@
 	"mimosatide.example/mimosatide/internal/reading"
 )
 
-// readingShare is the share of the allowed gap between two events of a stream for which an engine may have
-// prompts to read: the decoding steps of an event and prompts that are too short for a turn take the rest.
-const readingShare = 0.5
+// readingShare is the share of the allowed gap between two events of a stream for which an engine may have long
+// prompts to read, unless it reads a single one. Each that it reads lengthens every step of its streams, so that prompts
+// of which the engine holds a part take their turns in pairs, others alone.
+const readingShare = 0.4
 
 // Turns lets the long prompts of all nodes take turns at the engines.
 type Turns interface {
--- a/internal/reading/schedule.go
+++ b/internal/reading/schedule.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// lead is how long before the engine has read all the next turn is given: the time until a home looks for the next
+// prompt, and that of the messages until it arrives.
+const lead = 40 * time.Millisecond
+
 // maxPrefixes is the number of shared prefixes that an engine is taken to hold: the cache of an engine has room for
 // some dozens of 6,000 tokens beside the requests that run.
 const maxPrefixes = 24
@@ -35,10 +39,10 @@
 }
 
 // fits reports whether the engine can read a prompt beside those that it has yet to read within room. One that
-// reads none always can.
+// has read nearly all always can.
 func (known schedule) fits(turn Turn, now time.Time) bool {
 	pending := known.readUntil.Sub(now)
-	return pending <= 0 || pending+known.cost(turn) <= turn.Room
+	return pending <= lead || pending+known.cost(turn) <= turn.Room
 }
 
 // with returns the schedule with a further prompt.
