Withdraw the version of a stream when its target reports another incarnation

Cause: a stream was recorded with the version of the incarnation that its node knew, although another one with another version had started under the target's id.

Change: a record names target and incarnation. After a stream has broken off, and before its caller learns of it, its target is asked for its incarnation; a later one that may have begun the stream withdraws the record, in the store as well, and so does the target's row. A take-up at another node also reads the stream's row if the service's row names one version only.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -245,6 +245,7 @@
 			continue
 		}
 		instances = append(instances, instance)
+		node.origins.Known(instance.ID, instance.Born)
 	}
 	if update.Restored {
 		node.targets.PutRestored(instances, time.Now())
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -108,6 +108,9 @@
 	lock  sync.Mutex
 	known map[string]string
 	sent  map[string]string
+	// streams are those that were sent, withdrawn those whose targets have reported another incarnation.
+	streams   []origin.Stream
+	withdrawn map[string]bool
 	// onFind is called at the begin of Find.
 	onFind func()
 }
@@ -118,6 +121,24 @@
 	origins.lock.Lock()
 	defer origins.lock.Unlock()
 	origins.sent[stream.ID] = stream.Software
+	origins.streams = append(origins.streams, stream)
+}
+
+func (origins *fakeOrigins) Reported(_ context.Context, target string, born time.Time) {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	for _, stream := range origins.streams {
+		if stream.Target == target && born.After(stream.Born) {
+			origins.withdrawn[stream.ID] = true
+			delete(origins.known, stream.ID)
+		}
+	}
+}
+
+func (origins *fakeOrigins) Stands(id string) bool {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	return !origins.withdrawn[id]
 }
 
 func (origins *fakeOrigins) Begin(id string) {
@@ -189,7 +210,7 @@
 		ledger:   allowance.New(true),
 		limits:   permit.NewLimits(),
 		loader:   &fakeLoader{},
-		origins:  &fakeOrigins{known: map[string]string{}, sent: map[string]string{}},
+		origins:  &fakeOrigins{known: map[string]string{}, sent: map[string]string{}, withdrawn: map[string]bool{}},
 		engines:  &fakeEngines{born: map[string]time.Time{}},
 		answers:  buffer.NewBudget(answerMemory),
 		intake:   intake.NewBudget(memory),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,10 @@
 	Find(ctx context.Context, service, id string) (string, bool)
 	// Continues reports whether a stream of a version may go on at another target of that version.
 	Continues(service, software string) bool
+	// Reported records the incarnation that a target's own report names, by which records of streams may
+	// be withdrawn. Stands reports whether the record of a stream that this node has sent was not.
+	Reported(ctx context.Context, target string, born time.Time)
+	Stands(id string) bool
 }
 
 // Engines are asked for their state.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -139,6 +139,7 @@
 		if err := handler.writeEvent(outcome, event); err != nil {
 			outcome.reply.Abort()
 			handler.inFlight.End(balance.Withdrawn, time.Now())
+			handler.checkOrigin(ctx)
 			handler.log(statusCallerGone, "CallerGone", err.Error())
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -17,6 +17,9 @@
 	// incarnationAge is how long the answer holds: a target that starts again meanwhile holds no
 	// model yet.
 	incarnationAge = 500 * time.Millisecond
+	// originTimeout bounds the question which incarnation a stream has begun at, after it has broken off: its
+	// caller waits meanwhile, and a target that has crashed refuses the connection at once.
+	originTimeout = 250 * time.Millisecond
 )
 
 // confirmIncarnation checks by a target's own report that it is the incarnation whose version this
@@ -33,6 +36,7 @@
 	if err != nil {
 		return errors.Annotate(err, "the incarnation that a stream goes on at")
 	}
+	handler.gateway.Origins.Reported(ctx, instance.ID, report.Born)
 	if !report.Born.Equal(instance.Born) {
 		return errors.Errorf("the target has started again at %s, known is its start at %s",
 			report.Born.Format(time.RFC3339Nano), instance.Born.Format(time.RFC3339Nano))
@@ -41,6 +45,26 @@
 	return nil
 }
 
+// checkOrigin asks the target at which this request's stream has begun for its incarnation, after the stream has
+// broken off and before its caller learns of it. If that is a later one than this node knew, the recorded version
+// may be wrong, and neither this node nor another one may use it. It reports whether the record stands.
+func (handler *requestHandler) checkOrigin(ctx context.Context) bool {
+	if !handler.continues || !handler.beginsStream() {
+		return true
+	}
+	if handler.service.Engine != nil && !handler.limited(handler.began) {
+		// A caller that has left may take the stream up at another node.
+		ctx = context.WithoutCancel(ctx)
+		bounded, cancel := context.WithTimeout(ctx, originTimeout)
+		defer cancel()
+		// Without an answer there is nothing that speaks against the record.
+		if report, err := handler.gateway.Engines.Report(bounded, handler.began); err == nil {
+			handler.gateway.Origins.Reported(ctx, handler.began.ID, report.Born)
+		}
+	}
+	return handler.gateway.Origins.Stands(handler.request.ID)
+}
+
 // isConfirmed reports whether the target's incarnation was confirmed just now, if it has to be.
 func (handler *requestHandler) isConfirmed() bool {
 	return handler.confirmedAt.IsZero() || time.Since(handler.confirmedAt) < incarnationAge
@@ -101,7 +125,7 @@
 // recordSend records at which version a new stream may begin, before it is sent there.
 func (handler *requestHandler) recordSend(instance mimosatide.Instance) {
 	if handler.beginsStream() && !handler.continues {
-		handler.gateway.Origins.Send(origin.Stream{ID: handler.request.ID, Service: handler.service.Name, Software: instance.Software})
+		handler.gateway.Origins.Send(origin.Stream{ID: handler.request.ID, Service: handler.service.Name, Software: instance.Software, Target: instance.ID, Born: instance.Born})
 	}
 }
 
@@ -109,7 +133,7 @@
 func (handler *requestHandler) recordFirstEvent() {
 	if handler.beginsStream() && !handler.continues {
 		handler.gateway.Origins.Begin(handler.request.ID)
-		handler.continues, handler.software = true, handler.instance.Software
+		handler.continues, handler.software, handler.began = true, handler.instance.Software, handler.instance
 	}
 }
 
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -192,3 +192,27 @@
 		t.Errorf("stream that was taken up, targets as known: got response %v, want status 200", response)
 	}
 }
+
+// A target has started again under its ID, with another version, before a stream began there, and the node had not
+// heard of it: the stream was recorded with the version of the incarnation before, and went on at a target of that.
+func TestStreamOfAnUnknownIncarnationIsNotContinued(t *testing.T) {
+	for range 4 {
+		fixture := newFixture(t)
+		for _, id := range []string{"e-1", "e-2"} {
+			fixture.addSoftware(id, "v1", false, "m")
+		}
+		fixture.addTarget("e-0", "llm", writeAs("v2", true), "m")
+		instance, _ := fixture.targets.View().Instance("e-0")
+		instance.Software = "v1"
+		fixture.targets.Put(instance)
+		fixture.engines.born["e-0"] = time.Now()
+		request := newChatRequest(fixture, "/resumable/", "m")
+		_, body, whole := fixture.send(request)
+		if strings.Contains(body, "v1") && strings.Contains(body, "v2") {
+			t.Fatalf("got %q, want the events of one version", body)
+		}
+		if strings.Contains(body, "v2") && (whole || len(fixture.origins.known) > 0) {
+			t.Errorf("stream of v2: got complete %t and the record %v, want it broken off and no record", whole, fixture.origins.known)
+		}
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -82,6 +82,8 @@
 	// have begun, within this answer or another.
 	continues bool
 	software  string
+	// began is the target that has sent the first event of the stream that the request begins.
+	began mimosatide.Instance
 	// confirmedAt is when the target's incarnation was asked for before a stream goes on there.
 	confirmedAt time.Time
 	// headSent says that the answer to the caller has begun.
@@ -155,7 +157,7 @@
 		if !outcome.failed() {
 			return
 		}
-		if !handler.mayRetry(ctx, outcome) {
+		if !handler.checkOrigin(ctx) || !handler.mayRetry(ctx, outcome) {
 			handler.answerFailure(ctx, outcome)
 			return
 		}
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -53,6 +53,8 @@
 type streamRow struct {
 	Service  string
 	Software string
+	// Withdrawn says that the version is not known, because the stream may have begun at another one.
+	Withdrawn bool `cbor:",omitempty"`
 	// ExpiresMillis is the Unix time in milliseconds after which the row may be deleted.
 	ExpiresMillis int64
 }
@@ -278,17 +280,17 @@
 	return named, rows[0].Version
 }
 
-// readStream returns the stream that the store knows by an ID.
-func (tracker *Tracker) readStream(ctx context.Context, id string) (Stream, bool, error) {
+// readStream returns the row of the stream that the store knows by an ID.
+func (tracker *Tracker) readStream(ctx context.Context, id string) (streamRow, bool, error) {
 	rows, _, err := tracker.streams.Read(ctx, id)
 	if err != nil || len(rows) == 0 {
-		return Stream{}, false, errors.Trace(err)
+		return streamRow{}, false, errors.Trace(err)
 	}
 	var row streamRow
 	if err := cbor.Unmarshal(rows[0].Value, &row); err != nil {
-		return Stream{}, false, errors.Annotatef(err, "row of stream %q", id)
+		return streamRow{}, false, errors.Annotatef(err, "row of stream %q", id)
 	}
-	return Stream{ID: id, Service: row.Service, Software: row.Software}, true, nil
+	return row, true, nil
 }
 
 // expire forgets the streams that can't be taken up any more.
@@ -305,11 +307,14 @@
 			tracker.ended[id] = true
 		}
 	}
+	tracker.expireIncarnations(now, lifetime)
 }
 
 // saveStreams writes the origins that the store lacks and deletes those that are not needed any
 // more, in one call of at most maxWrites rows.
 func (tracker *Tracker) saveStreams(ctx context.Context, now time.Time) {
+	tracker.committing.Lock()
+	defer tracker.committing.Unlock()
 	writes, saving := tracker.pendingWrites(now)
 	if len(writes) == 0 {
 		return
@@ -323,8 +328,8 @@
 		tracker.log.Info("origins of streams not saved", "count", len(writes), "outcome", outcome.String(), "reason", errorText(err))
 		return
 	}
-	for id, software := range saving {
-		if known := tracker.records[id]; known != nil && known.Software == software {
+	for id, before := range saving {
+		if known := tracker.records[id]; known != nil && known.Software == before.Software && known.withdrawn == before.withdrawn {
 			known.saved = true
 		} else if known == nil {
 			tracker.ended[id] = true
@@ -339,7 +344,7 @@
 
 // pendingWrites returns the rows to write now, and the versions of those that are saved by ID. The
 // nodes share the calls of the store; what comes too early waits for the next call.
-func (tracker *Tracker) pendingWrites(now time.Time) ([]mimosatide.Write, map[string]string) {
+func (tracker *Tracker) pendingWrites(now time.Time) ([]mimosatide.Write, map[string]record) {
 	rate := writeShare * tracker.settings.WritesPerSecond / float64(tracker.settings.Hosts())
 	expires := now.Add(tracker.settings.Lifetime()).UnixMilli()
 	tracker.lock.Lock()
@@ -350,21 +355,25 @@
 		return nil, nil
 	}
 	var writes []mimosatide.Write
-	saving := map[string]string{}
+	saving := map[string]record{}
 	for id, known := range tracker.records {
 		if len(writes) == maxWrites {
 			break
 		}
-		if known.saved || !tracker.mixed(known.Service) {
+		if known.saved || !known.withdrawn && !tracker.mixed(known.Service) {
 			continue
 		}
-		value, err := cbor.Marshal(streamRow{Service: known.Service, Software: known.Software, ExpiresMillis: expires})
+		row := streamRow{Service: known.Service, Software: known.Software, ExpiresMillis: expires}
+		if known.withdrawn {
+			row.Software, row.Withdrawn = "", true
+		}
+		value, err := cbor.Marshal(row)
 		if err != nil {
 			tracker.log.Error(err, "origin of a stream not encoded", "stream", id)
 			continue
 		}
 		writes = append(writes, mimosatide.Write{Key: id, Value: value})
-		saving[id] = known.Software
+		saving[id] = *known
 	}
 	if len(writes) == 0 && now.Before(tracker.deleteFrom) {
 		return nil, nil
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -36,6 +36,9 @@
 	ID       string
 	Service  string
 	Software string
+	// Target is the target that the stream is sent to, Born the start of the incarnation that it is taken for.
+	Target string
+	Born   time.Time
 }
 
 // Table is a table of the store.
@@ -79,6 +82,10 @@
 	// confirmed says that the caller has got the first event; before that the stream may still
 	// begin at another version.
 	confirmed bool
+	// begunAt is when it was confirmed.
+	begunAt time.Time
+	// withdrawn says that the stream may have begun at another incarnation, and so at another version.
+	withdrawn bool
 	// saved says that the store has the record as it is.
 	saved bool
 }
@@ -107,8 +114,14 @@
 	// wake makes Run save records at once.
 	wake chan struct{}
 
+	// committing is held while streams are written, so that a withdrawal is not overwritten by what was
+	// saved before.
+	committing sync.Mutex
+
 	lock    sync.Mutex
 	records map[string]*record
+	// incarnations holds the newest known incarnation of targets.
+	incarnations map[string]incarnation
 	// ended are the streams whose rows are no longer needed.
 	ended    map[string]bool
 	services map[string]*serviceState
@@ -131,6 +144,8 @@
 		records:  map[string]*record{},
 		ended:    map[string]bool{},
 		services: map[string]*serviceState{},
+
+		incarnations: map[string]incarnation{},
 	}
 }
 
@@ -142,7 +157,7 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	known := tracker.records[stream.ID]
-	if known != nil && known.Software == stream.Software {
+	if known != nil && known.Software == stream.Software && known.Target == stream.Target && known.Born.Equal(stream.Born) {
 		return
 	}
 	tracker.records[stream.ID] = &record{Stream: stream, sentAt: time.Now()}
@@ -155,7 +170,12 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	if known := tracker.records[id]; known != nil {
-		known.confirmed = true
+		if !known.confirmed {
+			known.confirmed, known.begunAt = true, time.Now()
+		}
+		if tracker.withdrawLocked(known) {
+			tracker.signal()
+		}
 	}
 }
 
@@ -199,7 +219,7 @@
 // It asks the store unless this node has sent the request itself.
 func (tracker *Tracker) Find(ctx context.Context, service, id string) (string, bool) {
 	if software, known := tracker.findOwn(id); known {
-		return software, tracker.Continues(service, software)
+		return software, tracker.Stands(id) && tracker.Continues(service, software)
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -208,18 +228,22 @@
 		tracker.log.Info("versions of a service not read", "service", service, "stream", id, "reason", err.Error())
 		return "", false
 	}
-	if software, single := tracker.only(service, named); single {
-		return software, true
-	}
+	software, single := tracker.only(service, named)
 	if id == "" {
-		return "", false
+		return software, single
 	}
 	stream, found, err := tracker.readStream(bounded, id)
-	if err != nil || !found || stream.Service != service {
+	switch {
+	case err == nil && !found && single:
+		return software, true
+	case err != nil || !found || stream.Withdrawn || stream.Service != service:
 		tracker.log.Info("origin of a stream not known", "service", service, "stream", id, "reason", errorText(err))
 		return "", false
+	case single:
+		return software, stream.Software == software
+	default:
+		return stream.Software, tracker.Continues(service, stream.Software)
 	}
-	return stream.Software, tracker.Continues(service, stream.Software)
 }
 
 // Continues reports whether a stream that a version began may go on at the other targets of that
