--- a/internal/entrynode/evacuation.go
+++ b/internal/entrynode/evacuation.go
@@ -81,37 +81,19 @@
 	}
 }
 
-// evacuationWatch follows what this node still has in flight at the targets of evacuated zones.
-type evacuationWatch struct {
-	// emptied holds, by zone, the start of the evacuation for which it was logged that nothing is left.
-	emptied map[string]time.Time
-}
-
 // recordEvacuations sets the gauges of evacuated zones and cold targets, and logs once for each
 // evacuation when this node has nothing in flight any more at the zone's targets.
 func (node *Node) recordEvacuations(now time.Time) {
 	evacuations := node.targets.Evacuations()
-	if len(evacuations) > 0 || len(node.evacuations.emptied) > 0 {
+	if len(evacuations) > 0 || node.evacuatedBefore {
 		loads := node.tracker.Loads()
-		emptied := map[string]time.Time{}
-		inFlight := 0
-		for _, evacuation := range evacuations {
-			left := 0
-			for _, target := range evacuation.Targets {
-				left += loads[target].Running
-			}
-			inFlight += left
-			logged := node.evacuations.emptied[evacuation.Zone].Equal(evacuation.Since)
-			if left == 0 && !logged {
-				node.log.Info("zone empty", "zone", evacuation.Zone, "targets", len(evacuation.Targets), "after", now.Sub(evacuation.Since))
-			}
-			if left == 0 || logged {
-				emptied[evacuation.Zone] = evacuation.Since
-			}
+		left, empty := node.evacuations.Observe(evacuations, func(target string) int { return loads[target].Running })
+		for _, evacuation := range empty {
+			node.log.Info("zone empty", "zone", evacuation.Zone, "targets", len(evacuation.Targets), "after", now.Sub(evacuation.Since))
 		}
-		node.evacuations.emptied = emptied
-		node.meter.SetGauge("evacuated_requests", float64(inFlight))
+		node.meter.SetGauge("evacuated_requests", float64(left))
 	}
+	node.evacuatedBefore = len(evacuations) > 0
 	node.meter.SetGauge("evacuated_zones", float64(len(evacuations)))
 	node.meter.SetGauge("cold_targets", float64(node.coldTargets(now)))
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -83,27 +83,30 @@
 	deployment atomic.Pointer[mimosatide.Deployment]
 	// configuration is the row from which deployment was decoded.
 	configuration configurationState
-	evacuations   evacuationWatch
-	targets       *registry.Registry
-	tracker       *balance.Tracker
-	pace          *pace.Tracker
-	ledger        *allowance.Ledger
-	targetClient  *exchange.Client
-	answers       *buffer.Budget
-	intake        *intake.Budget
-	retryBudget   *gateway.RetryBudget
-	quarantine    *quarantine.Tracker
-	origins       *origin.Tracker
-	meter         *metric.Meter
-	hub           *peer.Hub
-	followers     map[string]*feed.Follower
-	probeGate     *feed.ProbeGate
-	compressor    *gossip.Compressor
-	limits        *permit.Limits
-	issuer        *permit.Issuer
-	permits       *permit.Desk
-	fleet         *fleet
-	loader        *loader
+	// evacuations follows the evacuated zones; evacuatedBefore says that there were some when it was last
+	// asked.
+	evacuations     registry.DrainWatch
+	evacuatedBefore bool
+	targets         *registry.Registry
+	tracker         *balance.Tracker
+	pace            *pace.Tracker
+	ledger          *allowance.Ledger
+	targetClient    *exchange.Client
+	answers         *buffer.Budget
+	intake          *intake.Budget
+	retryBudget     *gateway.RetryBudget
+	quarantine      *quarantine.Tracker
+	origins         *origin.Tracker
+	meter           *metric.Meter
+	hub             *peer.Hub
+	followers       map[string]*feed.Follower
+	probeGate       *feed.ProbeGate
+	compressor      *gossip.Compressor
+	limits          *permit.Limits
+	issuer          *permit.Issuer
+	permits         *permit.Desk
+	fleet           *fleet
+	loader          *loader
 
 	draining atomic.Bool
 	// refuseWaiting is closed when waiting requests can no longer be served before the process ends.
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -148,3 +148,46 @@
 		t.Error("word of an earlier end of an evacuation that is in force: got it ended, want it in force")
 	}
 }
+
+// TestEvacuationIsWithdrawnWhileTheZoneDrains guards against targets that stay away, or get all that waits, after an
+// evacuation that ends before the zone is empty, and against a next one that counts as empty already.
+func TestEvacuationIsWithdrawnWhileTheZoneDrains(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	targets.Put(targetIn("a1", "a"))
+	targets.Put(targetIn("b1", "b"))
+	running, watch := map[string]int{"a1": 2, "b1": 1}, registry.DrainWatch{}
+	observe := func(step string, wantLeft, wantEmpty int) {
+		t.Helper()
+		left, empty := watch.Observe(targets.Evacuations(), func(target string) int { return running[target] })
+		if left != wantLeft || len(empty) != wantEmpty {
+			t.Errorf("%s: got %d in flight and %d empty zones, want %d and %d", step, left, len(empty), wantLeft, wantEmpty)
+		}
+	}
+	targets.Evacuate("b", 1, now)
+	observe("while it drains", 1, 0)
+	changed := targets.Changed()
+	targets.EndEvacuation("b", 2, false, now.Add(time.Second))
+	select {
+	case <-changed:
+	default:
+		t.Error("got requests that wait not woken by the withdrawal, want them to choose again")
+	}
+	if got := listed(targets); got != "a1 b1 " {
+		t.Errorf("withdrawn: got %q, want both targets", got)
+	}
+	if known, _ := targets.View().Instance("b1"); known.Evacuated || !known.ReturnedAt.Equal(now.Add(time.Second)) {
+		t.Errorf("withdrawn: got evacuated %t and a return at %v, want a return that makes it cold", known.Evacuated, known.ReturnedAt)
+	}
+	observe("withdrawn", 0, 0)
+	targets.Evacuate("b", 3, now.Add(2*time.Second))
+	if got := listed(targets); got != "a1 " {
+		t.Errorf("evacuated again: got %q, want a1", got)
+	}
+	observe("evacuated again", 1, 0)
+	running["b1"] = 0
+	observe("drained", 0, 1)
+	observe("empty", 0, 0)
+	targets.EndEvacuation("b", 2, false, now.Add(3*time.Second))
+	targets.Evacuate("b", 4, now.Add(4*time.Second))
+	observe("evacuated while empty", 0, 1)
+}
