Add the command evacuations

It asks a node at its metrics address (path /evacuations) for each evacuated zone, since when it is evacuated, the node's requests in flight there, the models that only the zone held and where they are held now, and for each cold target why and for how long. The registry keeps the models that only the zone held when its evacuation began.

--- a/cmd/mimosatide/explain_route.go
+++ b/cmd/mimosatide/explain_route.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"os"
 	"strconv"
@@ -40,18 +39,10 @@
 		"PromptTokens": {strconv.Itoa(command.PromptTokens)}, "Parts": {command.Parts},
 	}
 	address := url.URL{Scheme: "http", Host: command.Address, Path: "/explain", RawQuery: query.Encode()}
-	response, err := (&http.Client{Timeout: explainTimeout}).Get(address.String())
+	body, err := queryNode(address)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxExplanationBytes))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("the node answered %s: %s", response.Status, body)
-	}
 	if command.JSON {
 		_, err := os.Stdout.Write(body)
 		return errors.Trace(err)
--- a/cmd/mimosatide/main.go
+++ b/cmd/mimosatide/main.go
@@ -36,6 +36,7 @@
 	Model        modelCommand        `cmd:"" help:"Show models, their adapters and placements."`
 	Status       statusCommand       `cmd:"" help:"Show the members, shares, targets, placements and accounts that a node knows."`
 	ExplainRoute explainRouteCommand `cmd:"" help:"Show where a request to an entry node would go now, and why, without sending it."`
+	Evacuations  evacuationsCommand  `cmd:"" help:"Show the evacuated zones and the cold targets that an entry node knows."`
 	Explain      explainCommand      `cmd:"" help:"Show the decisions about a request, a placement or a patch and their reasons."`
 }
 
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -138,6 +138,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", node.meter.Handler())
 	metrics.Handle(explainPath, explainHandler(handler.Explain))
+	metrics.Handle(evacuationsPath, evacuationsHandler(node.evacuationReport))
 	servers := []struct {
 		address string
 		timeout time.Duration
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -8,6 +8,9 @@
 // the number of nodes, and goes to those that have requests. A change of the home costs at
 // most the permits of a moment, since a new home begins with an empty schedule.
 //
+// Cold targets crash above their limit. Contacts decides what part of it a home may issue, so that
+// the homes of a divided fleet together keep to it.
+//
 // # Usage
 //
 //	desk := permit.NewDesk(limits, permit.NewIssuer(), peers, log)
--- a/internal/registry/evacuation.go
+++ b/internal/registry/evacuation.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -23,6 +24,14 @@
 	// until is when the evacuation ends because a restore of the store took its row away; zero while
 	// the row is there.
 	until time.Time
+	// models are those that only targets of the zone held when the evacuation began.
+	models map[HeldModel]bool
+}
+
+// HeldModel is a model that targets of a service hold.
+type HeldModel struct {
+	Service string
+	Model   string
 }
 
 // Evacuation describes the evacuation of an availability zone.
@@ -31,6 +40,8 @@
 	Since time.Time
 	// Targets are the ids of the zone's targets, of all services.
 	Targets []string
+	// Models are those that only targets of the zone held when the evacuation began, or hold now.
+	Models []HeldModel
 }
 
 // Evacuate keeps all requests from the targets of an availability zone, also from those that join
@@ -40,7 +51,7 @@
 	defer registry.lock.Unlock()
 	known, found := registry.evacuations[zone]
 	if !found {
-		known.since = now
+		known.since, known.models = now, registry.modelsOnlyIn(zone, now)
 	}
 	known.row, known.until = row, time.Time{}
 	registry.evacuations[zone] = known
@@ -88,6 +99,41 @@
 	return list
 }
 
+// EvacuationsWithModels returns the evacuated zones with the models that only they held.
+func (registry *Registry) EvacuationsWithModels(now time.Time) []Evacuation {
+	list := registry.Evacuations()
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	for index, evacuation := range list {
+		models := registry.modelsOnlyIn(evacuation.Zone, now)
+		maps.Copy(models, registry.evacuations[evacuation.Zone].models)
+		list[index].Models = slices.SortedFunc(maps.Keys(models), func(one, other HeldModel) int {
+			return cmp.Or(cmp.Compare(one.Service, other.Service), cmp.Compare(one.Model, other.Model))
+		})
+	}
+	return list
+}
+
+// modelsOnlyIn returns the models that targets of a zone hold, and no target to which requests may be sent
+// elsewhere.
+func (registry *Registry) modelsOnlyIn(zone string, now time.Time) map[HeldModel]bool {
+	models, elsewhere := map[HeldModel]bool{}, map[HeldModel]bool{}
+	for _, instance := range registry.instances {
+		into := models
+		if _, evacuated := registry.evacuations[instance.Zone]; instance.Zone != zone {
+			if evacuated || registry.isLeaving(instance) {
+				continue
+			}
+			into = elsewhere
+		}
+		for _, holding := range registry.effective(instance, now).Holdings {
+			into[HeldModel{Service: instance.Service, Model: holding.Model}] = true
+		}
+	}
+	maps.DeleteFunc(models, func(model HeldModel, _ bool) bool { return elsewhere[model] })
+	return models
+}
+
 // targetsOf returns the ids of the targets of a zone.
 func (registry *Registry) targetsOf(zone string) []string {
 	var targets []string
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -191,3 +192,30 @@
 	targets.Evacuate("b", 4, now.Add(4*time.Second))
 	observe("evacuated while empty", 0, 1)
 }
+
+// TestModelsOfAnEvacuatedZoneAreListed guards against operators who don't learn which models an evacuation has taken
+// away, and against models that vanish from the list once they are loaded elsewhere or their targets have ended.
+func TestModelsOfAnEvacuatedZoneAreListed(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	put := func(id, zone string, models ...string) {
+		instance := targetIn(id, zone)
+		for _, model := range models {
+			instance.Holdings = append(instance.Holdings, mimosatide.Holding{Model: model})
+		}
+		targets.Put(instance)
+	}
+	put("a1", "a", "both", "lost", "moved")
+	put("b1", "b", "both")
+	targets.Evacuate("a", 1, now)
+	put("b1", "b", "both", "moved")
+	targets.Delete("a1", 2, false, now)
+	got := targets.EvacuationsWithModels(now)
+	want := []registry.HeldModel{{Service: "llm", Model: "lost"}, {Service: "llm", Model: "moved"}}
+	if len(got) != 1 || !slices.Equal(got[0].Models, want) {
+		t.Fatalf("got %+v, want the models %v", got, want)
+	}
+	view := targets.View()
+	if lost, moved := view.Holders(want[0]), view.Holders(want[1]); len(lost) != 0 || !slices.Equal(moved, []string{"b1"}) {
+		t.Errorf("got lost at %v and moved at %v, want none and b1", lost, moved)
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -80,6 +80,17 @@
 	return view.services[name]
 }
 
+// Holders returns the ids of the targets of a service that hold a model and may be sent requests.
+func (view *View) Holders(model HeldModel) []string {
+	var holders []string
+	for _, instance := range view.services[model.Service] {
+		if slices.ContainsFunc(instance.Holdings, func(holding mimosatide.Holding) bool { return holding.Model == model.Model }) {
+			holders = append(holders, instance.ID)
+		}
+	}
+	return holders
+}
+
 // All returns all targets of a service, sorted by id: also those that may be sent no requests.
 func (view *View) All(service string) []mimosatide.Instance {
 	var all []mimosatide.Instance
