Simulate relays in the test of the bound of cold targets

With relays a host counts as heard for a while after the contact has ended, and is heard later when it begins.

--- a/internal/permit/contact_test.go
+++ b/internal/permit/contact_test.go
@@ -17,23 +17,33 @@
 	simDigest   = 400 * time.Millisecond
 	simDelivery = 200 * time.Millisecond
 	simDelay    = simDigest + simDelivery
+	// In a fleet with relays a host counts as heard for simSilence after its last digest, and others hear it
+	// simBatches later.
+	simSilence      = 1150 * time.Millisecond
+	simBatches      = 900 * time.Millisecond
+	simRelayedDelay = simSilence + 550*time.Millisecond + simDelivery
 )
 
 // simHost is a host of a simulated fleet, the peers of its own desk.
 type simHost struct {
-	fleet    *simFleet
-	name     string
-	side     int
-	desk     *permit.Desk
-	contacts *permit.Contacts
-	heard    map[string]time.Time
-	silent   map[string]time.Time
-	digestAt time.Time
+	fleet *simFleet
+	name  string
+	side  int
+	// sideBefore is the side until movedAt.
+	sideBefore int
+	movedAt    time.Time
+	desk       *permit.Desk
+	contacts   *permit.Contacts
+	heard      map[string]time.Time
+	silent     map[string]time.Time
+	digestAt   time.Time
 }
 
 // simFleet is a fleet in virtual time whose hosts send one cold target all that they may. Hosts of different
 // sides don't reach each other, and only those of side 0 reach the store after storeLost.
 type simFleet struct {
+	relayed   bool
+	delay     time.Duration
 	random    *rand.Rand
 	now       time.Time
 	hosts     []*simHost
@@ -49,24 +59,52 @@
 func (*simHost) Silent(string)                      {}
 
 func (host *simHost) IsDeputy(target string) bool {
-	return host.contacts.Precedes(target, host.name, simDelay, host.fleet.now)
+	return host.contacts.Precedes(target, host.name, host.fleet.delay, host.fleet.now)
 }
 
 func (host *simHost) Heard() float64 {
 	lost := host.fleet.storeLost
 	current := host.side == 0 || lost.IsZero() || host.fleet.now.Sub(lost) <= permit.ListAge
-	return host.contacts.Part(simDelay, current, host.fleet.now)
+	return host.contacts.Part(host.fleet.delay, current, host.fleet.now)
+}
+
+// move puts a host on a side.
+func (host *simHost) move(side int) {
+	host.sideBefore, host.side, host.movedAt = host.side, side, host.fleet.now
+}
+
+// sideAt returns the side on which a host was at a time.
+func (host *simHost) sideAt(at time.Time) int {
+	if at.Before(host.movedAt) {
+		return host.sideBefore
+	}
+	return host.side
+}
+
+// hears reports whether news of another host reach this one.
+func (host *simHost) hears(other *simHost) bool {
+	if !host.fleet.relayed {
+		return host.side == other.side
+	}
+	batched, silent := host.fleet.now.Add(-simBatches), host.fleet.now.Add(-simSilence)
+	if host.side == other.side {
+		return host.sideAt(batched) == other.sideAt(batched)
+	}
+	return host.sideAt(silent) == other.sideAt(silent)
 }
 
 func (host *simHost) restart() {
 	host.desk = permit.NewDesk(nil, permit.NewIssuer(), host, logr.Discard())
-	host.side = 0
+	host.move(0)
 	host.digestAt = host.fleet.now.Add(time.Duration(host.fleet.random.Int64N(int64(simDigest))))
 	host.contacts, host.heard, host.silent = permit.NewContacts(), map[string]time.Time{}, map[string]time.Time{}
 }
 
-func newSimFleet(hosts int, seed uint64) *simFleet {
-	fleet := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), listed: [2]map[string]bool{{}, {}}}
+func newSimFleet(hosts int, relayed bool, seed uint64) *simFleet {
+	fleet := &simFleet{relayed: relayed, delay: simDelay, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), listed: [2]map[string]bool{{}, {}}}
+	if relayed {
+		fleet.delay = simRelayedDelay
+	}
 	for index := range hosts {
 		host := &simHost{fleet: fleet, name: fmt.Sprintf("n%d", index)}
 		host.restart()
@@ -115,7 +153,7 @@
 			if !fleet.now.Before(host.digestAt) {
 				host.digestAt = fleet.now.Add(simDigest)
 				for _, other := range fleet.hosts {
-					if other != host && other.side == host.side {
+					if other != host && other.hears(host) {
 						other.heard[host.name] = fleet.now
 					}
 				}
@@ -142,10 +180,16 @@
 	return len(fleet.arrivals) - before
 }
 
+// runAfter lets a time pass before it runs.
+func (fleet *simFleet) runAfter(pause, duration time.Duration) int {
+	fleet.run(pause)
+	return fleet.run(duration)
+}
+
 // divide puts the hosts into sides by their index, the home into the given one.
 func (fleet *simFleet) divide(sides, ofHome int) {
 	for index, host := range fleet.hosts {
-		host.side = (index + ofHome) % sides
+		host.move((index + ofHome) % sides)
 	}
 	fleet.storeLost = fleet.now
 }
@@ -172,7 +216,7 @@
 			}
 			fleet.listed[0] = fleet.listed[1]
 			for _, host := range fleet.hosts {
-				host.side = 0
+				host.move(0)
 			}
 			fleet.run(5 * time.Second)
 		},
@@ -180,7 +224,7 @@
 			fleet.divide(2, 0)
 			for _, host := range fleet.hosts[4:8] {
 				fleet.run(8 * time.Second)
-				host.side = 1 - host.side
+				host.move(1 - host.side)
 			}
 			fleet.run(8 * time.Second)
 		},
@@ -194,11 +238,11 @@
 		"the home starts again and again": func(t *testing.T, fleet *simFleet) {
 			for index := range 10 {
 				home := fleet.hosts[index%2]
-				home.side = 1
+				home.move(1)
 				fleet.run(time.Duration(index) * 500 * time.Millisecond)
 				home.restart()
-				if got := fleet.run(3 * time.Second); got < 8 {
-					t.Errorf("home started again: got %d requests in 3 s, want at least 8", got)
+				if got := fleet.runAfter(2*fleet.delay, 2*time.Second); got < 12 {
+					t.Errorf("home started again: got %d requests in 2 s, want at least 12", got)
 				}
 			}
 		},
@@ -206,14 +250,15 @@
 			for _, host := range fleet.hosts {
 				host.restart()
 			}
-			if got := fleet.run(3 * time.Second); got < 12 {
-				t.Errorf("all hosts started again: got %d requests in 3 s, want at least 12", got)
+			if got := fleet.runAfter(2*fleet.delay, 2*time.Second); got < 12 {
+				t.Errorf("all hosts started again: got %d requests in 2 s, want at least 12", got)
 			}
 		},
 	}
 	for name, disturb := range cases {
 		for seed := range uint64(6) {
-			fleet := newSimFleet(12, seed)
+			relayed := seed%2 == 1
+			fleet := newSimFleet(12, relayed, seed)
 			fleet.run(3 * time.Second)
 			if got := fleet.run(5 * time.Second); got < 36 {
 				t.Errorf("%s: got %d requests in 5 s from a whole fleet, want about 40", name, got)
