Log and measure what a starting node knows of returned zones, and its part of cold targets

A line says when a node that has started knows which zones have returned, a gauge which part of the rates of cold targets it may issue.

--- a/internal/entrynode/evacuation.go
+++ b/internal/entrynode/evacuation.go
@@ -96,6 +96,7 @@
 	node.evacuatedBefore = len(evacuations) > 0
 	node.meter.SetGauge("evacuated_zones", float64(len(evacuations)))
 	node.meter.SetGauge("cold_targets", float64(node.coldTargets(now)))
+	node.meter.SetGauge("cold_permit_part", node.fleet.Heard())
 }
 
 // coldTargets returns how many targets are limited because they are cold.
--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -73,6 +73,7 @@
 	defer registry.lock.Unlock()
 	changed := all && !registry.assumedAt.IsZero()
 	if changed {
+		registry.log.Info("returned zones known", "zones", len(returns), "after", now.Sub(registry.assumedAt))
 		registry.assumedAt = time.Time{}
 	}
 	for zone, at := range returns {
