--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -85,25 +85,28 @@
 	deployment atomic.Pointer[mimosatide.Deployment]
 	// configuration is the row from which deployment was decoded.
 	configuration configurationState
-	evacuations   evacuationWatch
-	targets       *registry.Registry
-	tracker       *balance.Tracker
-	pace          *pace.Tracker
-	ledger        *allowance.Ledger
-	targetClient  *exchange.Client
-	answers       *buffer.Budget
-	intake        *intake.Budget
-	retryBudget   *gateway.RetryBudget
-	quarantine    *quarantine.Tracker
-	origins       *origin.Tracker
-	meter         *metric.Meter
-	hub           *peer.Hub
-	followers     map[string]*feed.Follower
-	probeGate     *feed.ProbeGate
-	compressor    *gossip.Compressor
-	limits        *permit.Limits
-	issuer        *permit.Issuer
-	permits       *permit.Desk
+	// evacuations follows the evacuated zones; evacuatedBefore says that there were some when it was last
+	// asked.
+	evacuations     registry.DrainWatch
+	evacuatedBefore bool
+	targets         *registry.Registry
+	tracker         *balance.Tracker
+	pace            *pace.Tracker
+	ledger          *allowance.Ledger
+	targetClient    *exchange.Client
+	answers         *buffer.Budget
+	intake          *intake.Budget
+	retryBudget     *gateway.RetryBudget
+	quarantine      *quarantine.Tracker
+	origins         *origin.Tracker
+	meter           *metric.Meter
+	hub             *peer.Hub
+	followers       map[string]*feed.Follower
+	probeGate       *feed.ProbeGate
+	compressor      *gossip.Compressor
+	limits          *permit.Limits
+	issuer          *permit.Issuer
+	permits         *permit.Desk
 	// triage is nil if the requests that wait for room are not ordered.
 	triage *triage.Queues
 	// readings lets long prompts take turns at the engines.
@@ -256,6 +259,7 @@
 			continue
 		}
 		instances = append(instances, instance)
+		node.origins.Known(instance.ID, instance.Born)
 	}
 	if update.Restored {
 		node.targets.PutRestored(instances, time.Now())
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,73 @@
 		t.Error("word of an earlier end of an evacuation that is in force: got it ended, want it in force")
 	}
 }
+
+// TestEvacuationIsWithdrawnWhileTheZoneDrains guards against targets that stay away, or get all that waits, after an
+// evacuation that ends before the zone is empty, and against a next one that counts as empty already.
+func TestEvacuationIsWithdrawnWhileTheZoneDrains(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	targets.Put(targetIn("a1", "a"))
+	targets.Put(targetIn("b1", "b"))
+	running, watch := map[string]int{"a1": 2, "b1": 1}, registry.DrainWatch{}
+	observe := func(step string, wantLeft, wantEmpty int) {
+		t.Helper()
+		left, empty := watch.Observe(targets.Evacuations(), func(target string) int { return running[target] })
+		if left != wantLeft || len(empty) != wantEmpty {
+			t.Errorf("%s: got %d in flight and %d empty zones, want %d and %d", step, left, len(empty), wantLeft, wantEmpty)
+		}
+	}
+	targets.Evacuate("b", 1, now)
+	observe("while it drains", 1, 0)
+	changed := targets.Changed()
+	targets.EndEvacuation("b", 2, false, now.Add(time.Second))
+	select {
+	case <-changed:
+	default:
+		t.Error("got requests that wait not woken by the withdrawal, want them to choose again")
+	}
+	if got := listed(targets); got != "a1 b1 " {
+		t.Errorf("withdrawn: got %q, want both targets", got)
+	}
+	if known, _ := targets.View().Instance("b1"); known.Evacuated || !known.ReturnedAt.Equal(now.Add(time.Second)) {
+		t.Errorf("withdrawn: got evacuated %t and a return at %v, want a return that makes it cold", known.Evacuated, known.ReturnedAt)
+	}
+	observe("withdrawn", 0, 0)
+	targets.Evacuate("b", 3, now.Add(2*time.Second))
+	if got := listed(targets); got != "a1 " {
+		t.Errorf("evacuated again: got %q, want a1", got)
+	}
+	observe("evacuated again", 1, 0)
+	running["b1"] = 0
+	observe("drained", 0, 1)
+	observe("empty", 0, 0)
+	targets.EndEvacuation("b", 2, false, now.Add(3*time.Second))
+	targets.Evacuate("b", 4, now.Add(4*time.Second))
+	observe("evacuated while empty", 0, 1)
+}
+
+// TestModelsOfAnEvacuatedZoneAreListed guards against operators who don't learn which models an evacuation has taken
+// away, and against models that vanish from the list once they are loaded elsewhere or their targets have ended.
+func TestModelsOfAnEvacuatedZoneAreListed(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	put := func(id, zone string, models ...string) {
+		instance := targetIn(id, zone)
+		for _, model := range models {
+			instance.Holdings = append(instance.Holdings, mimosatide.Holding{Model: model})
+		}
+		targets.Put(instance)
+	}
+	put("a1", "a", "both", "lost", "moved")
+	put("b1", "b", "both")
+	targets.Evacuate("a", 1, now)
+	put("b1", "b", "both", "moved")
+	targets.Delete("a1", 2, false, now)
+	got := targets.EvacuationsWithModels(now)
+	want := []registry.HeldModel{{Service: "llm", Model: "lost"}, {Service: "llm", Model: "moved"}}
+	if len(got) != 1 || !slices.Equal(got[0].Models, want) {
+		t.Fatalf("got %+v, want the models %v", got, want)
+	}
+	view := targets.View()
+	if lost, moved := view.Holders(want[0]), view.Holders(want[1]); len(lost) != 0 || !slices.Equal(moved, []string{"b1"}) {
+		t.Errorf("got lost at %v and moved at %v, want none and b1", lost, moved)
+	}
+}
