Count prompts in flight as half read when a request is refused for want of hope

A node knows only when a prompt has been read as a whole, and counted all of it until then, which is up to twice what is left.

--- a/internal/gateway/triage.go
+++ b/internal/gateway/triage.go
@@ -148,7 +148,7 @@
 	query := handler.query()
 	estimate := handler.gateway.Tracker.Explain(query, []mimosatide.Instance{instance}, now)[0]
 	return triage.Belief{
-		Pending: max(estimate.Load.Prefill, 0), Prompts: estimate.Load.LongPrefills,
+		Pending: estimate.Load.Prefill, Prompts: estimate.Load.LongPrefills,
 		Own: query.UnsharedPrefillTime(), Factor: estimate.Cost.Factor,
 	}
 }
--- a/internal/triage/expect.go
+++ b/internal/triage/expect.go
@@ -2,14 +2,18 @@
 
 import "time"
 
+// unreadShare is the part of the prompts in flight that is still to be read, on average: a node knows only when a
+// prompt has been read as a whole.
+const unreadShare = 0.5
+
 // hopeMargin is how many times the time left the expected time of a request has to be before it counts as
 // hopeless: the pace of targets is known to about a quarter.
 const hopeMargin = 1.25
 
 // Belief is what a node believes of the time until a target sends the first event of a request.
 type Belief struct {
-	// Pending is the time for the prompts that the target has not read yet, Prompts the number of long ones
-	// among them.
+	// Pending is the time for the prompts that the target has not read to their ends, Prompts the number of long
+	// ones among them.
 	Pending time.Duration
 	Prompts int
 	// Own is the least time for the request's prompt.
@@ -21,7 +25,8 @@
 // Expected returns the expected time until the first event. A target reads all prompts concurrently, so that a
 // short one is read before long ones that came earlier.
 func (belief Belief) Expected() time.Duration {
-	work := min(belief.Pending+belief.Own, belief.Own*time.Duration(max(belief.Prompts, 0)+1))
+	unread := time.Duration(unreadShare * float64(max(belief.Pending, 0)))
+	work := min(unread+belief.Own, belief.Own*time.Duration(max(belief.Prompts, 0)+1))
 	return time.Duration(max(belief.Factor, 0) * float64(work))
 }
 
