--- a/internal/gateway/triage_test.go
+++ b/internal/gateway/triage_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 		default:
 		}
 		handler(writer, request)
-	}, func() { close(gate) }
+	}, sync.OnceFunc(func() { close(gate) })
 }
 
 // TestFreePlaceGoesToTheMostUrgentRequest guards against waiting requests that poll for a place, so that chance
@@ -82,6 +83,7 @@
 	fixture := newRankedFixture(t)
 	handler, release := holdFirst(respondEvents(1, 1, true))
 	fixture.addTarget("e-1", "llm", handler, "m")
+	t.Cleanup(release)
 	fillPrefillSlots(fixture, "e-1")
 	draft := fixture.start("/llm-draft/")
 	awaitCount(t, "waiting requests", fixture.triage.Waiting, 1)
@@ -139,10 +141,12 @@
 func TestRequestWaitsForASlotOfAPlainService(t *testing.T) {
 	fixture := newRankedFixture(t)
 	gate := make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
 	fixture.addTarget("d-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
 		<-gate
 		respondEvents(1, 1, true)(writer, request)
 	})
+	t.Cleanup(release)
 	var statuses []<-chan int
 	for range 6 {
 		statuses = append(statuses, fixture.start("/desk-draft/"))
@@ -150,7 +154,7 @@
 	awaitCount(t, "received requests", func() int { return len(fixture.received()) }, 6)
 	statuses = append(statuses, fixture.start("/desk-urgent/"))
 	awaitCount(t, "waiting requests", fixture.triage.Waiting, 1)
-	close(gate)
+	release()
 	for _, status := range statuses {
 		expectStatus(t, "request", status, http.StatusOK)
 	}
