--- a/internal/allowance/contention.go
+++ b/internal/allowance/contention.go
@@ -27,13 +27,12 @@
 	// lightRoomShare is the largest share of the account's room that light requests take from the others,
 	// so that those are not starved.
 	lightRoomShare = 0.75
-	// lightDebtTime and heavyDebtTime are how much of the rate light requests and drawn ones may take the bucket
-	// below zero. A sudden demand of six times the rate makes a debt of more than two seconds of the rate before
-	// the nodes hear of each other. Light requests are granted also then, but below zero they get
-	// lightDebtShare of the rate at most, so that the bucket recovers well within 8 s.
+	// lightDebtTime is how much of the rate light requests may take the bucket below zero. A sudden demand of six
+	// times the rate makes a debt of more than two seconds of the rate before the nodes hear of each other. Light
+	// requests are granted also then, but below zero they get lightDebtShare of the rate at most, so that the
+	// bucket recovers well within 8 s.
 	lightDebtTime  = 3 * time.Second
 	lightDebtShare = 0.4
-	heavyDebtTime  = 500 * time.Millisecond
 	// hearingTime is the time within which most nodes of a large fleet hear of each other under load. Digests
 	// that relays forward take half a second to a second.
 	hearingTime = 800 * time.Millisecond
@@ -140,9 +139,9 @@
 	return min(limit.Rate*marginTime.Seconds(), limit.Burst/2)
 }
 
-// needed returns the level that a request needs which may leave the bucket in debt.
-func (limit Limit) needed(tokens float64, debt time.Duration) float64 {
-	return min(tokens, limit.margin()) - limit.Rate*debt.Seconds()
+// lightNeeds returns the level that a light request needs.
+func (limit Limit) lightNeeds(tokens float64) float64 {
+	return min(tokens, limit.margin()) - limit.Rate*lightDebtTime.Seconds()
 }
 
 // odds are the probabilities with which the requests of a contended account are granted.
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -278,9 +278,9 @@
 	may, drawn := held.admit(available, asked, held.level, held.record(asked, &ledger.sizes), horizon)
 	switch {
 	case drawn:
-		needed = available.needed(tokens, heavyDebtTime)
+		needed = min(tokens, available.margin())
 	case asked.light && !settling:
-		needed = available.needed(tokens, lightDebtTime)
+		needed = available.lightNeeds(tokens)
 	}
 	room := horizon
 	if may {
