Fill all free slots of a plain service at one check, and check when one of its requests has ended

One request to a target every 25 ms kept slots idle: a target with 6 slots and requests of 30 ms takes 200 a second. A request that has got a place now counts as granted until its own goroutine sends it, so that several can be sent at one check without exceeding the slots. Tests of triage, gateway and balance pass.

--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -27,14 +27,18 @@
 	return taken <= 0 || taken+query.cacheTokens() <= capacity
 }
 
-// HasFreeSlot reports whether this node's own requests leave a slot of a target free. What other nodes have
+// HasFreeSlot reports whether this node's own requests leave a slot of a target free, beside more that are not in
+// flight yet. What other nodes have
 // reported is older than requests of a plain service last, and doesn't count.
-func (tracker *Tracker) HasFreeSlot(instance mimosatide.Instance) bool {
+func (tracker *Tracker) HasFreeSlot(instance mimosatide.Instance, more int) bool {
 	if instance.Slots <= 0 {
 		return true
 	}
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state, found := tracker.targets[instance.ID]
-	return !found || state.load.Running < instance.Slots
+	if found {
+		more += state.load.Running
+	}
+	return more < instance.Slots
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,6 +173,10 @@
 		return
 	}
 	handler.serve(ctx)
+	if handler.triaged && handler.service.Engine == nil {
+		// Requests of a plain service may be shorter than the time between two checks for room.
+		gateway.Triage.Wake()
+	}
 }
 
 // endsTooSoon reports whether the process may end before the request's deadline. Requests
--- a/internal/gateway/triage.go
+++ b/internal/gateway/triage.go
@@ -15,7 +15,11 @@
 // answer before its caller leaves is refused.
 func (handler *requestHandler) selectByRank(ctx context.Context) (mimosatide.Instance, mimosatide.Refusal) {
 	until := handler.deferralEnd()
+	release := func() {}
+	defer func() { release() }()
 	for {
+		release()
+		release = func() {}
 		instance, refusal := handler.findTarget(ctx)
 		if refusal.Refused() {
 			return instance, refusal
@@ -32,6 +36,7 @@
 				continue
 			}
 			instance = placed
+			release = func() { handler.gateway.Triage.Release(placed.ID) }
 		}
 		permitted, refusal := handler.awaitPermit(ctx, instance)
 		if permitted || refusal.Refused() {
@@ -46,7 +51,7 @@
 	if !handler.needsRoom(instance) {
 		return true
 	}
-	return handler.gateway.Triage.WaitingAt(instance.ID) == 0 && handler.room(instance) == triage.Send
+	return handler.gateway.Triage.WaitingAt(instance.ID) == 0 && handler.room(instance, 0) == triage.Send
 }
 
 // needsRoom reports whether the request is one of those that wait for room at a target: a long prompt at an engine
@@ -59,16 +64,20 @@
 	return handler.gapObjective > 0 && handler.gateway.Tracker.IsLongPrefill(handler.query(), instance.ID)
 }
 
-// room looks for room for the request at a target.
-func (handler *requestHandler) room(instance mimosatide.Instance) triage.Verdict {
+// room looks for room for the request at a target beside requests that have got a place there and are not in
+// flight yet.
+func (handler *requestHandler) room(instance mimosatide.Instance, granted int) triage.Verdict {
 	tracker, now := handler.gateway.Tracker, time.Now()
 	engine := handler.service.Engine
 	if engine == nil {
-		if tracker.HasFreeSlot(instance) {
+		if tracker.HasFreeSlot(instance, granted) {
 			return triage.Send
 		}
 		return triage.NoRoom
 	}
+	if granted > 0 {
+		return triage.NoRoom
+	}
 	if !tracker.FitsGap(handler.query(), instance, handler.gapObjective, now) || !tracker.FitsCache(handler.query(), instance.ID, engine.CacheTokens, now) {
 		return triage.NoRoom
 	}
@@ -84,13 +93,13 @@
 }
 
 // place looks for room for the request at any of its targets; it changes nothing.
-func (handler *requestHandler) place(now time.Time) (mimosatide.Instance, triage.Verdict) {
+func (handler *requestHandler) place(now time.Time, granted func(target string) int) (mimosatide.Instance, triage.Verdict) {
 	ready := handler.readyTargets(now)
 	chosen, _, found := handler.gateway.Tracker.Choose(handler.query(), ready, now)
 	if !found {
 		return mimosatide.Instance{}, triage.Choose
 	}
-	return chosen, handler.room(chosen)
+	return chosen, handler.room(chosen, granted(chosen.ID))
 }
 
 // readyTargets returns the targets that could be sent the request now.
--- a/internal/gateway/triage_test.go
+++ b/internal/gateway/triage_test.go
@@ -152,8 +152,8 @@
 		statuses = append(statuses, fixture.start("/desk-draft/"))
 	}
 	awaitCount(t, "received requests", func() int { return len(fixture.received()) }, 6)
-	statuses = append(statuses, fixture.start("/desk-urgent/"))
-	awaitCount(t, "waiting requests", fixture.triage.Waiting, 1)
+	statuses = append(statuses, fixture.start("/desk-urgent/"), fixture.start("/desk-draft/"))
+	awaitCount(t, "waiting requests", fixture.triage.Waiting, 2)
 	release()
 	for _, status := range statuses {
 		expectStatus(t, "request", status, http.StatusOK)
--- a/internal/triage/queues.go
+++ b/internal/triage/queues.go
@@ -7,8 +7,11 @@
 // # Usage
 //
 //	queues := triage.New(log)
-//	entry := triage.Entry{Request: request, Place: func(now time.Time) (mimosatide.Instance, triage.Verdict) {...}}
-//	instance, outcome := queues.Wait(ctx, target, entry, until)
+//	entry := triage.Entry{Request: request, Place: func(now time.Time, granted func(target string) int) (mimosatide.Instance, triage.Verdict) {...}}
+//	instance, outcome := queues.Wait(ctx, draining, target, entry, until)
+//	if outcome == triage.Placed {
+//		queues.Release(instance.ID) // right before the request is counted as in flight
+//	}
 package triage
 
 import (
@@ -57,8 +60,9 @@
 // Entry is a request that waits for room.
 type Entry struct {
 	Request Request
-	// Place looks for a target with room. It is not called any more once Wait has returned.
-	Place func(now time.Time) (mimosatide.Instance, Verdict)
+	// Place looks for a target with room. granted returns how many requests have got a place at a target and
+	// are not counted as in flight yet. It is not called any more once Wait has returned.
+	Place func(now time.Time, granted func(target string) int) (mimosatide.Instance, Verdict)
 }
 
 // Outcome says how a wait has ended.
@@ -99,7 +103,10 @@
 	count atomic.Int64
 	lock  sync.Mutex
 	lines map[string]*line
-	// running says that a goroutine checks for room.
+	// granted counts, by target, the requests that have got a place and have not been released.
+	granted map[string]int
+	// wake lets the goroutine that checks for room do so at once; running says that there is one.
+	wake     chan struct{}
 	running  bool
 	loggedAt time.Time
 	// returns holds, by service, the time that the last refused caller was told to return at.
@@ -108,7 +115,7 @@
 
 // New returns queues in which nothing waits.
 func New(log logr.Logger) *Queues {
-	return &Queues{log: log, lines: map[string]*line{}, returns: map[string]time.Time{}}
+	return &Queues{log: log, lines: map[string]*line{}, granted: map[string]int{}, wake: make(chan struct{}, 1), returns: map[string]time.Time{}}
 }
 
 // Waiting returns the number of waiting requests.
@@ -131,7 +138,8 @@
 }
 
 // Wait queues a request for a target until there is room for it, but not beyond until. With Placed it
-// returns the target that has room, which need not be the one that the request waited for.
+// returns the target that has room, which need not be the one that the request waited for; the caller then
+// has to call Release.
 func (queues *Queues) Wait(ctx context.Context, ending <-chan struct{}, target string, entry Entry, until time.Time) (mimosatide.Instance, Outcome) {
 	queued := &ticket{Entry: entry, done: make(chan struct{})}
 	if !queues.add(target, queued) {
@@ -148,15 +156,39 @@
 	case <-ending:
 		outcome = Ended
 	}
-	if queues.remove(target, queued) || outcome == Ended {
+	if queues.remove(target, queued) {
 		return mimosatide.Instance{}, outcome
 	}
 	if queued.verdict == Choose {
 		return mimosatide.Instance{}, Rechoose
 	}
+	if outcome == Ended {
+		queues.Release(queued.instance.ID)
+		return mimosatide.Instance{}, outcome
+	}
 	return queued.instance, Placed
 }
 
+// Release says that a request which got a place at a target is counted as in flight there, or is not sent.
+func (queues *Queues) Release(target string) {
+	queues.lock.Lock()
+	defer queues.lock.Unlock()
+	if queues.granted[target]--; queues.granted[target] <= 0 {
+		delete(queues.granted, target)
+	}
+}
+
+// Wake lets the waiting requests look for room at once, because a request has ended.
+func (queues *Queues) Wake() {
+	if queues.count.Load() == 0 {
+		return
+	}
+	select {
+	case queues.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (queues *Queues) add(target string, queued *ticket) bool {
 	queues.lock.Lock()
 	defer queues.lock.Unlock()
@@ -204,25 +236,28 @@
 func (queues *Queues) run() {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	for range ticker.C {
+	for {
+		select {
+		case <-ticker.C:
+		case <-queues.wake:
+		}
 		if !queues.check(time.Now()) {
 			return
 		}
 	}
 }
 
-// check sends at most one request to each target, because what it has sent is counted there only when the
-// request's own goroutine sends it. It returns false if no request waits.
+// check gives places to waiting requests. It returns false if no request waits.
 func (queues *Queues) check(now time.Time) bool {
 	queues.lock.Lock()
 	defer queues.lock.Unlock()
-	taken := map[string]bool{}
 	for target, held := range queues.lines {
 		if len(held.waiting) == 0 {
 			delete(queues.lines, target)
 			continue
 		}
-		queues.place(held, taken, now)
+		for queues.place(held, now) {
+		}
 	}
 	queues.running = len(queues.lines) > 0
 	if waiting := queues.count.Load(); waiting > 0 && now.Sub(queues.loggedAt) >= logInterval {
@@ -232,8 +267,8 @@
 	return queues.running
 }
 
-// place looks for room for the first requests of a queue. taken are the targets that got a request at this check.
-func (queues *Queues) place(held *line, taken map[string]bool, now time.Time) {
+// place looks for room for the first requests of a queue. It returns true if one of them waits no longer.
+func (queues *Queues) place(held *line, now time.Time) bool {
 	requests := make([]Request, len(held.waiting))
 	for index, queued := range held.waiting {
 		requests[index] = queued.Request
@@ -241,23 +276,24 @@
 	order := Order(requests, held.recent, now)
 	for _, index := range order[:min(len(order), maxTried)] {
 		queued := held.waiting[index]
-		instance, verdict := queued.Place(now)
-		if verdict == NoRoom || verdict == Send && taken[instance.ID] {
+		instance, verdict := queued.Place(now, func(target string) int { return queues.granted[target] })
+		if verdict == NoRoom {
 			continue
 		}
 		if verdict == Hold {
-			return
+			return false
 		}
 		queued.instance, queued.verdict = instance, verdict
 		if verdict == Send {
-			taken[instance.ID] = true
+			queues.granted[instance.ID]++
 			held.recent = append(held.recent, queued.Request)
 			held.recent = held.recent[max(len(held.recent)-recentPlaces, 0):]
 		}
 		queues.take(held, queued)
 		close(queued.done)
-		return
+		return true
 	}
+	return false
 }
 
 // Return returns when the caller of a refused request of a service should return, see NextReturn.
--- a/internal/triage/triage_test.go
+++ b/internal/triage/triage_test.go
@@ -112,7 +112,7 @@
 func TestQueueIsBounded(t *testing.T) {
 	queues := triage.New(logr.Discard())
 	wait := func(ctx context.Context, until time.Time) triage.Outcome {
-		_, outcome := queues.Wait(ctx, nil, "e-1", triage.Entry{Place: func(time.Time) (mimosatide.Instance, triage.Verdict) {
+		_, outcome := queues.Wait(ctx, nil, "e-1", triage.Entry{Place: func(time.Time, func(string) int) (mimosatide.Instance, triage.Verdict) {
 			return mimosatide.Instance{}, triage.NoRoom
 		}}, until)
 		return outcome
