--- a/internal/reading/home.go
+++ b/internal/reading/home.go
@@ -59,17 +59,22 @@
 	if home.queues.WaitingAt(turn.Target) == 0 && home.Take(turn, now) {
 		return true
 	}
-	place := func(now time.Time) (mimosatide.Instance, triage.Verdict) {
+	place := func(now time.Time, _ func(target string) int) (mimosatide.Instance, triage.Verdict) {
 		if home.Take(turn, now) {
 			return mimosatide.Instance{ID: turn.Target}, triage.Send
 		}
 		return mimosatide.Instance{}, triage.NoRoom
 	}
 	_, outcome := home.queues.Wait(ctx, home.ending, turn.Target, triage.Entry{Request: turn.Rank, Place: place}, now.Add(turn.Patience))
-	if turn.Final && outcome != triage.Placed && outcome != triage.Ended {
+	if outcome == triage.Placed {
+		// The schedule counts the prompt.
+		home.queues.Release(turn.Target)
+		return true
+	}
+	if turn.Final && outcome != triage.Ended {
 		home.record(turn, time.Now())
 	}
-	return outcome == triage.Placed
+	return false
 }
 
 // Take takes the turn of a prompt if the engine has room for it now.
