Order the line for the weight store by what requests can still gain

Cause: the line was ordered by how many requests had recently found no replica, whatever their priority, and also if all of them leave before the load ends. A caller that was refused by one host and came to another counted twice. A model that is asked for now and then fell behind models that lose their replicas again and again, as its requests were forgotten.

Change: a need says the request's priority, time left, size and a hash of its identifier (new keys 7 to 10; needs without them count as usual). A model counts the requests of late, by priority, once for all hosts, and those that wait and can be answered after its load. Requests for a model that has never been loaded are not forgotten. The log of a placement says the gain and the loss.

Measured: TestLineIsOrderedByWhatRequestsCanStillGain and TestRequestThatComesToSeveralHostsCountsOnce fail with the order before.

--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -14,6 +14,12 @@
 // ownerTimeout is how long after an owner's last digest it is still sent needs and usage.
 const ownerTimeout = 1500 * time.Millisecond
 
+// The largest values of a need from another node: far beyond any deadline and any model's context.
+const (
+	maxLeavesMillis = int64(time.Hour / time.Millisecond)
+	maxPromptTokens = 10_000_000
+)
+
 // serviceState is what this node knows about loading models on the engines of one service.
 type serviceState struct {
 	name       string
@@ -163,9 +169,7 @@
 		service.controller.AddNeed(need, first, time.Now())
 		return
 	}
-	loader.node.hub.Send(ownerAddress, gossip.Need{
-		Service: need.Service, Model: need.Model, Adapter: need.Adapter, Instance: need.Instance, First: first, Software: need.Software,
-	})
+	loader.node.hub.Send(ownerAddress, encodeNeed(need, first))
 }
 
 // handleNeed takes a need that another node sent to this one as the owner of the service.
@@ -174,9 +178,28 @@
 	service, found := loader.services[message.Service]
 	loader.lock.Unlock()
 	if found {
-		service.controller.AddNeed(loading.Need{
-			Service: message.Service, Model: message.Model, Adapter: message.Adapter, Instance: message.Instance, Software: message.Software,
-		}, message.First, now)
+		service.controller.AddNeed(decodeNeed(message), message.First, now)
+	}
+}
+
+func encodeNeed(need loading.Need, first bool) gossip.Need {
+	message := gossip.Need{
+		Service: need.Service, Model: need.Model, Adapter: need.Adapter, Instance: need.Instance, First: first, Software: need.Software,
+		LeavesMillis: need.Leaves.Milliseconds(), PromptTokens: need.PromptTokens, Request: need.Request,
+	}
+	if need.HasPriority {
+		message.Rank = need.Priority + 1
+	}
+	return message
+}
+
+// decodeNeed returns a need as another node states it, within bounds that no sum exceeds.
+func decodeNeed(message gossip.Need) loading.Need {
+	return loading.Need{
+		Service: message.Service, Model: message.Model, Adapter: message.Adapter, Instance: message.Instance, Software: message.Software,
+		Request: message.Request, Priority: message.Rank - 1, HasPriority: message.Rank > 0,
+		Leaves:       time.Duration(min(max(message.LeavesMillis, 0), maxLeavesMillis)) * time.Millisecond,
+		PromptTokens: min(max(message.PromptTokens, 0), maxPromptTokens),
 	}
 }
 
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
 	"mimosatide.example/mimosatide/internal/loading"
@@ -179,7 +181,9 @@
 		return mimosatide.Refusal{}
 	}
 	// The load is requested anyway, so that a retry of the caller finds the model.
-	handler.requestLoad(handler.modelNeed())
+	need := handler.modelNeed()
+	need.Leaves = 0
+	handler.requestLoad(need)
 	return mimosatide.Refuse(mimosatide.ReasonNoCapacity, detail).WithRetryAfter(handler.returnAfter(expected, time.Now()))
 }
 
@@ -206,7 +210,13 @@
 
 // modelNeed returns the need for the request's model, at a target that the request may be sent to.
 func (handler *requestHandler) modelNeed() loading.Need {
-	need := loading.Need{Service: handler.service.Name, Model: handler.request.Model}
+	need := loading.Need{
+		Service: handler.service.Name, Model: handler.request.Model, Priority: handler.priority, HasPriority: true,
+		Leaves: max(time.Until(handler.leavesAt(handler.arrived)), 0), PromptTokens: handler.request.PromptTokens,
+	}
+	if handler.request.ID != "" {
+		need.Request = xxhash.Sum64String(handler.request.ID)
+	}
 	if handler.continues {
 		need.Software = handler.software
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -178,6 +178,14 @@
 	// Software is the version of the target's software that the model is needed at; empty if any
 	// will do.
 	Software string `cbor:"6,keyasint,omitempty"`
+	// Rank is the request's priority plus one, zero if it is not known.
+	Rank int `cbor:"7,keyasint,omitempty"`
+	// LeavesMillis is the time until the request's caller leaves; zero if it is not known or does not wait.
+	LeavesMillis int64 `cbor:"8,keyasint,omitempty"`
+	// PromptTokens is the size of the request.
+	PromptTokens int `cbor:"9,keyasint,omitempty"`
+	// Request identifies the request at all hosts; zero if it has no identifier.
+	Request uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // HoldingsReport says what a target holds, published by its owner to all nodes.
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -398,7 +398,7 @@
 		atLimit = controller.remoteLoads >= controller.remoteLimit.current
 	}
 	controller.log.Info("placement decided", "service", controller.settings.Service, "target", step.Instance, "model", step.Model,
-		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason, "waited", step.Waited, "asked", step.Asked,
+		"victims", step.Victims, "tier", step.Tier, "reason", step.Reason, "waited", step.Waited, "asked", step.Asked, "gain", step.Gain, "loss", step.Loss,
 		"missing", controller.missing, "remoteLoads", controller.remoteLoads, "remoteLimit", controller.remoteLimit.current)
 	go func() {
 		begun := time.Now()
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -18,19 +18,6 @@
 	minAsked = 0.3
 )
 
-// Need is a model or an adapter that a request waits for.
-type Need struct {
-	Service string
-	Model   string
-	// Adapter is empty if the model itself is needed.
-	Adapter string
-	// Instance is the target at which the adapter is needed.
-	Instance string
-	// Software is the version of the engine's software that the model is needed at, to go on with a
-	// stream; empty if any will do.
-	Software string
-}
-
 // ModelDemand is the demand for a model over all nodes.
 type ModelDemand struct {
 	// Waiting says that a request waits for the model to be loaded, and Waited is
@@ -38,8 +25,13 @@
 	Waiting bool
 	Waited  time.Duration
 	// Asked is the number of recent requests that found no replica of the model, older ones
-	// counting less.
-	Asked float64
+	// counting less, and Expected what they count for by their priority: as many are expected.
+	Asked    float64
+	Expected float64
+	// Unserved is the number of all of them, if the model has not been loaded yet.
+	Unserved int
+	// Waiters are the requests that wait for the model, as far as their hosts say until when.
+	Waiters []Waiter
 	// Bound holds how long streams that only engines of a version of the software can go on with
 	// have been waiting for the model, by version.
 	Bound map[string]time.Duration
@@ -56,15 +48,24 @@
 	Idle time.Duration
 }
 
-// fadingCount counts events, older ones less.
+// fadingCount counts requests, older ones less.
 type fadingCount struct {
-	count     float64
+	count float64
+	// weight is the sum of what they count for.
+	weight    float64
 	updatedAt time.Time
 }
 
-// value returns the count at the given time.
-func (fading fadingCount) value(now time.Time) float64 {
-	return fading.count * math.Exp(-now.Sub(fading.updatedAt).Seconds()/refusedTimeConstant.Seconds())
+// at returns the count at the given time.
+func (fading fadingCount) at(now time.Time) fadingCount {
+	part := math.Exp(-now.Sub(fading.updatedAt).Seconds() / refusedTimeConstant.Seconds())
+	return fadingCount{count: fading.count * part, weight: fading.weight * part, updatedAt: now}
+}
+
+// plus returns the count with a further request.
+func (fading fadingCount) plus(weight float64, now time.Time) fadingCount {
+	fading = fading.at(now)
+	return fadingCount{count: fading.count + 1, weight: fading.weight + weight, updatedAt: now}
 }
 
 // needTimes holds when a need was first and last reported.
@@ -78,6 +79,13 @@
 type Demand struct {
 	lock  sync.Mutex
 	needs map[Need]needTimes
+	// waiters are the requests that wait, by model, and counted those that asked counts.
+	waiters map[string]map[uint64]waiter
+	counted map[uint64]time.Time
+	// unserved counts, by model, the requests that found no replica of a model that has not been loaded
+	// since this node has known of it; loaded holds those that have.
+	unserved map[string]int
+	loaded   map[string]bool
 	// asked counts, by model, the requests that found no replica since it was last loaded.
 	asked map[string]fadingCount
 	usage map[string]*modelUsage
@@ -99,6 +107,10 @@
 func NewDemand() *Demand {
 	return &Demand{
 		needs:    map[Need]needTimes{},
+		waiters:  map[string]map[uint64]waiter{},
+		counted:  map[uint64]time.Time{},
+		unserved: map[string]int{},
+		loaded:   map[string]bool{},
 		asked:    map[string]fadingCount{},
 		usage:    map[string]*modelUsage{},
 		totals:   map[string]map[string]float64{},
@@ -111,9 +123,14 @@
 func (demand *Demand) AddNeed(need Need, first bool, now time.Time) bool {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
-	if first && need.Adapter == "" && need.Software == "" {
-		demand.asked[need.Model] = fadingCount{count: demand.asked[need.Model].value(now) + 1, updatedAt: now}
+	if need.Adapter == "" && need.Software == "" {
+		if first && demand.countOnce(need.Request, now) {
+			demand.recordUnserved(need.Model)
+			demand.asked[need.Model] = demand.asked[need.Model].plus(need.weight(), now)
+		}
+		demand.recordWaiter(need, now)
 	}
+	need = need.key()
 	times, known := demand.needs[need]
 	if !known {
 		times.first = now
@@ -193,7 +210,7 @@
 func (demand *Demand) RemoveNeed(need Need) {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
-	delete(demand.needs, need)
+	delete(demand.needs, need.key())
 }
 
 // Met forgets the requests that found no replica of a model: it has been loaded.
@@ -201,6 +218,11 @@
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
 	delete(demand.asked, model)
+	delete(demand.waiters, model)
+	delete(demand.unserved, model)
+	if len(demand.loaded) < maxUnserved {
+		demand.loaded[model] = true
+	}
 	maps.DeleteFunc(demand.needs, func(need Need, _ needTimes) bool {
 		return need.Model == model && need.Adapter == "" && need.Software == ""
 	})
@@ -215,8 +237,8 @@
 		models[name] = usage.demand(now)
 	}
 	for name, asked := range demand.asked {
-		value := asked.value(now)
-		if value < minAsked {
+		faded := asked.at(now)
+		if faded.count < minAsked {
 			delete(demand.asked, name)
 			continue
 		}
@@ -224,9 +246,16 @@
 		if !used {
 			known.Idle = now.Sub(asked.updatedAt)
 		}
-		known.Asked = value
+		known.Asked, known.Expected, known.Unserved = faded.count, faded.weight, demand.unserved[name]
 		models[name] = known
 	}
+	for name := range demand.waiters {
+		if waiters := demand.waitersOf(name, now); len(waiters) > 0 {
+			known := models[name]
+			known.Waiters = waiters
+			models[name] = known
+		}
+	}
 	for need, times := range demand.needs {
 		if need.Adapter == "" {
 			known := models[need.Model]
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -95,6 +95,10 @@
 	// found no replica of it, older ones counting less.
 	Waited time.Duration
 	Asked  float64
+	// Gain and Loss are how much less the callers of the model wait in sum, and how much longer those of
+	// the victims that have no other replica.
+	Gain time.Duration
+	Loss time.Duration
 }
 
 // Snapshot is the input of Plan.
@@ -161,25 +165,27 @@
 }
 
 // missing returns the models in line: those without a replica that requests wait for, or that
-// recent requests have found missing, if they can only be loaded from the weight store. The one
-// that most requests have found missing is first, then the one that has been waited for longest.
+// recent requests have found missing, if they can only be loaded from the weight store. The one of the highest
+// rank is first, then the one that has been waited for longest.
 func (planner *planner) missing() []string {
-	var models []string
+	type entry struct {
+		name   string
+		rank   float64
+		waited time.Duration
+	}
+	var line []entry
 	for name, demand := range planner.Demand {
 		if planner.replicas[name] == 0 && (demand.Waiting || demand.Asked > 0 && !planner.copied()[name]) {
-			models = append(models, name)
+			line = append(line, entry{name: name, rank: planner.rank(name), waited: demand.Waited})
 		}
 	}
-	sort.Slice(models, func(i, j int) bool {
-		first, second := planner.Demand[models[i]], planner.Demand[models[j]]
-		if first.Asked != second.Asked {
-			return first.Asked > second.Asked
-		}
-		if first.Waited != second.Waited {
-			return first.Waited > second.Waited
-		}
-		return models[i] < models[j]
+	slices.SortFunc(line, func(first, second entry) int {
+		return cmp.Or(cmp.Compare(second.rank, first.rank), cmp.Compare(second.waited, first.waited), strings.Compare(first.name, second.name))
 	})
+	models := make([]string, len(line))
+	for index, entry := range line {
+		models[index] = entry.name
+	}
 	return models
 }
 
@@ -237,6 +243,7 @@
 	}
 	best.Reason = reason
 	best.Waited, best.Asked = planner.Demand[name].Waited, planner.Demand[name].Asked
+	best.Gain, best.Loss = planner.modelGain, planner.lossBy(best)
 	planner.steps = append(planner.steps, best)
 	planner.placed[name]++
 	weight := planner.weightOf(best.Instance)
