--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -420,6 +420,7 @@
 		loader.node.meter.SetServiceGauge(name, "weight_store_loads", float64(counts.Loads))
 		loader.node.meter.SetServiceGauge(name, "weight_store_load_limit", float64(counts.Limit))
 		loader.node.meter.SetServiceGauge(name, "models_waited_for", float64(counts.Missing))
+		loader.node.meter.SetServiceGauge(name, "requests_waiting_for_models", float64(counts.Waiters))
 	}
 }
 
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -18,6 +18,9 @@
 const (
 	// planInterval is how often demand and the models on the engines are evaluated.
 	planInterval = 50 * time.Millisecond
+	// planRest is the time between two plans, in times that the last one took: needs come many times a
+	// second, and planning must leave most of a small host's processor to requests.
+	planRest = 4
 	// remoteRateFraction is the fraction of the weight store's load rate that is used.
 	remoteRateFraction = 0.9
 	// remoteBurst is the number of loads that may start at once after a pause.
@@ -82,6 +85,8 @@
 	remoteTokensAt time.Time
 	// missing is the number of models without a replica that requests waited for at the last plan.
 	missing int
+	// waiters is the number of requests that waited for models without a replica at the last plan.
+	waiters int
 	// copiesLogged says that the copies at the engines were logged since the lease was taken, at
 	// takenAt.
 	copiesLogged bool
@@ -171,7 +176,9 @@
 		fencingToken, held := controller.lease.FencingToken()
 		class, known := controller.class()
 		if held && known {
-			controller.plan(ctx, fencingToken, class, time.Now())
+			begun := time.Now()
+			controller.plan(ctx, fencingToken, class, begun)
+			sleep(ctx, min(planRest*time.Since(begun), planInterval))
 		}
 	}
 }
@@ -209,7 +216,7 @@
 		snapshot.LoadAhead, snapshot.Quiet = true, len(snapshot.Demand) == 0
 	}
 	planner := newPlanner(snapshot)
-	controller.missing = len(planner.missing())
+	controller.missing, controller.waiters = len(planner.missing()), countWaiters(snapshot.Demand)
 	planner.plan()
 	if !controller.copiesLogged && now.Sub(controller.takenAt) > settlingTime {
 		controller.copiesLogged = true
@@ -262,21 +269,6 @@
 		"models", len(snapshot.Class.Models), "held", len(held), "copiedOnly", copiedOnly, "absent", absent)
 }
 
-// RemoteCounts are the numbers of loads from the weight store under way, and of models without
-// a replica that requests wait for.
-type RemoteCounts struct {
-	Loads   int
-	Limit   int
-	Missing int
-}
-
-// RemoteCounts returns the counts of the last plan.
-func (controller *Controller) RemoteCounts() RemoteCounts {
-	controller.lock.Lock()
-	defer controller.lock.Unlock()
-	return RemoteCounts{Loads: controller.remoteLoads, Limit: controller.remoteLimit.current, Missing: controller.missing}
-}
-
 // syncWorkers keeps one worker for each engine that may be sent requests. The
 // worker of an engine that is gone or leaving stops at once, so that a model that
 // it was loading can be loaded elsewhere.
--- a/internal/loading/need.go
+++ b/internal/loading/need.go
@@ -146,3 +146,12 @@
 	}
 	return sum
 }
+
+// countWaiters returns the number of requests that wait for models.
+func countWaiters(models map[string]ModelDemand) int {
+	count := 0
+	for _, demand := range models {
+		count += len(demand.Waiters)
+	}
+	return count
+}
--- a/internal/loading/remote_load_limit.go
+++ b/internal/loading/remote_load_limit.go
@@ -95,3 +95,20 @@
 	limit.normalLoads = 0
 	return true
 }
+
+// RemoteCounts are the numbers of loads from the weight store under way, and of models without
+// a replica that requests wait for.
+type RemoteCounts struct {
+	Loads   int
+	Limit   int
+	Missing int
+	// Waiters is the number of requests that wait for models, as far as their hosts say so.
+	Waiters int
+}
+
+// RemoteCounts returns the counts of the last plan.
+func (controller *Controller) RemoteCounts() RemoteCounts {
+	controller.lock.Lock()
+	defer controller.lock.Unlock()
+	return RemoteCounts{Loads: controller.remoteLoads, Limit: controller.remoteLimit.current, Missing: controller.missing, Waiters: controller.waiters}
+}
