Value displaced models by their expected requests

Cause: a model whose replicas are all in an evacuated zone counted as one caller, as nobody has found it missing yet, and got no place beside models that are used less.

Change: it counts the requests that its rate lets expect within the time of a load.

Measured: the test fails before (no step) and passes after.

--- a/internal/loading/busy_test.go
+++ b/internal/loading/busy_test.go
@@ -154,3 +154,17 @@
 		loading.Plan(loading.Snapshot{Class: class, Engines: copied, Demand: demand, Now: time.Unix(1000, 0), RemoteLoadsToStart: 2})
 	}
 }
+
+// TestDisplacedModelIsWorthItsExpectedRequests guards against a busy model of an evacuated zone that gets no place, as nobody
+// waits for it yet, beside models that are used less.
+func TestDisplacedModelIsWorthItsExpectedRequests(t *testing.T) {
+	used := loading.ModelDemand{PrefillLoad: 0.01, RequestRate: 0.2, Idle: 2 * time.Second}
+	for rate, want := range map[float64]int{0.1: 0, 3: 1} {
+		demand := map[string]loading.ModelDemand{"m0": {PrefillLoad: 0.02, RequestRate: rate}, "m1": used, "m2": used}
+		input := snapshot([]loading.Engine{engine("e0", "m1", "m2")}, demand)
+		input.Displaced = map[string]bool{"m0": true}
+		if steps := loading.Plan(input); len(steps) != want {
+			t.Errorf("%.1f requests a second: got steps %+v, want %d", rate, steps, want)
+		}
+	}
+}
--- a/internal/loading/gain.go
+++ b/internal/loading/gain.go
@@ -53,7 +53,12 @@
 func (planner *planner) gain(name, reason string) time.Duration {
 	demand := planner.Demand[name]
 	if reason != reasonBusy {
-		return time.Duration(max(planner.worth(name), 1) * float64(lostCallerTime))
+		callers := max(planner.worth(name), 1)
+		if reason == reasonDisplaced {
+			// Nobody has found it missing yet.
+			callers = max(callers, demand.requestRate()*replicaGainTime.Seconds())
+		}
+		return time.Duration(callers * float64(lostCallerTime))
 	}
 	count := max(planner.replicas[name], limitedReplica)
 	load := planner.loadMet(name)
