Hold answers in segments of one size

Cause: growing by doubling copies, and at the bound of the budget none of the old arrays could be kept, because arrays of other sizes had taken all of it. Callers that don't read large responses then left 100 MB of garbage in 0.2 s (TestSlowReadersOfLargeResponsesStayWithinTheLimits; 92% of all allocations were in buffer.Budget.take).

Change: beyond its first 16 KiB a buffer consists of segments of 16 KiB. They are not copied, and a free one fits any buffer. Answers are written segment by segment; the reader of events finds the empty line and the id without a contiguous event.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -5,8 +5,9 @@
 // released. A buffer that would exceed its limit or the budget keeps what it has and
 // returns an error, which concerns its own answer only.
 //
-// The arrays of released buffers are kept for the next ones, within a share of the budget. The
-// events of a stream are then read without garbage: with it, a process that is short of processor
+// Beyond its first bytes a buffer consists of segments of one size. They are not copied when it
+// grows, and those of released buffers are kept for the next ones, within a share of the budget.
+// Long answers and large events then leave no garbage: with it, a process that is short of processor
 // time exceeds its memory, because its garbage collector falls behind.
 //
 // # Usage
@@ -17,18 +18,19 @@
 //	if err := held.Fill(body); errors.Is(err, buffer.ErrNoMemory) {
 //		return errors.Trace(err)
 //	}
-//	_, err = writer.Write(held.Bytes())
+//	_, err = held.WriteTo(writer)
 package buffer
 
 import (
 	"io"
+	"slices"
 
 	"github.com/juju/errors"
 )
 
 const (
-	// freeBytes is the size of a buffer that doesn't count against the budget.
-	freeBytes = 16 << 10
+	// segmentBytes is the size of a segment. The first one doesn't count against the budget.
+	segmentBytes = 16 << 10
 	// firstBytes is the size of a buffer when its first byte arrives.
 	firstBytes = 1 << 10
 )
@@ -49,28 +51,58 @@
 type Buffer struct {
 	budget *Budget
 	limit  int
-	data   []byte
-	// taken is what the buffer has taken of the budget, in bytes.
-	taken int64
-	// expected is the length of the content before the last Reset, in bytes.
-	expected int
+	length int
+	// first holds the first bytes. It doubles up to segmentBytes; rest are full segments but for the
+	// last one.
+	first []byte
+	rest  [][]byte
 }
 
-// Bytes returns what the buffer holds, until its next change. Its memory is then used again.
+// Len returns the number of bytes that the buffer holds.
+func (buffer *Buffer) Len() int {
+	return buffer.length
+}
+
+// Bytes returns what the buffer holds, until its next change. It copies content of more than one
+// segment.
 func (buffer *Buffer) Bytes() []byte {
-	return buffer.data
+	if len(buffer.rest) == 0 {
+		return buffer.first
+	}
+	return slices.Concat(append([][]byte{buffer.first}, buffer.rest...)...)
+}
+
+// WriteTo writes what the buffer holds, which it keeps.
+func (buffer *Buffer) WriteTo(writer io.Writer) (int64, error) {
+	count, err := writer.Write(buffer.first)
+	written := int64(count)
+	for _, segment := range buffer.rest {
+		if err != nil {
+			break
+		}
+		count, err = writer.Write(segment)
+		written += int64(count)
+	}
+	return written, err
 }
 
 // Append adds all of the data, or nothing and returns ErrTooLarge or ErrNoMemory.
 func (buffer *Buffer) Append(data []byte) error {
-	needed := len(buffer.data) + len(data)
-	if needed > buffer.limit {
+	if buffer.length+len(data) > buffer.limit {
 		return errors.Trace(ErrTooLarge)
 	}
-	if err := buffer.grow(needed); err != nil {
-		return errors.Trace(err)
+	before := buffer.length
+	for len(data) > 0 {
+		open, err := buffer.open(len(data))
+		if err != nil {
+			buffer.truncate(before)
+			return errors.Trace(err)
+		}
+		count := min(len(data), cap(*open)-len(*open))
+		*open = append(*open, data[:count]...)
+		buffer.length += count
+		data = data[count:]
 	}
-	buffer.data = append(buffer.data, data...)
 	return nil
 }
 
@@ -78,17 +110,20 @@
 // does not fit, or the source's error; the buffer then holds what was read until then.
 func (buffer *Buffer) Fill(source io.Reader) error {
 	for {
-		if len(buffer.data) > buffer.limit {
+		if buffer.length > buffer.limit {
 			return errors.Trace(ErrTooLarge)
 		}
-		// One byte beyond the limit tells a source that ends there from a longer one.
-		if err := buffer.grow(len(buffer.data) + 1); err != nil {
+		open, err := buffer.open(1)
+		if err != nil {
 			return errors.Trace(err)
 		}
-		count, err := source.Read(buffer.data[len(buffer.data):cap(buffer.data)])
-		buffer.data = buffer.data[:len(buffer.data)+count]
+		// One byte beyond the limit tells a source that ends there from a longer one.
+		room := min(cap(*open)-len(*open), buffer.limit+1-buffer.length)
+		count, err := source.Read((*open)[len(*open) : len(*open)+room])
+		*open = (*open)[:len(*open)+count]
+		buffer.length += count
 		if err == io.EOF {
-			if len(buffer.data) > buffer.limit {
+			if buffer.length > buffer.limit {
 				return errors.Trace(ErrTooLarge)
 			}
 			return nil
@@ -99,56 +134,68 @@
 	}
 }
 
-// grow makes room for size bytes. The first array of new content has room for as many bytes as
-// the content before it had, if the budget allows that; otherwise the capacity doubles.
-func (buffer *Buffer) grow(size int) error {
-	if size <= cap(buffer.data) {
-		return nil
-	}
-	least := buffer.bounded(size, max(size, 2*cap(buffer.data), firstBytes))
-	if wanted := buffer.bounded(size, buffer.expected); buffer.taken == 0 && wanted > least && buffer.replace(wanted) {
-		return nil
+// open returns the segment that holds the next byte; it has room for at least one. wanted is the
+// number of bytes that are known to follow.
+func (buffer *Buffer) open(wanted int) (*[]byte, error) {
+	if count := len(buffer.first); count < segmentBytes {
+		if count == cap(buffer.first) {
+			buffer.growFirst(count + wanted)
+		}
+		return &buffer.first, nil
 	}
-	if !buffer.replace(least) {
-		return errors.Trace(ErrNoMemory)
+	last := len(buffer.rest) - 1
+	if last < 0 || len(buffer.rest[last]) == segmentBytes {
+		segment, ok := buffer.budget.take(segmentBytes)
+		if !ok {
+			return nil, errors.Trace(ErrNoMemory)
+		}
+		buffer.rest = append(buffer.rest, segment)
+		last++
 	}
-	return nil
+	return &buffer.rest[last], nil
 }
 
-// bounded returns the capacity of an array for size bytes, preferably for wanted bytes.
-func (buffer *Buffer) bounded(size, wanted int) int {
-	return max(size, min(roundUp(wanted), buffer.limit+1))
+// growFirst doubles the first segment until it has room for size bytes, or up to its largest size.
+func (buffer *Buffer) growFirst(size int) {
+	capacity := max(firstBytes, 2*cap(buffer.first))
+	for capacity < size {
+		capacity *= 2
+	}
+	if capacity < segmentBytes {
+		buffer.first = append(make([]byte, 0, capacity), buffer.first...)
+		return
+	}
+	// A segment that takes nothing of the budget is always available.
+	segment, _ := buffer.budget.take(0)
+	buffer.first = append(segment, buffer.first...)
 }
 
-// replace moves the content to an array of the given capacity, and reports whether the budget
-// allows it.
-func (buffer *Buffer) replace(capacity int) bool {
-	extra := max(0, int64(capacity-freeBytes)-buffer.taken)
-	array, ok := buffer.budget.take(extra, capacity)
-	if !ok {
-		return false
+// truncate drops what is beyond length bytes, and gives back its segments.
+func (buffer *Buffer) truncate(length int) {
+	buffer.length = length
+	buffer.first = buffer.first[:min(len(buffer.first), length)]
+	length -= len(buffer.first)
+	needed := (length + segmentBytes - 1) / segmentBytes
+	if dropped := buffer.rest[needed:]; len(dropped) > 0 {
+		buffer.budget.giveBack(int64(len(dropped))*segmentBytes, dropped...)
+		clear(dropped)
+	}
+	buffer.rest = buffer.rest[:needed]
+	if needed > 0 {
+		buffer.rest[needed-1] = buffer.rest[needed-1][:length-(needed-1)*segmentBytes]
 	}
-	old := buffer.data
-	buffer.data = append(array, old...)
-	buffer.budget.giveBack(0, old)
-	buffer.taken += extra
-	return true
 }
 
-// Reset empties the buffer and gives back what it has taken of the budget. The next content is
-// expected to be about as long.
+// Reset empties the buffer and gives back what it has taken of the budget.
 func (buffer *Buffer) Reset() {
-	buffer.expected = len(buffer.data)
-	if buffer.taken > 0 {
-		buffer.Release()
-		return
-	}
-	buffer.data = buffer.data[:0]
+	buffer.truncate(0)
 }
 
 // Release empties the buffer and gives back its memory. The buffer can be used again.
 func (buffer *Buffer) Release() {
-	buffer.budget.giveBack(buffer.taken, buffer.data)
-	buffer.data = nil
-	buffer.taken = 0
+	buffer.truncate(0)
+	if cap(buffer.first) == segmentBytes {
+		buffer.budget.giveBack(0, buffer.first)
+	}
+	buffer.first, buffer.rest = nil, nil
 }
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -103,6 +103,7 @@
 	budget := buffer.NewBudget(1 << 20)
 	event := bytes.Repeat([]byte("x"), 33_000)
 	streams := []*buffer.Buffer{budget.NewBuffer(1 << 20), budget.NewBuffer(1 << 20)}
+	var relayed bytes.Buffer
 	relay := func() {
 		for _, held := range streams {
 			for rest := event; len(rest) > 0; rest = rest[min(len(rest), 4096):] {
@@ -112,8 +113,9 @@
 			}
 		}
 		for _, held := range streams {
-			if !bytes.Equal(held.Bytes(), event) {
-				t.Fatal("got other bytes than were appended")
+			relayed.Reset()
+			if _, err := held.WriteTo(&relayed); err != nil || !bytes.Equal(relayed.Bytes(), event) {
+				t.Fatalf("got other bytes than were appended, error %v", err)
 			}
 			held.Reset()
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,7 +71,7 @@
 	if outcome.head.Status < http.StatusMultipleChoices {
 		handler.inFlight.MarkAnswered(time.Now())
 	}
-	answer := &bufferedAnswer{head: outcome.head, body: handler.buffer.Bytes()}
+	answer := &bufferedAnswer{head: outcome.head, body: handler.buffer}
 	if outcome.head.Status >= http.StatusInternalServerError && handler.route.Repeatable() {
 		outcome.reply.Close(true)
 		handler.inFlight.End(balance.Failed, time.Now())
@@ -90,10 +90,10 @@
 func (handler *requestHandler) writeBuffered(answer *bufferedAnswer) {
 	header := handler.writer.Header()
 	platform.CopyAnswerHead(header, answer.head.Header)
-	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	header.Set("Content-Length", strconv.Itoa(answer.body.Len()))
 	handler.headSent = true
 	handler.writer.WriteHeader(answer.head.Status)
-	if _, err := handler.writer.Write(answer.body); err != nil {
+	if _, err := answer.body.WriteTo(handler.writer); err != nil {
 		handler.gateway.log.V(1).Info("answer not delivered", "request", handler.request.ID, "reason", err.Error())
 	}
 }
@@ -105,7 +105,7 @@
 	platform.CopyAnswerHead(handler.writer.Header(), outcome.head.Header)
 	handler.headSent = true
 	handler.writer.WriteHeader(outcome.head.Status)
-	_, err := handler.writer.Write(handler.buffer.Bytes())
+	_, err := handler.buffer.WriteTo(handler.writer)
 	handler.buffer.Release()
 	if err == nil {
 		_, err = io.CopyBuffer(struct{ io.Writer }{handler.writer}, outcome.reply.Body(), make([]byte, relayBytes))
@@ -125,7 +125,7 @@
 	reader := bufio.NewReader(outcome.reply.Body())
 	for {
 		handler.buffer.Reset()
-		event, id, err := readEvent(reader, handler.buffer)
+		id, err := readEvent(reader, handler.buffer)
 		if err == io.EOF {
 			break
 		}
@@ -136,7 +136,7 @@
 		handler.recordEvent(time.Now())
 		handler.recordAnswering(time.Now())
 		handler.recordFirstEvent()
-		if err := handler.writeEvent(outcome, event); err != nil {
+		if err := handler.writeEvent(outcome); err != nil {
 			outcome.reply.Abort()
 			handler.inFlight.End(balance.Withdrawn, time.Now())
 			handler.log(statusCallerGone, "CallerGone", err.Error())
@@ -167,14 +167,14 @@
 	handler.lastEventTime = now
 }
 
-func (handler *requestHandler) writeEvent(outcome sendOutcome, event []byte) error {
+func (handler *requestHandler) writeEvent(outcome sendOutcome) error {
 	if !handler.headSent {
 		platform.CopyAnswerHead(handler.writer.Header(), outcome.head.Header)
 		handler.headSent = true
 		handler.writer.WriteHeader(outcome.head.Status)
 		handler.gateway.Meter.ObserveFirstToken(time.Since(handler.arrived))
 	}
-	if _, err := handler.writer.Write(event); err != nil {
+	if _, err := handler.buffer.WriteTo(handler.writer); err != nil {
 		return err
 	}
 	return http.NewResponseController(handler.writer).Flush()
@@ -218,37 +218,50 @@
 }
 
 // readEvent reads one server-sent event up to and including the empty line that
-// ends it into an empty buffer, and returns its bytes and its id. It returns io.EOF only
+// ends it into an empty buffer, and returns its id. It returns io.EOF only
 // between events.
-func readEvent(reader *bufio.Reader, into *buffer.Buffer) ([]byte, string, error) {
+func readEvent(reader *bufio.Reader, into *buffer.Buffer) (string, error) {
 	id := ""
-	lineStart := 0
+	// line holds the start of a line that names an id and exceeds the reader; begins says that the
+	// next piece begins a line, empty that the line has no text so far.
+	var line []byte
+	begins, empty := true, true
 	for {
 		piece, err := reader.ReadSlice('\n')
 		if err := into.Append(piece); err != nil {
-			return nil, "", errors.Annotate(err, "an event of the stream")
+			return "", errors.Annotate(err, "an event of the stream")
 		}
-		event := into.Bytes()
+		named := len(line) > 0 || begins && bytes.HasPrefix(piece, idField)
+		empty = empty && len(bytes.TrimRight(piece, "\r\n")) == 0
+		begins = false
 		if err == bufio.ErrBufferFull {
+			if named {
+				line = append(line, piece...)
+			}
 			continue
 		}
-		if err == io.EOF && len(event) > 0 {
-			return nil, "", io.ErrUnexpectedEOF
+		if err == io.EOF && into.Len() > 0 {
+			return "", io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return nil, "", err
+			return "", err
 		}
-		line := bytes.TrimRight(event[lineStart:], "\r\n")
-		lineStart = len(event)
-		if len(line) == 0 {
-			return event, id, nil
+		if empty {
+			return id, nil
 		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+		if named && len(line) > 0 {
+			piece = append(line, piece...)
 		}
+		if named {
+			id = string(bytes.TrimSpace(piece[len(idField):]))
+		}
+		line, begins, empty = line[:0], true, true
 	}
 }
 
+// idField begins the line of an event that names its id.
+var idField = []byte("id:")
+
 // finish ends a request whose complete answer was relayed.
 func (handler *requestHandler) finish(outcome sendOutcome) {
 	outcome.reply.Close(true)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -109,10 +109,10 @@
 }
 
 // bufferedAnswer is a complete answer that has not been sent to the caller. Its body is
-// that of the request's buffer.
+// the request's buffer.
 type bufferedAnswer struct {
 	head platform.AnswerHead
-	body []byte
+	body *buffer.Buffer
 }
 
 func (outcome sendOutcome) failed() bool {
