Bound the kernel's memory for unread responses

Cause: a response that its caller does not read stayed in the kernel's send buffer, up to 4 MB (tcp_wmem) for each connection, outside of all memory that the process counts but within that of its host.

Change: the send buffers get a quarter of limits.memoryMb, divided by the bound of connections, at least 32 KiB for each. The accounting of the kernel is meant, which reserves twice the value of SO_SNDBUF. A slow reader's response stays in the memory for answers, which is bounded, and progress is still what the caller's kernel acknowledges.

The time of ordinary responses was not measured.

--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -49,6 +49,12 @@
 	// connectionDescriptorShare is the share of the process's descriptors for callers' connections.
 	// Each may need a second one, to a target.
 	connectionDescriptorShare = 0.4
+	// sendMemoryShare is the share of the process's memory for what the kernel holds of responses that
+	// callers have not read. The Go runtime's limit and the program's own pages leave a quarter on a host of 144 MB.
+	sendMemoryShare = 0.25
+	// leastSendBuffer bounds the send buffer of a connection from below, in bytes: one of 32 KiB carries the
+	// 200 Mbit/s of the fastest hosts over a round trip of 1 ms.
+	leastSendBuffer = 32 << 10
 	// mostConnections bounds the time in which a connection is chosen that makes room for a new
 	// one: 10 microseconds. Callers keep some hundred connections to a host.
 	mostConnections = 2000
@@ -71,6 +77,15 @@
 	return int(most)
 }
 
+// sendBuffer returns the memory of the kernel for the unread response of one connection, in bytes;
+// zero leaves it to the kernel.
+func sendBuffer(limits platform.Limits, connections int) int {
+	if limits.MemoryMB <= 0 {
+		return 0
+	}
+	return max(leastSendBuffer, int(float64(limits.MemoryMB)*(1<<20)*sendMemoryShare)/connections)
+}
+
 // callerLimits returns the limits of callers in force.
 func (node *Node) callerLimits() ingress.Limits {
 	limits := ingress.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeader: defaultMaxHeader}
@@ -126,8 +141,10 @@
 		Draining:      node.refuseWaiting,
 		EndsBy:        node.stop.EndsBy,
 	}, node.log)
+	connections := maxConnections(node.settings.Limits)
 	callers := ingress.New(ingress.Settings{
-		Limits: node.callerLimits, MaxConnections: maxConnections(node.settings.Limits), Memory: node.intake,
+		Limits: node.callerLimits, MaxConnections: connections, Memory: node.intake,
+		SendBuffer: sendBuffer(node.settings.Limits, connections),
 	}, handler, node.meter, node.log)
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -33,6 +33,9 @@
 	MaxConnections int
 	// Memory is the memory for the callers' requests.
 	Memory *intake.Budget
+	// SendBuffer is the kernel's memory for what a caller has not read, in bytes per connection;
+	// zero leaves it to the kernel.
+	SendBuffer int
 }
 
 // connectionKey is the key of a request's connection in its context.
@@ -189,6 +192,10 @@
 		server.count(CauseFull, address)
 		return nil
 	}
+	if buffered, ok := accepted.(interface{ SetWriteBuffer(bytes int) error }); ok && server.settings.SendBuffer > 0 {
+		// The kernel reserves twice the value. An error means that the connection is closed.
+		_ = buffered.SetWriteBuffer(server.settings.SendBuffer / 2)
+	}
 	server.lock.Lock()
 	defer server.lock.Unlock()
 	added := &connection{
