Limit the connections to the ports for readiness and metrics

Cause: these ports had a limit for the time of a header only. 600 connections to the metrics port took 618 descriptors of 400.

Change: both ports are served by the server for callers, each with 16 connections, 16 KiB of header and a memory and a roster of its own. Connections that are closed are logged with the name of the port and counted in mimosatide_operator_connections_closed by port and cause.

--- a/cmd/mimosatide/hostile_test.go
+++ b/cmd/mimosatide/hostile_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // sendChunks sends a chunked body of the given size in chunks of the given size, without the chunk
@@ -150,6 +152,29 @@
 	limited.mustHold()
 }
 
+// The port for metrics must not be a way to exhaust the process: it had no bound of connections.
+func TestConnectionsToTheMetricsPortStayWithinTheLimits(t *testing.T) {
+	limited := startLimitedNode(t, "127.0.8.12", hostileMemoryMB)
+	callers := limited.callers
+	limited.callers = "127.0.8.12:9464"
+	limited.attack(600, func(caller net.Conn) error {
+		_, err := io.WriteString(caller, "GET /metrics HTTP/1.1\r\nX: "+strings.Repeat("x", 8<<10))
+		return err
+	})
+	status := 0
+	for began := time.Now(); status != http.StatusOK && time.Since(began) < servingTime; time.Sleep(50 * time.Millisecond) {
+		if answer, err := http.Get("http://" + limited.callers + "/metrics"); err == nil {
+			status = answer.StatusCode
+			_ = answer.Body.Close()
+		}
+	}
+	if status != http.StatusOK {
+		t.Errorf("metrics: got status %d of the last answer, want 200", status)
+	}
+	limited.callers = callers
+	limited.mustHold()
+}
+
 // endless is a source of bytes without end.
 type endless struct{}
 
--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -12,6 +12,7 @@
 
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/ingress"
+	"mimosatide.example/mimosatide/internal/intake"
 	"mimosatide.example/mimosatide/internal/shutdown"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -60,6 +61,32 @@
 	mostConnections = 2000
 )
 
+// The limits of the ports for readiness checks and metrics, each.
+const (
+	// operatorConnections bounds the connections. The platform checks readiness once a second, and few
+	// operators read the metrics at a time.
+	operatorConnections = 16
+	// operatorMemory is the memory for headers beyond their free bytes: one of the largest size for
+	// each connection.
+	operatorMemory    = operatorConnections * 2 * operatorMaxHeader
+	operatorMaxHeader = 16 << 10
+	// operatorSendBuffer is the kernel's memory for an unread response, in bytes per connection.
+	operatorSendBuffer = 64 << 10
+)
+
+// operatorLimits are the limits of the callers of these ports.
+func operatorLimits() ingress.Limits {
+	return ingress.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeader: operatorMaxHeader}
+}
+
+// newOperatorServer returns the server of a port for operators and their tools.
+func (node *Node) newOperatorServer(port string, handler http.Handler) *ingress.Server {
+	return ingress.New(ingress.Settings{
+		Limits: operatorLimits, MaxConnections: operatorConnections, Memory: intake.NewBudget(operatorMemory),
+		SendBuffer: operatorSendBuffer, Port: port,
+	}, handler, node.meter, node.log)
+}
+
 // maxConnections returns the largest number of callers' connections.
 func maxConnections(limits platform.Limits) int {
 	descriptors := limits.Descriptors
@@ -161,8 +188,8 @@
 		server  connectionServer
 	}{
 		{node.settings.Listen.Callers, callerUserTimeout, callers},
-		{node.settings.Listen.Readiness, userTimeout, &http.Server{Handler: ready, ReadHeaderTimeout: defaultHeaderTimeout}},
-		{node.metricsAddress, userTimeout, &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeaderTimeout}},
+		{node.settings.Listen.Readiness, userTimeout, node.newOperatorServer("readiness", ready)},
+		{node.metricsAddress, userTimeout, node.newOperatorServer("metrics", metrics)},
 	}
 	for _, endpoint := range servers {
 		config := newListenConfig(endpoint.timeout)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -36,6 +36,8 @@
 	// SendBuffer is the kernel's memory for what a caller has not read, in bytes per connection;
 	// zero leaves it to the kernel.
 	SendBuffer int
+	// Port names the port in logs and metrics if it is not that of callers.
+	Port string
 }
 
 // connectionKey is the key of a request's connection in its context.
--- a/internal/ingress/sweep.go
+++ b/internal/ingress/sweep.go
@@ -89,8 +89,13 @@
 
 // report passes the numbers of connections to the meter, and logs why some were closed.
 func (server *Server) report(open int, now time.Duration) {
-	server.meter.SetGauge("caller_connections", float64(open))
-	server.meter.SetGauge("caller_connections_limit", float64(server.settings.MaxConnections))
+	message := "callers' connections closed"
+	if server.settings.Port == "" {
+		server.meter.SetGauge("caller_connections", float64(open))
+		server.meter.SetGauge("caller_connections_limit", float64(server.settings.MaxConnections))
+	} else {
+		message = "connections to the " + server.settings.Port + " port closed"
+	}
 	closings := &server.closings
 	logs := now-closings.loggedAt >= reportInterval
 	if logs {
@@ -99,12 +104,12 @@
 	for index, cause := range causes {
 		count := closings.counts[index].Load()
 		if count > closings.reported[index] {
-			server.meter.CountClosedConnections(string(cause), count-closings.reported[index])
+			server.meter.CountClosedConnections(server.settings.Port, string(cause), count-closings.reported[index])
 			closings.reported[index] = count
 		}
 		// The end of an idle timeout is usual.
 		if logs && cause != CauseIdle && count > closings.logged[index] {
-			server.log.Info("callers' connections closed", "cause", cause, "connections", count-closings.logged[index],
+			server.log.Info(message, "cause", cause, "connections", count-closings.logged[index],
 				"last", closings.addresses[index].Load(), "open", open)
 			closings.logged[index] = count
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -158,9 +158,13 @@
 	meter.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("oversized_answers").Inc(1)
 }
 
-// CountClosedConnections counts callers' connections that were closed, by the cause.
-func (meter *Meter) CountClosedConnections(cause string, count int64) {
-	meter.scope.Tagged(map[string]string{"cause": cause}).Counter("caller_connections_closed").Inc(count)
+// CountClosedConnections counts connections that were closed, by the cause; port is empty for callers.
+func (meter *Meter) CountClosedConnections(port, cause string, count int64) {
+	tags, name := map[string]string{"cause": cause}, "caller_connections_closed"
+	if port != "" {
+		tags["port"], name = port, "operator_connections_closed"
+	}
+	meter.scope.Tagged(tags).Counter(name).Inc(count)
 }
 
 // CountTableRows counts rows read from the table and writes sent to it.
