Do not count the header of a request against its own body

Cause: the memory of a header beyond its free bytes counted as that of another request, so that the body next to it got at most half of what the header left in place of up to twice the budget. A body that needs more than half of the memory for requests was refused if its own header was large.

Change: the hold of a body knows that of the header on its connection, through the context of the connection.

Measured: TestLargeHeaderLeavesTheMemoryToItsBody fails without the change (507) and passes with it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 		timeout = callerRequest.Wait
 	}
 	handler.deadline = arrived.Add(timeout)
-	hold := gateway.Intake.NewHold()
+	hold := gateway.Intake.NewBodyHold(request.Context())
 	defer hold.Release()
 	if refusal := handler.readBody(hold); refusal.Refused() {
 		handler.refuse(handler.confirmDenial(refusal))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -75,6 +75,9 @@
 		Handler:        http.HandlerFunc(server.handle),
 		MaxHeaderBytes: unlimitedHeader,
 		ConnContext: func(ctx context.Context, accepted net.Conn) context.Context {
+			if opened, ok := accepted.(*connection); ok {
+				ctx = intake.WithHeader(ctx, opened.hold)
+			}
 			return context.WithValue(ctx, connectionKey{}, accepted)
 		},
 		ConnState: server.recordState,
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -191,6 +191,24 @@
 	return answer.StatusCode
 }
 
+// A body that takes all of the memory was refused on a small host if its own header was large: the
+// header counted as another request.
+func TestLargeHeaderLeavesTheMemoryToItsBody(t *testing.T) {
+	const size = 1 << 19
+	memory := intake.NewBudget(size)
+	address := startPlain(t, memory, ingress.Settings{}, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		hold := memory.NewBodyHold(request.Context())
+		defer hold.Release()
+		if memory.Used() == 0 || !hold.Grow(size) {
+			writer.WriteHeader(http.StatusInsufficientStorage)
+		}
+	}))
+	text := "GET /a HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("x:\r\n", 200) + "\r\n"
+	if got := exchange(t, address, text); got != http.StatusOK {
+		t.Errorf("body of the size of the memory, with a large header: got status %d, want it granted", got)
+	}
+}
+
 // A header that is not taken must be refused and not reset, and neither a body nor empty lines
 // before a request must count as a header.
 func TestHeadersAreRefusedAboveTheirLimitsOnly(t *testing.T) {
--- a/internal/ingress/unread_test.go
+++ b/internal/ingress/unread_test.go
@@ -16,10 +16,10 @@
 )
 
 // startPlain serves handler without hooks and returns its address.
-func startPlain(t *testing.T, settings ingress.Settings, handler http.Handler) string {
+func startPlain(t *testing.T, memory *intake.Budget, settings ingress.Settings, handler http.Handler) string {
 	t.Helper()
 	limits := ingress.Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeader: maxHeader}
-	settings.Limits, settings.MaxConnections, settings.Memory = func() ingress.Limits { return limits }, 200, intake.NewBudget(1<<19)
+	settings.Limits, settings.MaxConnections, settings.Memory = func() ingress.Limits { return limits }, 200, memory
 	server := ingress.New(settings, handler, metric.New(), logr.Discard())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -50,7 +50,7 @@
 	const sendBuffer, most = 40 << 10, 1 << 20
 	var accepted atomic.Int64
 	ended := make(chan struct{})
-	address := startPlain(t, ingress.Settings{SendBuffer: sendBuffer}, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	address := startPlain(t, intake.NewBudget(1<<19), ingress.Settings{SendBuffer: sendBuffer}, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		defer close(ended)
 		part := make([]byte, 8<<10)
 		for request.Context().Err() == nil && accepted.Load() <= most {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -18,7 +18,10 @@
 //	}
 package intake
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 const (
 	// FreeBytes is the memory of a request that doesn't count against the budget.
@@ -58,9 +61,27 @@
 	return &Hold{budget: budget}
 }
 
+// holdKey is the key of the hold of a connection's headers in a context.
+type holdKey struct{}
+
+// WithHeader returns a context for the requests of a connection whose headers are held by hold.
+func WithHeader(ctx context.Context, hold *Hold) context.Context {
+	return context.WithValue(ctx, holdKey{}, hold)
+}
+
+// NewBodyHold returns a hold without memory for the body of a request with a context from
+// WithHeader. The memory of its own header does not count as that of another request. The caller
+// has to call Release.
+func (budget *Budget) NewBodyHold(ctx context.Context) *Hold {
+	header, _ := ctx.Value(holdKey{}).(*Hold)
+	return &Hold{budget: budget, header: header}
+}
+
 // Hold is the memory of one request. It is not safe for concurrent use.
 type Hold struct {
 	budget *Budget
+	// header is the hold of the request's header, nil if it is not known.
+	header *Hold
 	// held is what counts against the budget.
 	held int64
 }
@@ -76,6 +97,9 @@
 	budget.lock.Lock()
 	defer budget.lock.Unlock()
 	others := budget.used - hold.held
+	if hold.header != nil {
+		others -= hold.header.held
+	}
 	most := (budget.size - others) / fairDivisor
 	if others == 0 {
 		most = budget.size * loneFactor
