--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -12,6 +12,7 @@
 
 	"mimosatide.example/mimosatide/internal/gateway"
 	"mimosatide.example/mimosatide/internal/ingress"
+	"mimosatide.example/mimosatide/internal/intake"
 	"mimosatide.example/mimosatide/internal/shutdown"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -49,11 +50,43 @@
 	// connectionDescriptorShare is the share of the process's descriptors for callers' connections.
 	// Each may need a second one, to a target.
 	connectionDescriptorShare = 0.4
+	// sendMemoryShare is the share of the process's memory for what the kernel holds of responses that
+	// callers have not read. The Go runtime's limit and the program's own pages leave a quarter on a host of 144 MB.
+	sendMemoryShare = 0.25
+	// leastSendBuffer bounds the send buffer of a connection from below, in bytes: one of 32 KiB carries the
+	// 200 Mbit/s of the fastest hosts over a round trip of 1 ms.
+	leastSendBuffer = 32 << 10
 	// mostConnections bounds the time in which a connection is chosen that makes room for a new
 	// one: 10 microseconds. Callers keep some hundred connections to a host.
 	mostConnections = 2000
 )
 
+// The limits of the ports for readiness checks and metrics, each.
+const (
+	// operatorConnections bounds the connections. The platform checks readiness once a second, and few
+	// operators read the metrics at a time.
+	operatorConnections = 16
+	// operatorMemory is the memory for headers beyond their free bytes: one of the largest size for
+	// each connection.
+	operatorMemory    = operatorConnections * 2 * operatorMaxHeader
+	operatorMaxHeader = 16 << 10
+	// operatorSendBuffer is the kernel's memory for an unread response, in bytes per connection.
+	operatorSendBuffer = 64 << 10
+)
+
+// operatorLimits are the limits of the callers of these ports.
+func operatorLimits() ingress.Limits {
+	return ingress.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeader: operatorMaxHeader}
+}
+
+// newOperatorServer returns the server of a port for operators and their tools.
+func (node *Node) newOperatorServer(port string, handler http.Handler) *ingress.Server {
+	return ingress.New(ingress.Settings{
+		Limits: operatorLimits, MaxConnections: operatorConnections, Memory: intake.NewBudget(operatorMemory),
+		SendBuffer: operatorSendBuffer, Port: port,
+	}, handler, node.meter, node.log)
+}
+
 // maxConnections returns the largest number of callers' connections.
 func maxConnections(limits platform.Limits) int {
 	descriptors := limits.Descriptors
@@ -71,6 +104,15 @@
 	return int(most)
 }
 
+// sendBuffer returns the memory of the kernel for the unread response of one connection, in bytes;
+// zero leaves it to the kernel.
+func sendBuffer(limits platform.Limits, connections int) int {
+	if limits.MemoryMB <= 0 {
+		return 0
+	}
+	return max(leastSendBuffer, int(float64(limits.MemoryMB)*(1<<20)*sendMemoryShare)/connections)
+}
+
 // callerLimits returns the limits of callers in force.
 func (node *Node) callerLimits() ingress.Limits {
 	limits := ingress.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeader: defaultMaxHeader}
@@ -128,8 +170,10 @@
 		Draining:      node.refuseWaiting,
 		EndsBy:        node.stop.EndsBy,
 	}, node.log)
+	connections := maxConnections(node.settings.Limits)
 	callers := ingress.New(ingress.Settings{
-		Limits: node.callerLimits, MaxConnections: maxConnections(node.settings.Limits), Memory: node.intake,
+		Limits: node.callerLimits, MaxConnections: connections, Memory: node.intake,
+		SendBuffer: sendBuffer(node.settings.Limits, connections),
 	}, handler, node.meter, node.log)
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
@@ -147,8 +191,8 @@
 		server  connectionServer
 	}{
 		{node.settings.Listen.Callers, callerUserTimeout, callers},
-		{node.settings.Listen.Readiness, userTimeout, &http.Server{Handler: ready, ReadHeaderTimeout: defaultHeaderTimeout}},
-		{node.metricsAddress, userTimeout, &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeaderTimeout}},
+		{node.settings.Listen.Readiness, userTimeout, node.newOperatorServer("readiness", ready)},
+		{node.metricsAddress, userTimeout, node.newOperatorServer("metrics", metrics)},
 	}
 	for _, endpoint := range servers {
 		config := newListenConfig(endpoint.timeout)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -33,6 +33,11 @@
 	MaxConnections int
 	// Memory is the memory for the callers' requests.
 	Memory *intake.Budget
+	// SendBuffer is the kernel's memory for what a caller has not read, in bytes per connection;
+	// zero leaves it to the kernel.
+	SendBuffer int
+	// Port names the port in logs and metrics if it is not that of callers.
+	Port string
 }
 
 // connectionKey is the key of a request's connection in its context.
@@ -70,6 +75,9 @@
 		Handler:        http.HandlerFunc(server.handle),
 		MaxHeaderBytes: unlimitedHeader,
 		ConnContext: func(ctx context.Context, accepted net.Conn) context.Context {
+			if opened, ok := accepted.(*connection); ok {
+				ctx = intake.WithHeader(ctx, opened.hold)
+			}
 			return context.WithValue(ctx, connectionKey{}, accepted)
 		},
 		ConnState: server.recordState,
@@ -189,6 +197,10 @@
 		server.count(CauseFull, address)
 		return nil
 	}
+	if buffered, ok := accepted.(interface{ SetWriteBuffer(bytes int) error }); ok && server.settings.SendBuffer > 0 {
+		// The kernel reserves twice the value. An error means that the connection is closed.
+		_ = buffered.SetWriteBuffer(server.settings.SendBuffer / 2)
+	}
 	server.lock.Lock()
 	defer server.lock.Unlock()
 	added := &connection{
