Count the gaps between events in the choice of an engine

Cause: the choice counted the time to the first byte only.

Change: the cost of an engine contains the expected gap beyond 0.4 of the service's gap objective, in proportion to the share of late streams that docs/MEASUREMENTS.md shows, for the request itself and, if its prompt is long, for each stream that it slows. At most half of the cost of failures; zero without an objective. explain-route prints it.

Result: TestChoiceCountsTheGapsThatARequestSeesAndCauses fails in three of its cases without the term (a draft beside 20 streams, a question beside three long prompts, a question beside 60 streams) and passes with it.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -35,6 +35,9 @@
 	Engine bool
 	// Tried are the ids of the targets that the request was already sent to.
 	Tried map[string]bool
+	// GapObjective is the longest gap between two events that the streams of an engine's service
+	// may have; zero if there is no such objective.
+	GapObjective time.Duration
 	// Limited reports whether a target limits its requests; nil if none does.
 	Limited func(mimosatide.Instance) bool
 }
@@ -120,13 +123,15 @@
 	Work time.Duration
 	// Adapter is the time until a missing adapter is usable.
 	Adapter time.Duration
+	// Gap is the cost of the gaps between events that the request sees and causes; see gapCost.
+	Gap time.Duration
 	// Factor is that of the target's pace.
 	Factor float64
 }
 
 // Total returns the sum of the parts.
 func (cost Cost) Total() time.Duration {
-	return cost.Failures + cost.Zone + cost.Limited + cost.Work + cost.Adapter
+	return cost.Failures + cost.Zone + cost.Limited + cost.Work + cost.Adapter + cost.Gap
 }
 
 // cost returns the cost of a candidate, by the loads of the peers that Choose has left.
@@ -150,15 +155,16 @@
 		cost.Work = atPace(time.Duration(load.Running)*slotCost/time.Duration(max(candidate.Slots, 1)), cost.Factor)
 		return cost
 	}
-	work := load.Prefill + time.Duration(load.Running)*runningCost + query.expectedPrefill(state)
+	prefill := query.expectedPrefill(state)
 	if preferred {
 		// The other nodes prefer this target too, so it probably has the prefix cached.
 		if _, cached := state.prefixes[query.prefixKey()]; !cached {
-			work -= query.sharedPrefillTime()
+			prefill -= query.sharedPrefillTime()
 		}
 		cost.Zone -= zoneCost
 	}
-	cost.Work = atPace(work, cost.Factor)
+	cost.Work = atPace(load.Prefill+time.Duration(load.Running)*runningCost+prefill, cost.Factor)
+	cost.Gap = gapCost(load, prefill, query.GapObjective, cost.Factor)
 	if query.Request.Adapter != "" && !candidate.HoldsAdapter(query.Request.Model, query.Request.Adapter) {
 		cost.Adapter = adapterCost
 	}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -31,13 +31,14 @@
 	Excluded Exclusion
 	// BlockedFor is the time until the target takes requests of this node again.
 	BlockedFor float64
-	// Cost is the expected time to the first byte, the sum of the five parts below.
+	// Cost is the expected time to the first byte, the sum of the six parts below.
 	Cost     float64
 	Failures float64
 	ZoneCost float64
 	Limited  float64
 	Work     float64
 	Adapter  float64
+	Gap      float64
 	// Factor is how many times the usual time the target takes.
 	Factor float64
 	// Running and Prefill are the requests of all nodes that are in flight there and the time
@@ -81,6 +82,7 @@
 		return explanation
 	}
 	handler := &requestHandler{gateway: gateway, request: request, route: route, service: deployment.Services[pickService(route, request.ID)]}
+	handler.gapObjective = deployment.ShortestEventGap(handler.service.Name)
 	explanation.Route, explanation.Service = route.Name, handler.service.Name
 	explanation.Targets = handler.explainTargets(now)
 	first := func(target TargetExplanation) bool { return target.Excluded == NotExcluded }
@@ -117,7 +119,7 @@
 		target := TargetExplanation{
 			Target: instance.ID, Zone: instance.Zone, Excluded: handler.exclusion(instance, open[instance.ID], estimate),
 			Cost: millis(estimate.Cost.Total()), Failures: millis(estimate.Cost.Failures), ZoneCost: millis(estimate.Cost.Zone),
-			Limited: millis(estimate.Cost.Limited), Work: millis(estimate.Cost.Work), Adapter: millis(estimate.Cost.Adapter),
+			Limited: millis(estimate.Cost.Limited), Work: millis(estimate.Cost.Work), Adapter: millis(estimate.Cost.Adapter), Gap: millis(estimate.Cost.Gap),
 			Factor: estimate.Cost.Factor, Running: estimate.Load.Running, Prefill: millis(estimate.Load.Prefill),
 		}
 		if !estimate.BlockedUntil.IsZero() {
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -222,6 +222,7 @@
 func (handler *requestHandler) query() balance.Query {
 	return balance.Query{
 		Request: handler.request, Engine: handler.service.Engine != nil, Tried: handler.tried, Limited: handler.limited,
+		GapObjective: handler.gapObjective,
 	}
 }
 
