--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +25,8 @@
 	runningCost = time.Millisecond
 	// prefillTokensPerSecond is the number of prompt tokens that an engine reads per second.
 	prefillTokensPerSecond = 40_000
+	// keyBytes is the space for the key of a prefix and the id of a target; longer ones are allocated.
+	keyBytes = 256
 )
 
 // Query describes a request for which a target is chosen.
@@ -42,23 +43,36 @@
 	Limited func(mimosatide.Instance) bool
 }
 
-// prefixKey identifies the shared prompt prefix in a target's cache; empty if the
+// appendPrefixKey appends the name of the shared prompt prefix in a target's cache; nothing if the
 // prompt shares nothing with other requests.
-func (query Query) prefixKey() string {
+func (query *Query) appendPrefixKey(to []byte) []byte {
 	shared := query.Request.SharedPrefixID()
 	if shared == "" {
-		return ""
+		return to
 	}
-	return query.Request.Model + "/" + query.Request.Adapter + "#" + shared
+	to = append(append(to, query.Request.Model...), '/')
+	to = append(append(to, query.Request.Adapter...), '#')
+	return append(to, shared...)
 }
 
-// affinityKey selects the preferred target without communication between nodes:
-// requests with the same key prefer the same target.
-func (query Query) affinityKey() string {
+// prefixKey identifies the shared prompt prefix in a target's cache; zero if the prompt shares nothing
+// with other requests.
+func (query *Query) prefixKey() uint64 {
+	var space [keyBytes]byte
+	name := query.appendPrefixKey(space[:0])
+	if len(name) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(name)
+}
+
+// appendAffinityKey appends the key that selects the preferred target without communication between
+// nodes: requests with the same key prefer the same target.
+func (query *Query) appendAffinityKey(to []byte) []byte {
 	if query.Request.Adapter != "" {
-		return query.Request.Model + "/" + query.Request.Adapter
+		return append(append(append(to, query.Request.Model...), '/'), query.Request.Adapter...)
 	}
-	return query.prefixKey()
+	return query.appendPrefixKey(to)
 }
 
 // PrefillTime returns the time that an engine takes to read the whole prompt when
@@ -74,14 +88,41 @@
 // expectedPrefill is the time that a target takes to read the prompt, less the
 // prefix that it probably has in its cache.
 func (query Query) expectedPrefill(state *targetState) time.Duration {
+	work := query.work()
+	return work.expectedPrefill(state)
+}
+
+// work is what the costs of all candidates of a request depend on. It is calculated once for a choice.
+type work struct {
+	query     *Query
+	prefixKey uint64
+	// prefill is the time to read the whole prompt, shared the part of it for the shared prefix;
+	// zero for plain services.
+	prefill time.Duration
+	shared  time.Duration
+}
+
+func (query *Query) work() work {
 	if !query.Engine {
-		return 0
+		return work{query: query}
+	}
+	return work{query: query, prefixKey: query.prefixKey(), prefill: query.PrefillTime(), shared: query.sharedPrefillTime()}
+}
+
+func (work *work) expectedPrefill(state *targetState) time.Duration {
+	if work.caches(state) {
+		return work.prefill - work.shared
 	}
-	full := query.PrefillTime()
-	if _, cached := state.prefixes[query.prefixKey()]; cached {
-		return full - query.sharedPrefillTime()
+	return work.prefill
+}
+
+// caches reports whether the target probably has the request's prompt prefix in its cache.
+func (work *work) caches(state *targetState) bool {
+	if work.prefixKey == 0 {
+		return false
 	}
-	return full
+	_, cached := state.prefixes[work.prefixKey]
+	return cached
 }
 
 // Choose returns the candidate with the lowest cost, and that cost. Targets in
@@ -92,17 +133,20 @@
 ) (mimosatide.Instance, time.Duration, bool) {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
-	preferred := rendezvousTarget(query.affinityKey(), candidates)
-	untried := slices.ContainsFunc(candidates, func(candidate mimosatide.Instance) bool { return !query.Tried[candidate.ID] })
+	preferred := rendezvousTarget(&query, candidates)
 	tracker.expirePeers(now)
-	best, least := -1, time.Duration(0)
-	for index, candidate := range candidates {
-		if untried && query.Tried[candidate.ID] {
+	paces := tracker.pace.Read(now)
+	defer paces.Close()
+	work := query.work()
+	best, least, bestTried := -1, time.Duration(0), false
+	for index := range candidates {
+		tried := len(query.Tried) > 0 && query.Tried[candidates[index].ID]
+		if tried && best >= 0 && !bestTried {
 			continue
 		}
-		cost := tracker.cost(query, candidate, candidate.ID == preferred, now).Total()
-		if best < 0 || cost < least {
-			best, least = index, cost
+		cost := tracker.cost(&work, &candidates[index], index == preferred, paces, now).Total()
+		if best < 0 || cost < least || bestTried && !tried {
+			best, least, bestTried = index, cost, tried
 		}
 	}
 	if best < 0 {
@@ -135,12 +179,12 @@
 }
 
 // cost returns the cost of a candidate, by the loads of the peers that Choose has left.
-func (tracker *Tracker) cost(query Query, candidate mimosatide.Instance, preferred bool, now time.Time) Cost {
-	state := tracker.state(candidate.ID)
-	load := state.load.plus(tracker.peerSums[candidate.ID])
+func (tracker *Tracker) cost(work *work, candidate *mimosatide.Instance, preferred bool, paces pace.Reader, now time.Time) Cost {
+	query, state := work.query, tracker.state(candidate.ID)
+	load := state.load.plus(state.peers)
 	cost := Cost{
 		Failures: time.Duration(state.failureRateAt(now) * float64(failureCost)),
-		Factor:   tracker.pace.Factor(paceTarget(candidate), now),
+		Factor:   paces.Factor(candidate.ID, candidate.Born),
 	}
 	if now.Before(state.backoffUntil) {
 		cost.Failures += failureCost + state.backoffUntil.Sub(now)
@@ -148,19 +192,17 @@
 	if candidate.Zone != tracker.zone {
 		cost.Zone = zoneCost
 	}
-	if query.Limited != nil && query.Limited(candidate) {
+	if query.Limited != nil && query.Limited(*candidate) {
 		cost.Limited = limitedCost
 	}
 	if !query.Engine {
 		cost.Work = atPace(time.Duration(load.Running)*slotCost/time.Duration(max(candidate.Slots, 1)), cost.Factor)
 		return cost
 	}
-	prefill := query.expectedPrefill(state)
+	prefill := work.expectedPrefill(state)
 	if preferred {
 		// The other nodes prefer this target too, so it probably has the prefix cached.
-		if _, cached := state.prefixes[query.prefixKey()]; !cached {
-			prefill -= query.sharedPrefillTime()
-		}
+		prefill = work.prefill - work.shared
 		cost.Zone -= zoneCost
 	}
 	cost.Work = atPace(load.Prefill+time.Duration(load.Running)*runningCost+prefill, cost.Factor)
@@ -181,17 +223,20 @@
 	return work + time.Duration((factor-1)*float64(max(work, pace.Floor)))
 }
 
-// rendezvousTarget returns the id of the candidate that rendezvous hashing selects
-// for a key; empty if the key is empty.
-func rendezvousTarget(key string, candidates []mimosatide.Instance) string {
-	if key == "" {
-		return ""
+// rendezvousTarget returns the index of the candidate that rendezvous hashing selects
+// for the request; -1 if it prefers none.
+func rendezvousTarget(query *Query, candidates []mimosatide.Instance) int {
+	var space [keyBytes]byte
+	key := query.appendAffinityKey(space[:0])
+	if len(key) == 0 {
+		return -1
 	}
-	best, highest := "", uint64(0)
-	for _, candidate := range candidates {
-		weight := xxhash.Sum64String(key + "@" + candidate.ID)
-		if best == "" || weight > highest {
-			best, highest = candidate.ID, weight
+	key = append(key, '@')
+	best, highest := -1, uint64(0)
+	for index := range candidates {
+		weight := xxhash.Sum64(append(key, candidates[index].ID...))
+		if best < 0 || weight > highest {
+			best, highest = index, weight
 		}
 	}
 	return best
--- a/internal/balance/explain.go
+++ b/internal/balance/explain.go
@@ -21,15 +21,18 @@
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	tracker.expirePeers(now)
-	preferred := rendezvousTarget(query.affinityKey(), candidates)
+	preferred := rendezvousTarget(&query, candidates)
 	estimates := make([]Estimate, 0, len(candidates))
-	for _, candidate := range candidates {
+	paces := tracker.pace.Read(now)
+	defer paces.Close()
+	work := query.work()
+	for index, candidate := range candidates {
 		blocked := pausedUntil(tracker.pauses, candidate, now)
 		if exhausted := pausedUntil(tracker.exhausted, candidate, now); exhausted.After(blocked) {
 			blocked = exhausted
 		}
 		estimates = append(estimates, Estimate{
-			Cost:         tracker.cost(query, candidate, candidate.ID == preferred, now),
+			Cost:         tracker.cost(&work, &candidates[index], index == preferred, paces, now),
 			Load:         tracker.total(candidate.ID, now),
 			BlockedUntil: blocked,
 		})
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -83,19 +83,22 @@
 	})
 }
 
-// targetState is what this node knows of one target from its own requests.
+// targetState is what this node knows of one target from its own requests and its peers.
 type targetState struct {
 	load Load
+	// peers holds the loads of all peers together, so that a choice among hundreds of targets doesn't
+	// add up those of hundreds of peers.
+	peers Load
 	// failures counts the consecutive failures.
 	failures     int
 	backoffUntil time.Time
 	// failureRate is the moving average as of failureRateTime.
 	failureRate     float64
 	failureRateTime time.Time
-	// prefixes holds the prompt prefixes that were sent to the target with the time of
-	// the last send, prefixOrder lists them by the time of the first send.
-	prefixes    map[string]time.Time
-	prefixOrder []string
+	// prefixes holds the keys of the prompt prefixes that were sent to the target, prefixOrder
+	// lists them by the time of the first send.
+	prefixes    map[uint64]struct{}
+	prefixOrder []uint64
 }
 
 // peerLoad is the load reported by another node.
@@ -112,11 +115,8 @@
 	lock    sync.Mutex
 	targets map[string]*targetState
 	peers   map[string]peerLoad
-	// peerSums holds the loads of all peers together by target, so that a choice among hundreds
-	// of targets doesn't add up those of hundreds of peers; expiry is when the first of them
-	// is to be left out.
-	peerSums map[string]Load
-	expiry   time.Time
+	// expiry is when the loads of the first of the peers are to be left out.
+	expiry time.Time
 	// pauses holds, by target, how long it wants no requests from this node.
 	pauses map[string]pause
 	// exhausted holds, by target, how long its limit allows this node no requests.
@@ -130,7 +130,7 @@
 // New returns a tracker for a node in the given zone, which learns and uses the pace of targets.
 func New(zone string, pace *pace.Tracker) *Tracker {
 	return &Tracker{
-		zone: zone, pace: pace, targets: map[string]*targetState{}, peers: map[string]peerLoad{}, peerSums: map[string]Load{},
+		zone: zone, pace: pace, targets: map[string]*targetState{}, peers: map[string]peerLoad{},
 		pauses: map[string]pause{}, exhausted: map[string]pause{},
 	}
 }
@@ -143,7 +143,8 @@
 	tracker.removePeer(node)
 	tracker.peers[node] = peerLoad{until: until, loads: loads}
 	for id, load := range loads {
-		tracker.peerSums[id] = tracker.peerSums[id].plus(load)
+		state := tracker.state(id)
+		state.peers = state.peers.plus(load)
 	}
 	if tracker.expiry.IsZero() || until.Before(tracker.expiry) {
 		tracker.expiry = until
@@ -153,11 +154,8 @@
 // removePeer leaves a peer's loads out of the sums.
 func (tracker *Tracker) removePeer(node string) {
 	for id, load := range tracker.peers[node].loads {
-		if left := tracker.peerSums[id].minus(load); left != (Load{}) {
-			tracker.peerSums[id] = left
-		} else {
-			delete(tracker.peerSums, id)
-		}
+		state := tracker.state(id)
+		state.peers = state.peers.minus(load)
 	}
 	delete(tracker.peers, node)
 }
@@ -192,12 +190,12 @@
 }
 
 // Prune removes the targets for which known returns false, unless requests are
-// running or deferred there.
+// running or deferred there, as far as this node has heard.
 func (tracker *Tracker) Prune(known func(id string) bool) {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	for id, state := range tracker.targets {
-		if !known(id) && state.load.Running == 0 && state.load.Deferred == 0 {
+		if !known(id) && state.load.Running == 0 && state.load.Deferred == 0 && state.peers == (Load{}) {
 			delete(tracker.targets, id)
 		}
 	}
@@ -211,18 +209,18 @@
 }
 
 func (tracker *Tracker) total(id string, now time.Time) Load {
-	var sum Load
-	if state, found := tracker.targets[id]; found {
-		sum = state.load
-	}
 	tracker.expirePeers(now)
-	return sum.plus(tracker.peerSums[id])
+	state, found := tracker.targets[id]
+	if !found {
+		return Load{}
+	}
+	return state.load.plus(state.peers)
 }
 
 func (tracker *Tracker) state(id string) *targetState {
 	state, found := tracker.targets[id]
 	if !found {
-		state = &targetState{prefixes: map[string]time.Time{}}
+		state = &targetState{}
 		tracker.targets[id] = state
 	}
 	return state
@@ -238,11 +236,14 @@
 
 // addPrefix records a prompt prefix as cached at the target and evicts the oldest
 // one above maxPrefixes.
-func (state *targetState) addPrefix(key string, now time.Time) {
+func (state *targetState) addPrefix(key uint64) {
+	if state.prefixes == nil {
+		state.prefixes = map[uint64]struct{}{}
+	}
 	if _, found := state.prefixes[key]; !found {
 		state.prefixOrder = append(state.prefixOrder, key)
+		state.prefixes[key] = struct{}{}
 	}
-	state.prefixes[key] = now
 	if len(state.prefixOrder) > maxPrefixes {
 		delete(state.prefixes, state.prefixOrder[0])
 		state.prefixOrder = state.prefixOrder[1:]
@@ -262,7 +263,7 @@
 
 // Begin counts a request that is about to be sent to a target. The caller has to
 // call End on the result.
-func (tracker *Tracker) Begin(id string, query Query, now time.Time) *InFlight {
+func (tracker *Tracker) Begin(id string, query Query, _ time.Time) *InFlight {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	state := tracker.state(id)
@@ -270,8 +271,8 @@
 	state.load.Running++
 	state.load.Prefill += inFlight.prefill
 	state.load.LongPrefills += inFlight.longPrefills()
-	if key := query.prefixKey(); key != "" {
-		state.addPrefix(key, now)
+	if key := query.prefixKey(); key != 0 {
+		state.addPrefix(key)
 	}
 	return inFlight
 }
--- a/internal/pace/report.go
+++ b/internal/pace/report.go
@@ -111,7 +111,7 @@
 		} else {
 			state.peers += peerGain * (deviation - state.peers)
 		}
-		state.peersAt, state.factorAt = now, time.Time{}
+		state.peersAt, state.factorAt = now, 0
 	}
 }
 
@@ -138,7 +138,7 @@
 	defer tracker.lock.Unlock()
 	summary := Summary{Largest: 1}
 	for id, state := range tracker.targets {
-		factor := state.factor(now)
+		factor := state.factor(now, now.UnixNano())
 		summary.Largest = max(summary.Largest, factor)
 		if factor > normalFactor {
 			summary.Slow++
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -88,9 +88,10 @@
 	deviation    float64
 	observations float64
 	at           time.Time
-	// lastFactor is the factor as of factorAt; the zero time if it has to be calculated.
+	// lastFactor is the factor as of factorAt, in Unix nanoseconds because choices compare those of
+	// many targets; zero if it has to be calculated.
 	lastFactor float64
-	factorAt   time.Time
+	factorAt   int64
 	// reported and reportedAt belong to the last report to the peers.
 	reported   float64
 	reportedAt time.Time
@@ -169,13 +170,36 @@
 // Factor returns how many times the time usual at its service a target takes; 1 if that is
 // not known or about usual. It is between MinFactor and MaxFactor.
 func (tracker *Tracker) Factor(target Target, now time.Time) float64 {
+	reader := tracker.Read(now)
+	defer reader.Close()
+	return reader.Factor(target.ID, target.Born)
+}
+
+// Reader returns the factors of many targets at one time. The tracker is locked until Close.
+type Reader struct {
+	tracker *Tracker
+	now     time.Time
+	nanos   int64
+}
+
+// Read returns a reader of the factors as of now.
+func (tracker *Tracker) Read(now time.Time) Reader {
 	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	state, found := tracker.targets[target.ID]
-	if !found || !state.born.Equal(target.Born) {
+	return Reader{tracker: tracker, now: now, nanos: now.UnixNano()}
+}
+
+// Factor is Tracker.Factor for the incarnation of a target.
+func (reader Reader) Factor(id string, born time.Time) float64 {
+	state, found := reader.tracker.targets[id]
+	if !found || !state.born.Equal(born) {
 		return 1
 	}
-	return state.factor(now)
+	return state.factor(reader.now, reader.nanos)
+}
+
+// Close ends the reading.
+func (reader Reader) Close() {
+	reader.tracker.lock.Unlock()
 }
 
 // Prune removes the targets for which known returns false.
@@ -226,7 +250,7 @@
 	step := min(max(observed-state.deviation, -maxStep), maxStep)
 	state.deviation = min(max(state.deviation+gain*step, minDeviation), maxDeviation)
 	state.observations++
-	state.factorAt = time.Time{}
+	state.factorAt = 0
 }
 
 // remaining returns the share of the last deviation that has not decayed.
@@ -247,10 +271,10 @@
 }
 
 // factor returns the factor by the observations of this node and of its peers. A choice asks for
-// those of many targets, so that each is calculated once in factorLifetime.
-func (state *targetState) factor(now time.Time) float64 {
-	if age := now.Sub(state.factorAt); age < 0 || age >= factorLifetime {
-		state.lastFactor, state.factorAt = state.calculate(now), now
+// those of many targets, so that each is calculated once in factorLifetime. nanos is now in Unix nanoseconds.
+func (state *targetState) factor(now time.Time, nanos int64) float64 {
+	if age := nanos - state.factorAt; age < 0 || age >= int64(factorLifetime) {
+		state.lastFactor, state.factorAt = state.calculate(now), nanos
 	}
 	return state.lastFactor
 }
