Move requests that hang at a stalled target

Cause: a request without a first event stayed at a stalled target until its caller left; the pace kept only further requests away from it.

Change: each send of a repeatable request is watched until its first event. After four times the usual time and half of the objective it is given up if it is served sooner at another target and before its caller leaves. The retry is taken from the retry budget, the first run counts as an attempt, and its connection is closed before the second run. Orders, streams of which an event has come and streams that go on are never moved.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -52,6 +52,9 @@
 	Failed
 	// Busy means that the target rejected the request without running it.
 	Busy
+	// Stalled means that the request hung at the target and was moved to another one. The target is
+	// left for minBackoff; how slow it is has been counted by its pace.
+	Stalled
 	// Withdrawn means that the request ended on the caller's side, which says nothing
 	// about the target.
 	Withdrawn
@@ -317,6 +320,10 @@
 	if outcome == Withdrawn {
 		return
 	}
+	if outcome == Stalled {
+		state.backoffUntil = now.Add(minBackoff)
+		return
+	}
 	failed := 0.0
 	switch outcome {
 	case Served:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -38,12 +38,17 @@
 		handler.inFlight.End(balance.Failed, time.Now())
 		return sendOutcome{failure: mimosatide.CallCut, detail: "the stream could not be resumed", reason: metric.RetryResume}
 	}
-	if handler.route.Kind == mimosatide.StreamRoute && outcome.head.Status == http.StatusOK {
+	if handler.streams(outcome) {
 		return handler.relayStream(ctx, outcome)
 	}
 	return handler.relayBuffered(ctx, outcome)
 }
 
+// streams reports whether an answer is a stream of events.
+func (handler *requestHandler) streams(outcome sendOutcome) bool {
+	return handler.route.Kind == mimosatide.StreamRoute && outcome.head.Status == http.StatusOK
+}
+
 // continuesStream reports whether an answer goes on with the stream that the caller has
 // begun to receive. Any other answer belongs to no place in it.
 func (handler *requestHandler) continuesStream(head platform.AnswerHead) bool {
@@ -126,6 +131,10 @@
 	for {
 		handler.buffer.Reset()
 		event, id, err := readEvent(reader, handler.buffer)
+		if !handler.headSent && handler.endWatch() && ctx.Err() == nil {
+			outcome.reply.Abort()
+			return handler.failMoved(mimosatide.CallCut)
+		}
 		if err == io.EOF {
 			break
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,6 +70,8 @@
 	// instance and inFlight belong to the current send.
 	instance mimosatide.Instance
 	inFlight *balance.InFlight
+	// watch gives up the current send if its target stalls; nil if the request may not be moved.
+	watch *stallWatch
 	// releaseAdapter ends the use of the adapter at the current target.
 	releaseAdapter func()
 	// answerBegan is when the current target began to send its answer, after the head.
@@ -103,6 +105,8 @@
 	notRun bool
 	detail string
 	reason metric.RetryReason
+	// moved says that the send was given up for another target, and a retry was taken for it.
+	moved bool
 	// targetAnswer is the target's own error answer; the caller gets it if the
 	// request is not retried.
 	targetAnswer *bufferedAnswer
@@ -123,6 +127,7 @@
 func (handler *requestHandler) serve(ctx context.Context) {
 	gateway := handler.gateway
 	defer func() { handler.releaseAdapter() }()
+	defer func() { handler.releaseWatch() }()
 	handler.buffer = gateway.Answers.NewBuffer(maxBufferedBytes)
 	defer handler.buffer.Release()
 	gateway.RetryBudget.RecordRequest(handler.service.Name)
@@ -155,6 +160,7 @@
 		if !outcome.failed() {
 			return
 		}
+		handler.releaseWatch()
 		if !handler.mayRetry(ctx, outcome) {
 			handler.answerFailure(ctx, outcome)
 			return
@@ -212,7 +218,8 @@
 	if handler.tellsPace() {
 		handler.inFlight.MarkSent(instance, time.Now())
 	}
-	reply, failure, err := handler.gateway.Client.Send(ctx, exchange.Call{
+	watched := handler.watchStall(ctx)
+	reply, failure, err := handler.gateway.Client.Send(watched, exchange.Call{
 		Address:       instance.Address,
 		Method:        handler.request.Method,
 		Request:       handler.request.ID,
@@ -228,6 +235,9 @@
 		if failure != mimosatide.CallNotSent {
 			handler.possibleRuns++
 		}
+		if handler.endWatch() && ctx.Err() == nil {
+			return handler.failMoved(failure)
+		}
 		handler.countOversize(err, metric.OversizeHead)
 		handler.countBroken(err)
 		if failedDial(err) && ctx.Err() == nil {
@@ -240,11 +250,19 @@
 	}
 	if err := handler.skipLateAnswers(reply); err != nil {
 		reply.Abort()
-		handler.countBroken(err)
 		handler.possibleRuns++
+		if handler.endWatch() && ctx.Err() == nil {
+			return handler.failMoved(mimosatide.CallCut)
+		}
+		handler.countBroken(err)
 		return handler.failSend(ctx, mimosatide.CallCut, err.Error())
 	}
-	return handler.checkAnswer(reply)
+	outcome := handler.checkAnswer(reply)
+	if outcome.failed() || handler.streams(outcome) || !handler.endWatch() {
+		return outcome
+	}
+	outcome.reply.Abort()
+	return handler.failMoved(mimosatide.CallCut)
 }
 
 // tellsPace reports whether the time until the answer tells the target's pace: that of an engine's
@@ -339,7 +357,8 @@
 }
 
 // mayRetry reports whether the request may be sent again. Unless no byte of it reached
-// the target, the retry is taken from the service's retry budget.
+// the target, the retry is taken from the service's retry budget; that of a moved request has
+// been taken.
 func (handler *requestHandler) mayRetry(ctx context.Context, outcome sendOutcome) bool {
 	if ctx.Err() != nil || handler.sends >= maxSends || handler.quarantined() {
 		return false
@@ -347,7 +366,7 @@
 	if handler.continues && !handler.gateway.Origins.Continues(handler.service.Name, handler.software) {
 		return false
 	}
-	if outcome.failure == mimosatide.CallNotSent {
+	if outcome.moved || outcome.failure == mimosatide.CallNotSent {
 		return true
 	}
 	if handler.possibleRuns > 0 && (!handler.route.Repeatable() || handler.possibleRuns >= handler.route.Attempts) {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -56,6 +56,8 @@
 	RetryMismatch RetryReason = "Mismatched"
 	// RetryResume means that a stream was resumed over a new connection.
 	RetryResume RetryReason = "Resume"
+	// RetryStall means that the request hung at its target without a first event.
+	RetryStall RetryReason = "Stalled"
 )
 
 // AnswerKind is what became of a target's answer.
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -202,6 +202,18 @@
 	reader.tracker.lock.Unlock()
 }
 
+// Usual returns the time that a service's targets usually take if the given one was expected, raised by the
+// spread of the service's times; false if nothing is known of the service.
+func (tracker *Tracker) Usual(name string, expected time.Duration) (time.Duration, bool) {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	usual := tracker.services[name]
+	if usual == nil || !usual.known() {
+		return 0, false
+	}
+	return time.Duration(float64(max(expected, Floor)) * math.Exp2(usual.ratio+usual.excessSpread())), true
+}
+
 // Prune removes the targets for which known returns false.
 func (tracker *Tracker) Prune(known func(id string) bool) {
 	tracker.lock.Lock()
