Prefer targets with an idle connection among those of nearly equal cost

Change: a target without an idle connection of this node costs 2 ms more. The pool is asked for at most 32 targets of a choice, and only for those that would otherwise be the best.

Result: TestConnectedTargetIsPreferredAmongEqualOnes fails without the cost (first target taken) and passes with it; no request goes to a target with one more request in flight or in another zone for a connection's sake.

--- a/cmd/mimosatide/explain_route.go
+++ b/cmd/mimosatide/explain_route.go
@@ -79,11 +79,11 @@
 		return errors.Trace(err)
 	}
 	table := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "TARGET\tZONE\tEXCLUDED\tCOST MS\tWORK\tFAILURES\tZONE COST\tLIMITED\tADAPTER\tGAP\tFACTOR\tRUNNING\tPREFILL MS")
+	fmt.Fprintln(table, "TARGET\tZONE\tEXCLUDED\tCOST MS\tWORK\tFAILURES\tZONE COST\tLIMITED\tADAPTER\tGAP\tCONNECTION\tFACTOR\tRUNNING\tPREFILL MS")
 	for _, target := range explanation.Targets {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%d\t%.1f\n", target.Target, target.Zone, target.Excluded,
-			target.Cost, target.Work, target.Failures, target.ZoneCost, target.Limited, target.Adapter, target.Gap, target.Factor,
-			target.Running, target.Prefill)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%d\t%.1f\n", target.Target, target.Zone, target.Excluded,
+			target.Cost, target.Work, target.Failures, target.ZoneCost, target.Limited, target.Adapter, target.Gap, target.Connection,
+			target.Factor, target.Running, target.Prefill)
 	}
 	return errors.Trace(table.Flush())
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -23,6 +23,12 @@
 	limitedCost = 100 * time.Millisecond
 	// runningCost is the delay that each running request adds to a prefill.
 	runningCost = time.Millisecond
+	// connectionCost is added for a target without an idle connection. Opening one takes 1 ms; twice that
+	// outweighs one running request at an engine (runningCost), and no request in flight at a plain service.
+	connectionCost = 2 * time.Millisecond
+	// maxConnectionChecks bounds the targets that are asked for an idle connection in one choice; of as many
+	// targets of nearly equal cost one has a connection, if connections are reused at all.
+	maxConnectionChecks = 32
 	// prefillTokensPerSecond is the number of prompt tokens that an engine reads per second.
 	prefillTokensPerSecond = 40_000
 	// keyBytes is the space for the key of a prefix and the id of a target; longer ones are allocated.
@@ -41,6 +47,9 @@
 	GapObjective time.Duration
 	// Limited reports whether a target limits its requests; nil if none does.
 	Limited func(mimosatide.Instance) bool
+	// Connected reports whether the request could be sent to the target at an address without opening a
+	// connection; nil if that is not known.
+	Connected func(address string) bool
 }
 
 // appendPrefixKey appends the name of the shared prompt prefix in a target's cache; nothing if the
@@ -138,14 +147,24 @@
 	paces := tracker.pace.Read(now)
 	defer paces.Close()
 	work := query.work()
-	best, least, bestTried := -1, time.Duration(0), false
+	best, least, bestTried, checks := -1, time.Duration(0), false, 0
 	for index := range candidates {
 		tried := len(query.Tried) > 0 && query.Tried[candidates[index].ID]
 		if tried && best >= 0 && !bestTried {
 			continue
 		}
 		cost := tracker.cost(&work, &candidates[index], index == preferred, paces, now).Total()
-		if best < 0 || cost < least || bestTried && !tried {
+		better := best < 0 || bestTried && !tried
+		if !better && cost >= least {
+			continue
+		}
+		if query.Connected != nil {
+			if checks >= maxConnectionChecks || !query.Connected(candidates[index].Address) {
+				cost += connectionCost
+			}
+			checks++
+		}
+		if better || cost < least {
 			best, least, bestTried = index, cost, tried
 		}
 	}
@@ -169,16 +188,18 @@
 	Adapter time.Duration
 	// Gap is the cost of the gaps between events that the request sees and causes; see gapCost.
 	Gap time.Duration
+	// Connection is the time to open a connection, if there is no idle one.
+	Connection time.Duration
 	// Factor is that of the target's pace.
 	Factor float64
 }
 
 // Total returns the sum of the parts.
 func (cost Cost) Total() time.Duration {
-	return cost.Failures + cost.Zone + cost.Limited + cost.Work + cost.Adapter + cost.Gap
+	return cost.Failures + cost.Zone + cost.Limited + cost.Work + cost.Adapter + cost.Gap + cost.Connection
 }
 
-// cost returns the cost of a candidate, by the loads of the peers that Choose has left.
+// cost returns the cost of a candidate without that of a connection, by the loads of the peers that Choose has left.
 func (tracker *Tracker) cost(work *work, candidate *mimosatide.Instance, preferred bool, paces pace.Reader, now time.Time) Cost {
 	query, state := work.query, tracker.state(candidate.ID)
 	load := state.load.plus(state.peers)
--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -27,3 +27,29 @@
 		t.Errorf("without an untried target: got %q, want the tried one", chosen.ID)
 	}
 }
+
+// TestConnectedTargetIsPreferredAmongEqualOnes guards against a new connection for nearly every request, and against a
+// connection that draws requests to a loaded target or to one in another zone.
+func TestConnectedTargetIsPreferredAmongEqualOnes(t *testing.T) {
+	first := mimosatide.Instance{ID: "first", Address: "1", Zone: "a", Slots: 6}
+	second := mimosatide.Instance{ID: "second", Address: "2", Zone: "a", Slots: 6}
+	far := mimosatide.Instance{ID: "far", Address: "2", Zone: "b", Slots: 6}
+	for name, test := range map[string]struct {
+		other mimosatide.Instance
+		load  int
+		want  string
+	}{
+		"equal":        {other: second, want: "second"},
+		"more load":    {other: second, load: 1, want: "first"},
+		"another zone": {other: far, want: "first"},
+	} {
+		tracker := balance.New("a", pace.New(logr.Discard()))
+		query := balance.Query{Connected: func(address string) bool { return address == "2" }}
+		for range test.load {
+			tracker.Begin(test.other.ID, query, now)
+		}
+		if chosen, _, _ := tracker.Choose(query, []mimosatide.Instance{first, test.other}, now); chosen.ID != test.want {
+			t.Errorf("%s: got target %q, want %q", name, chosen.ID, test.want)
+		}
+	}
+}
--- a/internal/balance/explain.go
+++ b/internal/balance/explain.go
@@ -31,8 +31,12 @@
 		if exhausted := pausedUntil(tracker.exhausted, candidate, now); exhausted.After(blocked) {
 			blocked = exhausted
 		}
+		cost := tracker.cost(&work, &candidates[index], index == preferred, paces, now)
+		if query.Connected != nil && !query.Connected(candidate.Address) {
+			cost.Connection = connectionCost
+		}
 		estimates = append(estimates, Estimate{
-			Cost:         tracker.cost(&work, &candidates[index], index == preferred, paces, now),
+			Cost:         cost,
 			Load:         tracker.total(candidate.ID, now),
 			BlockedUntil: blocked,
 		})
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -241,11 +241,7 @@
 		if pooled == nil {
 			break
 		}
-		age := time.Since(pooled.idleSince)
-		if call.LimitReuse {
-			age *= 2
-		}
-		if age < pooled.idleTimeout && pooled.noPendingInput() {
+		if pooled.isFresh(call.LimitReuse) && pooled.noPendingInput() {
 			return pooled, nil
 		}
 		_ = pooled.Close()
@@ -261,6 +257,25 @@
 	return opened, nil
 }
 
+// isFresh reports whether the target keeps the idle connection open; with limitReuse, whether it has
+// been idle for less than half of that time.
+func (open *connection) isFresh(limitReuse bool) bool {
+	age := time.Since(open.idleSince)
+	if limitReuse {
+		age *= 2
+	}
+	return age < open.idleTimeout
+}
+
+// HasIdle reports whether a call to the address would probably get a pooled connection, under the restriction of
+// Call.LimitReuse.
+func (client *Client) HasIdle(address string, limitReuse bool) bool {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	list := client.idle[address]
+	return len(list) > 0 && list[len(list)-1].isFresh(limitReuse)
+}
+
 // popIdle takes the most recently used connection to an address from the pool that has not
 // carried the request, nil if there is none.
 func (client *Client) popIdle(address, request string) *connection {
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -105,6 +105,30 @@
 	}
 }
 
+// TestIdleConnectionIsKnown guards against choices of targets by connections that are in use or gone.
+func TestIdleConnectionIsKnown(t *testing.T) {
+	started := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+		writeAnswer(connection, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1000\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	client := exchange.New(&net.Dialer{})
+	expect := func(when string, want bool) {
+		t.Helper()
+		if got := client.HasIdle(started.address, true); got != want {
+			t.Errorf("%s: got an idle connection: %v, want %v", when, got, want)
+		}
+	}
+	expect("before the first call", false)
+	reply, failure, err := client.Send(context.Background(), call(started.address))
+	if failure != mimosatide.CallSucceeded {
+		t.Fatalf("got failure %q: %v", failure, err)
+	}
+	expect("during the call", false)
+	_, err = io.ReadAll(reply.Body())
+	reply.Close(err == nil)
+	expect("after the call", true)
+}
+
 // A late copy of the first answer would be taken for the answer to the second call.
 func TestConnectionDoesNotCarryARequestTwice(t *testing.T) {
 	started := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -31,7 +31,7 @@
 	Excluded Exclusion
 	// BlockedFor is the time until the target takes requests of this node again.
 	BlockedFor float64
-	// Cost is the expected time to the first byte, the sum of the six parts below.
+	// Cost is the expected time to the first byte, the sum of the seven parts below.
 	Cost     float64
 	Failures float64
 	ZoneCost float64
@@ -39,6 +39,8 @@
 	Work     float64
 	Adapter  float64
 	Gap      float64
+	// Connection is the time to open a connection, if this node has no idle one.
+	Connection float64
 	// Factor is how many times the usual time the target takes.
 	Factor float64
 	// Running and Prefill are the requests of all nodes that are in flight there and the time
@@ -120,7 +122,8 @@
 			Target: instance.ID, Zone: instance.Zone, Excluded: handler.exclusion(instance, open[instance.ID], estimate),
 			Cost: millis(estimate.Cost.Total()), Failures: millis(estimate.Cost.Failures), ZoneCost: millis(estimate.Cost.Zone),
 			Limited: millis(estimate.Cost.Limited), Work: millis(estimate.Cost.Work), Adapter: millis(estimate.Cost.Adapter), Gap: millis(estimate.Cost.Gap),
-			Factor: estimate.Cost.Factor, Running: estimate.Load.Running, Prefill: millis(estimate.Load.Prefill),
+			Connection: millis(estimate.Cost.Connection),
+			Factor:     estimate.Cost.Factor, Running: estimate.Load.Running, Prefill: millis(estimate.Load.Prefill),
 		}
 		if !estimate.BlockedUntil.IsZero() {
 			target.BlockedFor = millis(estimate.BlockedUntil.Sub(now))
--- a/internal/gateway/find.go
+++ b/internal/gateway/find.go
@@ -222,7 +222,7 @@
 func (handler *requestHandler) query() balance.Query {
 	return balance.Query{
 		Request: handler.request, Engine: handler.service.Engine != nil, Tried: handler.tried, Limited: handler.limited,
-		GapObjective: handler.gapObjective,
+		GapObjective: handler.gapObjective, Connected: handler.connected,
 	}
 }
 
@@ -232,6 +232,11 @@
 	return limited
 }
 
+// connected reports whether the request can be sent to an address over an idle connection.
+func (handler *requestHandler) connected(address string) bool {
+	return handler.gateway.Client.HasIdle(address, !handler.route.Repeatable())
+}
+
 // waitRefusal returns the refusal of a request for which wait returned false.
 func (handler *requestHandler) waitRefusal(ctx context.Context) mimosatide.Refusal {
 	if ctx.Err() == context.Canceled {
