Look up the pace of a target once for many choices

Cause: a choice among 160 targets looked each of them up by name in the tracker of loads and in that of paces.

Change: the state of a target in internal/balance keeps a handle to its pace, which holds while the pace tracker knows the same targets.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -205,7 +205,7 @@
 	load := state.load.plus(state.peers)
 	cost := Cost{
 		Failures: time.Duration(state.failureRateAt(now) * float64(failureCost)),
-		Factor:   paces.Factor(candidate.ID, candidate.Born),
+		Factor:   paces.Factor(&state.pace, candidate.ID, candidate.Born),
 	}
 	if now.Before(state.backoffUntil) {
 		cost.Failures += failureCost + state.backoffUntil.Sub(now)
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -92,6 +92,8 @@
 	// peers holds the loads of all peers together, so that a choice among hundreds of targets doesn't
 	// add up those of hundreds of peers.
 	peers Load
+	// pace is where the pace of the target is known.
+	pace pace.Handle
 	// failures counts the consecutive failures.
 	failures     int
 	backoffUntil time.Time
--- a/internal/pace/report.go
+++ b/internal/pace/report.go
@@ -104,7 +104,7 @@
 			continue
 		default:
 			state = &targetState{born: report.Born, at: now}
-			tracker.targets[report.Target] = state
+			tracker.setState(report.Target, state)
 		}
 		if now.Sub(state.peersAt) > reportLifetime {
 			state.peers = deviation
@@ -155,7 +155,7 @@
 		}
 		idle := now.Sub(state.at) > reportLifetime && now.Sub(state.peersAt) > reportLifetime
 		if idle && !state.slow && now.Sub(state.loggedAt) >= logInterval && math.Abs(state.deviationAt(now)) < forgottenDeviation {
-			delete(tracker.targets, id)
+			tracker.setState(id, nil)
 		}
 	}
 	for name, known := range tracker.services {
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -109,6 +109,8 @@
 	lock     sync.Mutex
 	targets  map[string]*targetState
 	services map[string]*service
+	// generation counts the changes of which states belong to the targets.
+	generation uint64
 	// allowance is the number of reports that might be sent at heardAt.
 	allowance float64
 	heardAt   time.Time
@@ -116,7 +118,7 @@
 
 // New returns a tracker that knows nothing yet.
 func New(log logr.Logger) *Tracker {
-	return &Tracker{log: log, targets: map[string]*targetState{}, services: map[string]*service{}}
+	return &Tracker{log: log, targets: map[string]*targetState{}, services: map[string]*service{}, generation: 1}
 }
 
 // Observe records the time from the send of a request to its first event, or to its complete
@@ -172,7 +174,14 @@
 func (tracker *Tracker) Factor(target Target, now time.Time) float64 {
 	reader := tracker.Read(now)
 	defer reader.Close()
-	return reader.Factor(target.ID, target.Born)
+	return reader.Factor(&Handle{}, target.ID, target.Born)
+}
+
+// Handle remembers what is known of a target, so that a choice among many targets looks none of them up while
+// the known targets stay the same. The zero value remembers nothing.
+type Handle struct {
+	generation uint64
+	state      *targetState
 }
 
 // Reader returns the factors of many targets at one time. The tracker is locked until Close.
@@ -188,13 +197,15 @@
 	return Reader{tracker: tracker, now: now, nanos: now.UnixNano()}
 }
 
-// Factor is Tracker.Factor for the incarnation of a target.
-func (reader Reader) Factor(id string, born time.Time) float64 {
-	state, found := reader.tracker.targets[id]
-	if !found || !state.born.Equal(born) {
+// Factor is Tracker.Factor for the incarnation of a target. The handle belongs to that target and this tracker.
+func (reader Reader) Factor(handle *Handle, id string, born time.Time) float64 {
+	if handle.generation != reader.tracker.generation {
+		handle.state, handle.generation = reader.tracker.targets[id], reader.tracker.generation
+	}
+	if handle.state == nil || !handle.state.born.Equal(born) {
 		return 1
 	}
-	return state.factor(reader.now, reader.nanos)
+	return handle.state.factor(reader.now, reader.nanos)
 }
 
 // Close ends the reading.
@@ -220,7 +231,7 @@
 	defer tracker.lock.Unlock()
 	for id := range tracker.targets {
 		if !known(id) {
-			delete(tracker.targets, id)
+			tracker.setState(id, nil)
 		}
 	}
 }
@@ -248,10 +259,20 @@
 	if found {
 		fresh.slow, fresh.loggedAt = state.slow, state.loggedAt
 	}
-	tracker.targets[target.ID] = fresh
+	tracker.setState(target.ID, fresh)
 	return fresh
 }
 
+// setState replaces the state of a target; nil forgets the target.
+func (tracker *Tracker) setState(id string, state *targetState) {
+	tracker.generation++
+	if state == nil {
+		delete(tracker.targets, id)
+		return
+	}
+	tracker.targets[id] = state
+}
+
 // learn moves the deviation towards an observed one.
 func (state *targetState) learn(observed, gain float64, now time.Time) {
 	if share := state.remaining(now); share < 1 {
--- a/internal/pace/tracker_test.go
+++ b/internal/pace/tracker_test.go
@@ -197,3 +197,27 @@
 		})
 	}
 }
+
+// TestHandleFollowsItsTarget guards against choices by the pace of an incarnation that has ended, or by none
+// because the target was not known when its handle was first used.
+func TestHandleFollowsItsTarget(t *testing.T) {
+	tracker, at := pace.New(logr.Discard()), time.Unix(1_700_000_000, 0)
+	handle := &pace.Handle{}
+	expect := func(when string, born time.Time, slow bool) {
+		t.Helper()
+		reader := tracker.Read(at)
+		defer reader.Close()
+		if factor := reader.Factor(handle, "i", born); (factor > 1) != slow {
+			t.Errorf("%s: got factor %v, want slow: %v", when, factor, slow)
+		}
+	}
+	later := at.Add(time.Minute)
+	expect("unknown target", at, false)
+	tracker.Apply([]pace.Report{{Target: "i", Born: at, Factor: 8}}, at)
+	expect("reported as slow", at, true)
+	tracker.Apply([]pace.Report{{Target: "i", Born: later, Factor: 8}}, at)
+	expect("earlier incarnation", at, false)
+	expect("later incarnation", later, true)
+	tracker.Prune(func(string) bool { return false })
+	expect("removed", later, false)
+}
