--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -52,8 +52,8 @@
 	// Own is the time for the part that no other prompt shares, Shared that for the shared prefix.
 	Own    time.Duration
 	Shared time.Duration
-	// Prefix identifies the shared prefix, for the request's model and adapter; empty if there is none.
-	Prefix string
+	// Prefix identifies the shared prefix, for the request's model and adapter; zero if there is none.
+	Prefix uint64
 }
 
 // Reading returns the work of reading the request's prompt at an engine, at its pace.
--- a/internal/gateway/reading.go
+++ b/internal/gateway/reading.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/reading"
 )
@@ -30,12 +28,9 @@
 	now := time.Now()
 	work := handler.gateway.Tracker.Reading(handler.query(), instance, now)
 	turn := reading.Turn{
-		Target: instance.ID, Born: instance.Born, Cost: work.Own, Shared: work.Shared, Prefix: uint32(xxhash.Sum64String(work.Prefix)),
+		Target: instance.ID, Born: instance.Born, Cost: work.Own, Shared: work.Shared, Prefix: uint32(work.Prefix),
 		Room: time.Duration(float64(handler.gapObjective) * readingShare), Patience: max(until.Sub(now), 0), Rank: handler.rank(instance),
 	}
-	if work.Prefix == "" {
-		turn.Prefix = 0
-	}
 	outcome := handler.gateway.Turns.Await(ctx, turn)
 	handler.deferred += time.Since(now)
 	handler.gateway.Meter.CountTriage(string(outcome))
--- a/internal/pace/report.go
+++ b/internal/pace/report.go
@@ -104,14 +104,14 @@
 			continue
 		default:
 			state = &targetState{born: report.Born, at: now}
-			tracker.targets[report.Target] = state
+			tracker.setState(report.Target, state)
 		}
 		if now.Sub(state.peersAt) > reportLifetime {
 			state.peers = deviation
 		} else {
 			state.peers += peerGain * (deviation - state.peers)
 		}
-		state.peersAt, state.factorAt = now, time.Time{}
+		state.peersAt, state.factorAt = now, 0
 	}
 }
 
@@ -138,7 +138,7 @@
 	defer tracker.lock.Unlock()
 	summary := Summary{Largest: 1}
 	for id, state := range tracker.targets {
-		factor := state.factor(now)
+		factor := state.factor(now, now.UnixNano())
 		summary.Largest = max(summary.Largest, factor)
 		if factor > normalFactor {
 			summary.Slow++
@@ -155,7 +155,7 @@
 		}
 		idle := now.Sub(state.at) > reportLifetime && now.Sub(state.peersAt) > reportLifetime
 		if idle && !state.slow && now.Sub(state.loggedAt) >= logInterval && math.Abs(state.deviationAt(now)) < forgottenDeviation {
-			delete(tracker.targets, id)
+			tracker.setState(id, nil)
 		}
 	}
 	for name, known := range tracker.services {
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -88,9 +88,10 @@
 	deviation    float64
 	observations float64
 	at           time.Time
-	// lastFactor is the factor as of factorAt; the zero time if it has to be calculated.
+	// lastFactor is the factor as of factorAt, in Unix nanoseconds because choices compare those of
+	// many targets; zero if it has to be calculated.
 	lastFactor float64
-	factorAt   time.Time
+	factorAt   int64
 	// reported and reportedAt belong to the last report to the peers.
 	reported   float64
 	reportedAt time.Time
@@ -108,6 +109,8 @@
 	lock     sync.Mutex
 	targets  map[string]*targetState
 	services map[string]*service
+	// generation counts the changes of which states belong to the targets.
+	generation uint64
 	// allowance is the number of reports that might be sent at heardAt.
 	allowance float64
 	heardAt   time.Time
@@ -115,7 +118,7 @@
 
 // New returns a tracker that knows nothing yet.
 func New(log logr.Logger) *Tracker {
-	return &Tracker{log: log, targets: map[string]*targetState{}, services: map[string]*service{}}
+	return &Tracker{log: log, targets: map[string]*targetState{}, services: map[string]*service{}, generation: 1}
 }
 
 // Observe records the time from the send of a request to its first event, or to its complete
@@ -169,13 +172,57 @@
 // Factor returns how many times the time usual at its service a target takes; 1 if that is
 // not known or about usual. It is between MinFactor and MaxFactor.
 func (tracker *Tracker) Factor(target Target, now time.Time) float64 {
+	reader := tracker.Read(now)
+	defer reader.Close()
+	return reader.Factor(&Handle{}, target.ID, target.Born)
+}
+
+// Handle remembers what is known of a target, so that a choice among many targets looks none of them up while
+// the known targets stay the same. The zero value remembers nothing.
+type Handle struct {
+	generation uint64
+	state      *targetState
+}
+
+// Reader returns the factors of many targets at one time. The tracker is locked until Close.
+type Reader struct {
+	tracker *Tracker
+	now     time.Time
+	nanos   int64
+}
+
+// Read returns a reader of the factors as of now.
+func (tracker *Tracker) Read(now time.Time) Reader {
 	tracker.lock.Lock()
-	defer tracker.lock.Unlock()
-	state, found := tracker.targets[target.ID]
-	if !found || !state.born.Equal(target.Born) {
+	return Reader{tracker: tracker, now: now, nanos: now.UnixNano()}
+}
+
+// Factor is Tracker.Factor for the incarnation of a target. The handle belongs to that target and this tracker.
+func (reader Reader) Factor(handle *Handle, id string, born time.Time) float64 {
+	if handle.generation != reader.tracker.generation {
+		handle.state, handle.generation = reader.tracker.targets[id], reader.tracker.generation
+	}
+	if handle.state == nil || !handle.state.born.Equal(born) {
 		return 1
 	}
-	return state.factor(now)
+	return handle.state.factor(reader.now, reader.nanos)
+}
+
+// Close ends the reading.
+func (reader Reader) Close() {
+	reader.tracker.lock.Unlock()
+}
+
+// Usual returns the time that a service's targets usually take if the given one was expected, raised by the
+// spread of the service's times; false if nothing is known of the service.
+func (tracker *Tracker) Usual(name string, expected time.Duration) (time.Duration, bool) {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	usual := tracker.services[name]
+	if usual == nil || !usual.known() {
+		return 0, false
+	}
+	return time.Duration(float64(max(expected, Floor)) * math.Exp2(usual.ratio+usual.excessSpread())), true
 }
 
 // Prune removes the targets for which known returns false.
@@ -184,7 +231,7 @@
 	defer tracker.lock.Unlock()
 	for id := range tracker.targets {
 		if !known(id) {
-			delete(tracker.targets, id)
+			tracker.setState(id, nil)
 		}
 	}
 }
@@ -212,10 +259,20 @@
 	if found {
 		fresh.slow, fresh.loggedAt = state.slow, state.loggedAt
 	}
-	tracker.targets[target.ID] = fresh
+	tracker.setState(target.ID, fresh)
 	return fresh
 }
 
+// setState replaces the state of a target; nil forgets the target.
+func (tracker *Tracker) setState(id string, state *targetState) {
+	tracker.generation++
+	if state == nil {
+		delete(tracker.targets, id)
+		return
+	}
+	tracker.targets[id] = state
+}
+
 // learn moves the deviation towards an observed one.
 func (state *targetState) learn(observed, gain float64, now time.Time) {
 	if share := state.remaining(now); share < 1 {
@@ -226,7 +283,7 @@
 	step := min(max(observed-state.deviation, -maxStep), maxStep)
 	state.deviation = min(max(state.deviation+gain*step, minDeviation), maxDeviation)
 	state.observations++
-	state.factorAt = time.Time{}
+	state.factorAt = 0
 }
 
 // remaining returns the share of the last deviation that has not decayed.
@@ -247,10 +304,10 @@
 }
 
 // factor returns the factor by the observations of this node and of its peers. A choice asks for
-// those of many targets, so that each is calculated once in factorLifetime.
-func (state *targetState) factor(now time.Time) float64 {
-	if age := now.Sub(state.factorAt); age < 0 || age >= factorLifetime {
-		state.lastFactor, state.factorAt = state.calculate(now), now
+// those of many targets, so that each is calculated once in factorLifetime. nanos is now in Unix nanoseconds.
+func (state *targetState) factor(now time.Time, nanos int64) float64 {
+	if age := nanos - state.factorAt; age < 0 || age >= int64(factorLifetime) {
+		state.lastFactor, state.factorAt = state.calculate(now), nanos
 	}
 	return state.lastFactor
 }
