Count placed prompts for the cache of an engine, and pause between questions to a home that answers at once

All long prompts that waited for the cache of an engine got a place in one check once the first of them fitted, since those with a place are not in flight yet. A home that stops answers at once that it is not a prompt's turn, so that each waiting request asked it again in every round trip.

--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -16,14 +16,15 @@
 }
 
 // FitsCache reports whether the tokens of the request fit the cache of an engine, in tokens, beside those of the
-// requests in flight there. It is true if the capacity is not known, or if nothing is in flight.
-func (tracker *Tracker) FitsCache(query Query, id string, capacity int, now time.Time) bool {
+// requests in flight there and of more that are not in flight yet, which count as if they were as large as this
+// one. It is true if the capacity is not known, or if there are no other requests.
+func (tracker *Tracker) FitsCache(query Query, id string, capacity, more int, now time.Time) bool {
 	if capacity <= 0 {
 		return true
 	}
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
-	taken := tracker.total(id, now).Tokens
+	taken := tracker.total(id, now).Tokens + more*query.cacheTokens()
 	return taken <= 0 || taken+query.cacheTokens() <= capacity
 }
 
--- a/internal/gateway/triage.go
+++ b/internal/gateway/triage.go
@@ -80,7 +80,7 @@
 		}
 		return triage.NoRoom
 	}
-	if !tracker.FitsCache(handler.query(), instance.ID, engine.CacheTokens, now) {
+	if !tracker.FitsCache(handler.query(), instance.ID, engine.CacheTokens, granted, now) {
 		return triage.NoRoom
 	}
 	if handler.gateway.Turns != nil {
--- a/internal/gateway/triage_test.go
+++ b/internal/gateway/triage_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/balance"
+	"mimosatide.example/mimosatide/internal/reading"
 )
 
 // newRankedFixture returns a fixture with two routes of different rank to the engines and to the plain service.
@@ -116,6 +118,43 @@
 	}
 }
 
+// givenTurns gives each prompt its turn at once.
+type givenTurns struct{}
+
+func (givenTurns) Await(context.Context, reading.Turn) reading.Outcome { return reading.Given }
+
+// TestFreeCacheIsGivenOnce guards against an engine that gets all waiting prompts once its cache has room for the
+// first of them, because those that have got a place and are not in flight yet don't count.
+func TestFreeCacheIsGivenOnce(t *testing.T) {
+	fixture := newRankedFixture(t)
+	fixture.gate.Turns = givenTurns{}
+	fixture.deployment.Services["llm"].Engine.CacheTokens = 20_000
+	gate := make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
+	fixture.addTarget("e-1", "llm", func(writer http.ResponseWriter, request *http.Request) {
+		<-gate
+		respondEvents(1, 1, true)(writer, request)
+	}, "m")
+	t.Cleanup(release)
+	full := map[string]balance.Load{"e-1": {Running: 5, Tokens: 20_000}}
+	fixture.tracker.SetPeerLoads("other", full, time.Now().Add(time.Hour))
+	var drafts []<-chan int
+	for range 6 {
+		drafts = append(drafts, fixture.start("/llm-draft/"))
+	}
+	awaitCount(t, "waiting requests", fixture.triage.Waiting, len(drafts))
+	fixture.tracker.SetPeerLoads("other", nil, time.Now().Add(time.Hour))
+	awaitCount(t, "received requests", func() int { return len(fixture.received()) }, 2)
+	time.Sleep(100 * time.Millisecond)
+	if count := len(fixture.received()); count != 2 {
+		t.Errorf("got %d requests of 9,020 tokens at an engine with room for 20,000, want 2", count)
+	}
+	release()
+	for _, draft := range drafts {
+		expectStatus(t, "draft", draft, http.StatusOK)
+	}
+}
+
 // TestRequestWithoutHopeIsRefusedAtOnce guards against requests that wait in an engine's queue until their callers
 // leave, and against refusals while one engine has room.
 func TestRequestWithoutHopeIsRefusedAtOnce(t *testing.T) {
--- a/internal/reading/desk.go
+++ b/internal/reading/desk.go
@@ -84,6 +84,7 @@
 		}
 		turn.Final = turn.Patience <= maxAsk
 		turn.Patience = min(max(turn.Patience, 0), maxAsk)
+		askAgain := time.Now().Add(turn.Patience)
 		given, answered := desk.ask(ctx, address, turn)
 		switch {
 		case given:
@@ -95,6 +96,22 @@
 			desk.peers.Silent(address)
 			return Unknown
 		}
+		// A home that stops, or where too many requests wait, answers at once. Asked again at once, it would get
+		// a question of each waiting request in every round trip.
+		pause(ctx, time.Until(askAgain))
+	}
+}
+
+// pause returns after a time, or once the context has ended.
+func pause(ctx context.Context, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/reading/reading_test.go
+++ b/internal/reading/reading_test.go
@@ -117,3 +117,27 @@
 		t.Errorf("got %s and silent homes %v, want Unknown and n2", outcome, peers.silent)
 	}
 }
+
+// fullHome is the home of all engines, which answers at once that it is not the prompt's turn.
+type fullHome struct {
+	desk  *reading.Desk
+	asked int
+}
+
+func (*fullHome) Home(string) (string, bool) { return "n2", false }
+func (*fullHome) Silent(string)              {}
+func (peers *fullHome) AskTurn(_ string, number uint64, _ reading.Turn) {
+	peers.asked++
+	go peers.desk.Deliver(number, false)
+}
+
+// TestHomeThatDoesNotLetWaitIsAskedRarely guards against a question in every round trip, from each waiting
+// request, to a home that stops.
+func TestHomeThatDoesNotLetWaitIsAskedRarely(t *testing.T) {
+	peers := &fullHome{}
+	peers.desk = reading.NewDesk(newHome(), peers, logr.Discard())
+	outcome := peers.desk.Await(context.Background(), prompt(0, 600*time.Millisecond))
+	if outcome != reading.Late || peers.asked > 4 {
+		t.Errorf("got %s after %d questions in 600 ms, want Late after 4 at most", outcome, peers.asked)
+	}
+}
