Order a home's own prompts by the same names as those of other nodes

The home knew the accounts and models of other nodes by digests and its own by name. Its own prompts were taken for those of another account below its floor, and went before more urgent ones.

--- a/internal/gossip/turn.go
+++ b/internal/gossip/turn.go
@@ -1,11 +1,8 @@
 package gossip
 
 import (
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mimosatide.example/mimosatide/internal/reading"
 	"mimosatide.example/mimosatide/internal/triage"
 )
@@ -42,7 +39,7 @@
 	return TurnRequest{
 		From: from, Number: number, Target: turn.Target, Born: turn.Born.UnixMilli(), CostMillis: turn.Cost.Milliseconds(),
 		RoomMillis: turn.Room.Milliseconds(), PatienceMillis: turn.Patience.Milliseconds(),
-		Account: digest(turn.Rank.Account), Model: digest(turn.Rank.Model), Priority: turn.Rank.Priority,
+		Account: reading.Digest(turn.Rank.Account), Model: reading.Digest(turn.Rank.Model), Priority: turn.Rank.Priority,
 		AgeMillis: now.Sub(turn.Rank.Arrived).Milliseconds(), ObjectiveMillis: turn.Rank.Objective.Sub(now).Milliseconds(),
 		WorkMillis: turn.Rank.Work.Milliseconds(), Begun: turn.Rank.Begun,
 		SharedMillis: turn.Shared.Milliseconds(), Prefix: turn.Prefix, Final: turn.Final,
@@ -56,7 +53,7 @@
 		Room: milliseconds(message.RoomMillis), Patience: milliseconds(message.PatienceMillis),
 		Shared: milliseconds(message.SharedMillis), Prefix: message.Prefix, Final: message.Final,
 		Rank: triage.Request{
-			Account: name(message.Account), Model: name(message.Model), Priority: message.Priority, Large: true,
+			Account: reading.DigestName(message.Account), Model: reading.DigestName(message.Model), Priority: message.Priority, Large: true,
 			Arrived: now.Add(-milliseconds(message.AgeMillis)), Objective: now.Add(milliseconds(message.ObjectiveMillis)),
 			Work: milliseconds(message.WorkMillis), Begun: message.Begun,
 		},
@@ -69,22 +66,6 @@
 	Given  bool   `cbor:"2,keyasint,omitempty"`
 }
 
-// digest returns a short digest of a name; zero for an empty one.
-func digest(text string) uint32 {
-	if text == "" {
-		return 0
-	}
-	return uint32(xxhash.Sum64String(text))
-}
-
-// name returns a name that stands for a digest.
-func name(digest uint32) string {
-	if digest == 0 {
-		return ""
-	}
-	return strconv.FormatUint(uint64(digest), 36)
-}
-
 func milliseconds(count int64) time.Duration {
 	return time.Duration(count) * time.Millisecond
 }
--- a/internal/reading/desk.go
+++ b/internal/reading/desk.go
@@ -77,6 +77,7 @@
 		address, self := desk.peers.Home(turn.Target)
 		turn.Patience, turn.Final = time.Until(until), true
 		if self {
+			turn.Rank = byDigests(turn.Rank)
 			if desk.home.Give(ctx, turn) {
 				return Given
 			}
--- a/internal/reading/reading_test.go
+++ b/internal/reading/reading_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/reading"
 	"mimosatide.example/mimosatide/internal/triage"
 )
@@ -141,3 +142,47 @@
 		t.Errorf("got %s after %d questions in 600 ms, want Late after 4 at most", outcome, peers.asked)
 	}
 }
+
+// ownHome makes the node the home of all engines.
+type ownHome struct{ lostHome }
+
+func (*ownHome) Home(string) (string, bool) { return "n1", true }
+
+// TestOwnPromptsOfAHomeHaveNoFloorOfTheirOwn guards against a home whose own prompts go before more urgent ones of
+// the same account and model from other nodes, because it knows them by other names.
+func TestOwnPromptsOfAHomeHaveNoFloorOfTheirOwn(t *testing.T) {
+	home := newHome()
+	turnOf := func(priority int, cost, room time.Duration) reading.Turn {
+		turn := prompt(0, 10*time.Second)
+		turn.Cost, turn.Shared, turn.Room = cost, 0, room
+		turn.Rank = triage.Request{
+			Account: "a", Model: "m", Large: true, Priority: priority, Arrived: time.Now(), Objective: time.Now().Add(time.Minute),
+		}
+		return turn
+	}
+	remote := func(turn reading.Turn) reading.Turn {
+		return gossip.EncodeTurnRequest("n2", 1, turn, time.Now()).Turn(time.Now())
+	}
+	home.Take(remote(turnOf(0, 500*time.Millisecond, time.Second)), time.Now())
+	order := make(chan string, 2)
+	go func() {
+		home.Give(context.Background(), remote(turnOf(1, 200*time.Millisecond, 0)))
+		order <- "other"
+	}()
+	time.Sleep(50 * time.Millisecond)
+	// These get the recent places.
+	short := make(chan bool)
+	for range 25 {
+		go func() { short <- home.Give(context.Background(), remote(turnOf(0, 0, time.Minute))) }()
+	}
+	for range 25 {
+		<-short
+	}
+	go func() {
+		reading.NewDesk(home, &ownHome{}, logr.Discard()).Await(context.Background(), turnOf(2, 200*time.Millisecond, 0))
+		order <- "own"
+	}()
+	if first := <-order; first != "other" {
+		t.Errorf("got the %s prompt first, want the more urgent one of the other node", first)
+	}
+}
