Move requests from engines only after their objective and ten times the usual time

Cause: under contention prompts that other hosts have sent explain several times the usual time, and a move loses what has been read.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -10,6 +10,10 @@
 	// stallObjectiveShare is the share of its objective that has to have passed: before, the request
 	// can still be answered in time where it is, and a second run costs the fleet.
 	stallObjectiveShare = 0.5
+	// engineStallRatio and engineStallShare are those of requests at engines: what has been read of their prompts
+	// is lost by a move, and prompts of other nodes that this one has not heard of explain several times the usual time.
+	engineStallRatio = 10
+	engineStallShare = 1
 	// minStallCheck is the least time between two checks of a hanging request.
 	minStallCheck = 50 * time.Millisecond
 	// stallCheckShare is the time until the next check as a share of the time since the send, so that
@@ -25,16 +29,22 @@
 	Leaves time.Time
 	// Objective is the latency objective of the request's route.
 	Objective time.Duration
+	// Engine says that the target is a model engine.
+	Engine bool
 	// Usual is the time to the first event that is usual with what is in flight at the target.
 	Usual time.Duration
 }
 
 // Due returns from when on the request counts as hanging.
 func (hang Hang) Due() time.Time {
-	due := hang.Sent.Add(stallRatio * hang.Usual)
-	half := hang.Arrived.Add(time.Duration(stallObjectiveShare * float64(hang.Objective)))
-	if half.After(due) {
-		return half
+	ratio, share := time.Duration(stallRatio), stallObjectiveShare
+	if hang.Engine {
+		ratio, share = engineStallRatio, engineStallShare
+	}
+	due := hang.Sent.Add(ratio * hang.Usual)
+	passed := hang.Arrived.Add(time.Duration(share * float64(hang.Objective)))
+	if passed.After(due) {
+		return passed
 	}
 	return due
 }
--- a/internal/balance/stall_test.go
+++ b/internal/balance/stall_test.go
@@ -14,6 +14,8 @@
 		Arrived: now, Sent: now.Add(100 * time.Millisecond), Leaves: now.Add(3 * time.Second),
 		Objective: time.Second, Usual: 50 * time.Millisecond,
 	}
+	engine := hang
+	engine.Engine, engine.Usual = true, 120*time.Millisecond
 	long := hang
 	long.Usual = 300 * time.Millisecond
 	for name, test := range map[string]struct {
@@ -26,6 +28,9 @@
 		"half of the objective has passed": {hang: hang, at: 500 * time.Millisecond, elsewhere: 50 * time.Millisecond, moves: true},
 		"three times the usual time":       {hang: long, at: time.Second, elsewhere: 50 * time.Millisecond},
 		"four times the usual time":        {hang: long, at: 1300 * time.Millisecond, elsewhere: 50 * time.Millisecond, moves: true},
+		"an engine within the objective":   {hang: engine, at: 950 * time.Millisecond, elsewhere: 50 * time.Millisecond},
+		"an engine at five times the time": {hang: engine, at: 1250 * time.Millisecond, elsewhere: 50 * time.Millisecond},
+		"an engine at ten times the time":  {hang: engine, at: 1300 * time.Millisecond, elsewhere: 50 * time.Millisecond, moves: true},
 		"as late elsewhere":                {hang: hang, at: 500 * time.Millisecond, elsewhere: 400 * time.Millisecond},
 		"the caller leaves before":         {hang: hang, at: 2900 * time.Millisecond, elsewhere: 200 * time.Millisecond},
 	} {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -45,7 +45,7 @@
 	now := time.Now()
 	watch := &stallWatch{cancel: cancel, hang: balance.Hang{
 		Arrived: handler.arrived, Sent: now, Leaves: handler.leavesAt(handler.arrived),
-		Objective: handler.route.LatencyObjective, Usual: usual,
+		Objective: handler.route.LatencyObjective, Engine: handler.service.Engine != nil, Usual: usual,
 	}}
 	watch.lock.Lock()
 	defer watch.lock.Unlock()
