Keep the number of permits of a cold target when its rate changes

A schedule lost permits whenever its rate fell, and kept what was left when it rose. With nodes that ask by different limits of a target in turn, its home issued one permit in 20 s.

--- a/internal/permit/contact_test.go
+++ b/internal/permit/contact_test.go
@@ -296,3 +296,39 @@
 		t.Errorf("home at 8 a second for 5 s: got %d permits at once, want 5", got)
 	}
 }
+
+// TestAlternatingRatesDoNotUseUpPermits guards against a cold target without permits because the nodes that ask
+// for them know different limits of it, or because its home loses and regains contact.
+func TestAlternatingRatesDoNotUseUpPermits(t *testing.T) {
+	limit := permit.NewColdLimit(3*time.Second, 8, 1.5, 5)
+	for _, period := range []time.Duration{4 * time.Millisecond, 40 * time.Millisecond, 400 * time.Millisecond} {
+		issuer, begin := permit.NewIssuer(), time.Unix(1000, 0)
+		var due []time.Time
+		for passed := time.Duration(0); passed < 20*time.Second; passed += time.Millisecond {
+			request := permit.Request{Target: "i-1", Rate: limit.Rate, Ahead: limit.Ahead, Shared: true, Patience: 50 * time.Millisecond}
+			if passed/period%2 == 1 {
+				request.Rate /= 2
+			}
+			now := begin.Add(passed)
+			if verdict := issuer.Issue(request, now); verdict.Granted {
+				due = append(due, now.Add(verdict.Wait))
+			}
+		}
+		// The mean rate is 6 a second.
+		if len(due) < 20*4 {
+			t.Errorf("permits in 20 s with rates of 8 and 4 a second that alternate every %v: got %d, want at least 80", period, len(due))
+		}
+		most := 0
+		for first := range due {
+			last := first
+			for last < len(due) && due[last].Sub(due[first]) < time.Second {
+				last++
+			}
+			most = max(most, last-first)
+		}
+		// 8 in a second, 2 ahead of time and the first.
+		if most > 11 {
+			t.Errorf("permits in a second with rates that alternate every %v: got %d, want at most 11", period, most)
+		}
+	}
+}
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -53,17 +53,19 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
-// share adapts a schedule to a rate of which several homes issue parts. What was not issued at a lower rate
-// must not be made up for at a higher one, and a schedule that has just begun allows one permit only: the
-// home before may have issued all that may be issued ahead of time.
+// share adapts a schedule to a rate of which several homes issue parts. The number of permits that it allows at
+// once stays the same, within what the new rate allows: what was not issued at a lower rate must not be made up
+// for at a higher one, and rates that alternate must not use the permits up. Permits that are due later than ahead
+// keep their places. A schedule that has just begun allows one permit only: the home before may have issued all
+// that may be issued ahead of time.
 func (kept schedule) share(rate float64, ahead time.Duration, now time.Time) schedule {
 	if kept.rate == 0 {
 		if begin := now.Add(ahead - interval(rate)); begin.After(kept.last) {
 			kept.last = begin
 		}
-	} else if rate > kept.rate {
-		issued := max(kept.last.Sub(now), -interval(kept.rate))
-		kept.last = now.Add(ahead - time.Duration(float64(ahead-issued)*kept.rate/rate))
+	} else if room := min(ahead-kept.last.Sub(now), ahead+interval(kept.rate)); rate != kept.rate && room > 0 {
+		adapted := min(time.Duration(float64(room)*kept.rate/rate), ahead+interval(rate))
+		kept.last = now.Add(ahead - adapted)
 	}
 	kept.rate = rate
 	return kept
