Forget the totals of usage of an earlier term of the lease

An owner that took the lease again counted all that hosts had spent on prompts since its earlier term as load of the moment, and gave every model replicas.

--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -161,6 +161,8 @@
 
 // runHolder plans and starts steps until this node no longer holds the lease.
 func (controller *Controller) runHolder(ctx context.Context) {
+	// Nodes report to a holder from before its first plan.
+	controller.demand.ForgetTotals()
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -172,6 +172,14 @@
 	}
 }
 
+// ForgetTotals makes the next report of each node count with its recent part only. A node that takes the lease
+// again has totals from its earlier term; what hosts reported to other holders since must not count at once.
+func (demand *Demand) ForgetTotals() {
+	demand.lock.Lock()
+	defer demand.lock.Unlock()
+	clear(demand.totals)
+}
+
 // RecordAdapterUse records that an adapter was used.
 func (demand *Demand) RecordAdapterUse(adapter AdapterAt, now time.Time) {
 	demand.lock.Lock()
--- a/internal/loading/demand_test.go
+++ b/internal/loading/demand_test.go
@@ -36,3 +36,16 @@
 		t.Errorf("load after a lost report: got %.2f, want the prompts of the lost one counted too", load)
 	}
 }
+
+// TestTotalsOfAnEarlierTermAreNotRecentLoad guards against an owner that takes the lease again after another one
+// and takes all that hosts asked for in the meantime as the load of the moment.
+func TestTotalsOfAnEarlierTermAreNotRecentLoad(t *testing.T) {
+	demand, now := loading.NewDemand(), time.Unix(1000, 0)
+	demand.RecordUsage("n1", "m", 10, 0.2, 0, now)
+	now = now.Add(10 * time.Minute)
+	demand.ForgetTotals()
+	demand.RecordUsage("n1", "m", 70, 0.2, 0, now)
+	if load := demand.Models(now)["m"].PrefillLoad; load > 0.2 {
+		t.Errorf("load after one prompt of 0.2 s: got %.2f, want at most 0.2", load)
+	}
+}
