Save a withdrawal before any caller of the stream learns that it broke off

Only the request that first learned of the other incarnation waited for the store. Callers of other streams of the target, and those of streams withdrawn by a row, could take them up at another node, which read the old version.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -52,16 +52,18 @@
 	if !handler.continues || !handler.beginsStream() {
 		return true
 	}
+	// A caller that has left may take the stream up at another node.
+	ctx = context.WithoutCancel(ctx)
+	// Without an answer there is nothing more that speaks against the record.
+	born := handler.began.Born
 	if handler.service.Engine != nil && !handler.limited(handler.began) {
-		// A caller that has left may take the stream up at another node.
-		ctx = context.WithoutCancel(ctx)
 		bounded, cancel := context.WithTimeout(ctx, originTimeout)
 		defer cancel()
-		// Without an answer there is nothing that speaks against the record.
 		if report, err := handler.gateway.Engines.Report(bounded, handler.began); err == nil {
-			handler.gateway.Origins.Reported(ctx, handler.began.ID, report.Born)
+			born = report.Born
 		}
 	}
+	handler.gateway.Origins.Reported(ctx, handler.began.ID, born)
 	return handler.gateway.Origins.Stands(handler.request.ID)
 }
 
--- a/internal/origin/withdrawal.go
+++ b/internal/origin/withdrawal.go
@@ -21,18 +21,20 @@
 
 // Reported records that a target is known to be an incarnation, by its own report or its row. Streams that were
 // taken for ones of an earlier incarnation, but may have begun at this one, have no known version any more: their
-// records are withdrawn, also from the store before Reported returns, so that no other node uses them.
+// records are withdrawn, also from the store before Reported returns, so that no other node uses them. That holds
+// for those withdrawn before too: callers of several streams of a target learn at the same time that these broke off.
 func (tracker *Tracker) Reported(ctx context.Context, target string, born time.Time) {
-	if withdrawn := tracker.withdraw(target, born, time.Now()); len(withdrawn) > 0 {
+	tracker.withdraw(target, born, time.Now())
+	if len(tracker.unsavedWithdrawals(target)) > 0 {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		tracker.saveWithdrawals(bounded, withdrawn)
+		tracker.saveWithdrawals(bounded, target)
 	}
 }
 
 // Known records an incarnation as Reported does, but leaves the store to Run.
 func (tracker *Tracker) Known(target string, born time.Time) {
-	if withdrawn := tracker.withdraw(target, born, time.Now()); len(withdrawn) > 0 {
+	if tracker.withdraw(target, born, time.Now()) {
 		tracker.signal()
 	}
 }
@@ -45,23 +47,36 @@
 	return known == nil || !known.withdrawn
 }
 
-// withdraw withdraws the records that an incarnation puts in doubt, and returns the streams.
-func (tracker *Tracker) withdraw(target string, born, now time.Time) []Stream {
+// withdraw withdraws the records that an incarnation puts in doubt, and reports whether there are any.
+func (tracker *Tracker) withdraw(target string, born, now time.Time) bool {
 	tracker.lock.Lock()
 	defer tracker.lock.Unlock()
 	if !born.After(tracker.incarnations[target].born) {
-		return nil
+		return false
 	}
 	tracker.incarnations[target] = incarnation{born: born, at: now}
-	var withdrawn []Stream
+	withdrawn := false
 	for _, known := range tracker.records {
 		if known.Target == target && tracker.withdrawLocked(known) {
-			withdrawn = append(withdrawn, known.Stream)
+			withdrawn = true
 		}
 	}
 	return withdrawn
 }
 
+// unsavedWithdrawals returns the streams of a target whose withdrawal the store may not have.
+func (tracker *Tracker) unsavedWithdrawals(target string) []Stream {
+	tracker.lock.Lock()
+	defer tracker.lock.Unlock()
+	var unsaved []Stream
+	for _, known := range tracker.records {
+		if known.Target == target && known.withdrawn && !known.saved {
+			unsaved = append(unsaved, known.Stream)
+		}
+	}
+	return unsaved
+}
+
 // withdrawLocked withdraws a stream's record if it has begun, and may have done so at a later incarnation of its
 // target than the one that it was sent to. It reports whether it did.
 func (tracker *Tracker) withdrawLocked(known *record) bool {
@@ -75,11 +90,15 @@
 	return true
 }
 
-// saveWithdrawals writes rows that say that the versions of streams are not known. Run writes those that this
-// fails to write.
-func (tracker *Tracker) saveWithdrawals(ctx context.Context, streams []Stream) {
+// saveWithdrawals writes rows that say that the versions of a target's withdrawn streams are not known. Run writes
+// those that this fails to write.
+func (tracker *Tracker) saveWithdrawals(ctx context.Context, target string) {
 	tracker.committing.Lock()
 	defer tracker.committing.Unlock()
+	streams := tracker.unsavedWithdrawals(target)
+	if len(streams) == 0 {
+		return
+	}
 	expires := time.Now().Add(tracker.settings.Lifetime()).UnixMilli()
 	var writes []mimosatide.Write
 	for _, stream := range streams[:min(len(streams), maxWrites)] {
--- a/internal/origin/withdrawal_test.go
+++ b/internal/origin/withdrawal_test.go
@@ -36,3 +36,23 @@
 		wantOrigin(t, "withdrawn before", other, "wrong", "")
 	})
 }
+
+// TestWithdrawalIsSavedBeforeAnyCallerLearnsOfIt guards against a stream that goes on at the wrong version at another
+// node: its record was withdrawn by the target's row, or for another stream's caller, and the store did not have that
+// yet when the stream's own caller was told that it broke off.
+func TestWithdrawalIsSavedBeforeAnyCallerLearnsOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform()
+		sender := platform.start(t, true, "v1", "v2")
+		platform.rank++
+		other := platform.start(t, true, "v1", "v2")
+		born := time.Now().Add(-time.Minute)
+		sender.Send(origin.Stream{ID: "wrong", Service: "llm", Software: "v1", Target: "e-1", Born: born})
+		sender.Begin("wrong")
+		time.Sleep(10 * time.Second)
+		wantOrigin(t, "before the row", other, "wrong", "v1")
+		sender.Known("e-1", born.Add(30*time.Second))
+		sender.Reported(t.Context(), "e-1", born.Add(30*time.Second))
+		wantOrigin(t, "after the report", other, "wrong", "")
+	})
+}
