--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -78,7 +78,7 @@
 	}
 	for zone, at := range returns {
 		_, known := registry.returns[zone]
-		if _, evacuated := registry.evacuations[zone]; known || evacuated || now.Sub(at) > returnMemory {
+		if _, evacuated := registry.evacuations[zone]; known || evacuated || at.After(now) || now.Sub(at) > returnMemory {
 			continue
 		}
 		registry.returns[zone] = at
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -219,3 +219,13 @@
 		t.Errorf("got lost at %v and moved at %v, want none and b1", lost, moved)
 	}
 }
+
+// TestReturnsInTheFutureAreIgnored guards against targets that count as cold for as long as a garbled report says.
+func TestReturnsInTheFutureAreIgnored(t *testing.T) {
+	targets, now := registry.New(logr.Discard()), time.Now()
+	targets.Put(targetIn("a1", "a"))
+	targets.ApplyReturns(map[string]time.Time{"a": now.Add(time.Hour)}, true, now)
+	if known, _ := targets.View().Instance("a1"); !known.ReturnedAt.IsZero() {
+		t.Errorf("evacuation that ends in an hour: got the return at %v, want none", known.ReturnedAt)
+	}
+}
