--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -10,6 +11,8 @@
 	burstTime = 500 * time.Millisecond
 	// scheduleLifetime is how long a schedule without requests is kept.
 	scheduleLifetime = time.Minute
+	// longestInterval bounds the time between two permits: that of rates close to zero does not fit into a Duration.
+	longestInterval = time.Hour
 )
 
 // Request asks for a permit to send one request to a target.
@@ -50,7 +53,7 @@
 
 // interval returns the time between two permits at a rate.
 func interval(rate float64) time.Duration {
-	return time.Duration(float64(time.Second) / rate)
+	return time.Duration(min(float64(time.Second)/rate, float64(longestInterval)))
 }
 
 // share adapts a schedule to a rate of which several homes issue parts. The number of permits that it allows at
@@ -64,8 +67,8 @@
 			kept.last = begin
 		}
 	} else if room := min(ahead-kept.last.Sub(now), ahead+interval(kept.rate)); rate != kept.rate && room > 0 {
-		adapted := min(time.Duration(float64(room)*kept.rate/rate), ahead+interval(rate))
-		kept.last = now.Add(ahead - adapted)
+		adapted := min(float64(room)*kept.rate/rate, float64(ahead+interval(rate)))
+		kept.last = now.Add(ahead - time.Duration(adapted))
 	}
 	kept.rate = rate
 	return kept
@@ -89,6 +92,9 @@
 	if request.Rate <= 0 {
 		return Verdict{Granted: true}
 	}
+	if math.IsNaN(request.Rate) || math.IsInf(request.Rate, 1) {
+		return Verdict{Wait: answerTimeout}
+	}
 	issuer.lock.Lock()
 	defer issuer.lock.Unlock()
 	kept, found := issuer.schedules[request.Target]
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -305,3 +306,28 @@
 		<-earlier
 	})
 }
+
+// TestGarbledRatesLeaveTheScheduleIntact guards against a request with a rate that is no number, or next to zero,
+// after which a target gets no permits any more, or any number of them.
+func TestGarbledRatesLeaveTheScheduleIntact(t *testing.T) {
+	for _, garbled := range []float64{math.NaN(), math.Inf(1), 1e-300} {
+		issuer, now := permit.NewIssuer(), time.Unix(1000, 0)
+		request := permit.Request{Target: "i-1", Rate: 8, Ahead: 250 * time.Millisecond, Shared: true}
+		issuer.Issue(request, now)
+		bad := request
+		bad.Rate = garbled
+		granted := 0
+		for range 100 {
+			if issuer.Issue(bad, now).Granted {
+				granted++
+			}
+		}
+		if granted > 1 {
+			t.Errorf("rate %v: got %d permits at once, want at most 1", garbled, granted)
+		}
+		request.Patience = 200 * time.Millisecond
+		if verdict := issuer.Issue(request, now.Add(time.Second)); !verdict.Granted {
+			t.Errorf("a second after a request with rate %v: got no permit, want one within 200 ms", garbled)
+		}
+	}
+}
