--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -82,6 +82,8 @@
 	// waiters are the requests that wait, by model, and counted those that asked counts.
 	waiters map[string]map[uint64]waiter
 	counted map[uint64]time.Time
+	// countedSweptAt is when the requests counted long ago were last removed.
+	countedSweptAt time.Time
 	// unserved counts, by model, the requests that found no replica of a model that has not been loaded
 	// since this node has known of it; loaded holds those that have.
 	unserved map[string]int
--- a/internal/loading/need.go
+++ b/internal/loading/need.go
@@ -12,6 +12,8 @@
 	// maxCounted bounds the requests that are remembered as counted: those that found no replica within
 	// refusedTimeConstant, at 400 a second.
 	maxCounted = 8000
+	// countedSweepInterval is the time between two sweeps of them, each of which takes 0.2 ms.
+	countedSweepInterval = time.Second
 	// maxUnserved bounds the models of which unserved requests are counted; a service has a few hundred.
 	maxUnserved = 4096
 )
@@ -88,7 +90,8 @@
 	if at, found := demand.counted[request]; found && now.Sub(at) < refusedTimeConstant {
 		return false
 	}
-	if len(demand.counted) >= maxCounted {
+	if len(demand.counted) >= maxCounted && now.Sub(demand.countedSweptAt) >= countedSweepInterval {
+		demand.countedSweptAt = now
 		maps.DeleteFunc(demand.counted, func(_ uint64, at time.Time) bool { return now.Sub(at) >= refusedTimeConstant })
 	}
 	if len(demand.counted) < maxCounted {
