--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -82,6 +82,8 @@
 	// waiters are the requests that wait, by model, and counted those that asked counts.
 	waiters map[string]map[uint64]waiter
 	counted map[uint64]time.Time
+	// countedSweptAt is when the requests counted long ago were last removed.
+	countedSweptAt time.Time
 	// unserved counts, by model, the requests that found no replica of a model that has not been loaded
 	// since this node has known of it; loaded holds those that have.
 	unserved map[string]int
@@ -172,6 +174,14 @@
 	}
 }
 
+// ForgetTotals makes the next report of each node count with its recent part only. A node that takes the lease
+// again has totals from its earlier term; what hosts reported to other holders since must not count at once.
+func (demand *Demand) ForgetTotals() {
+	demand.lock.Lock()
+	defer demand.lock.Unlock()
+	clear(demand.totals)
+}
+
 // RecordAdapterUse records that an adapter was used.
 func (demand *Demand) RecordAdapterUse(adapter AdapterAt, now time.Time) {
 	demand.lock.Lock()
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -10,6 +11,8 @@
 	burstTime = 500 * time.Millisecond
 	// scheduleLifetime is how long a schedule without requests is kept.
 	scheduleLifetime = time.Minute
+	// longestInterval bounds the time between two permits: that of rates close to zero does not fit into a Duration.
+	longestInterval = time.Hour
 )
 
 // Request asks for a permit to send one request to a target.
@@ -50,20 +53,22 @@
 
 // interval returns the time between two permits at a rate.
 func interval(rate float64) time.Duration {
-	return time.Duration(float64(time.Second) / rate)
+	return time.Duration(min(float64(time.Second)/rate, float64(longestInterval)))
 }
 
-// share adapts a schedule to a rate of which several homes issue parts. What was not issued at a lower rate
-// must not be made up for at a higher one, and a schedule that has just begun allows one permit only: the
-// home before may have issued all that may be issued ahead of time.
+// share adapts a schedule to a rate of which several homes issue parts. The number of permits that it allows at
+// once stays the same, within what the new rate allows: what was not issued at a lower rate must not be made up
+// for at a higher one, and rates that alternate must not use the permits up. Permits that are due later than ahead
+// keep their places. A schedule that has just begun allows one permit only: the home before may have issued all
+// that may be issued ahead of time.
 func (kept schedule) share(rate float64, ahead time.Duration, now time.Time) schedule {
 	if kept.rate == 0 {
 		if begin := now.Add(ahead - interval(rate)); begin.After(kept.last) {
 			kept.last = begin
 		}
-	} else if rate > kept.rate {
-		issued := max(kept.last.Sub(now), -interval(kept.rate))
-		kept.last = now.Add(ahead - time.Duration(float64(ahead-issued)*kept.rate/rate))
+	} else if room := min(ahead-kept.last.Sub(now), ahead+interval(kept.rate)); rate != kept.rate && room > 0 {
+		adapted := min(float64(room)*kept.rate/rate, float64(ahead+interval(rate)))
+		kept.last = now.Add(ahead - time.Duration(adapted))
 	}
 	kept.rate = rate
 	return kept
@@ -87,6 +92,9 @@
 	if request.Rate <= 0 {
 		return Verdict{Granted: true}
 	}
+	if math.IsNaN(request.Rate) || math.IsInf(request.Rate, 1) {
+		return Verdict{Wait: answerTimeout}
+	}
 	issuer.lock.Lock()
 	defer issuer.lock.Unlock()
 	kept, found := issuer.schedules[request.Target]
