Bound the reading of bodies on the ports for operators

A request to the readiness or metrics port whose body did not arrive held its connection without a time limit, since net/http reads the body before it responds. Sixteen of them from one address, or one from each of sixteen, took all places of the port.

--- a/internal/entrynode/serve.go
+++ b/internal/entrynode/serve.go
@@ -72,6 +72,9 @@
 	operatorMaxHeader = 16 << 10
 	// operatorSendBuffer is the kernel's memory for an unread response, in bytes per connection.
 	operatorSendBuffer = 64 << 10
+	// operatorBodyTimeout bounds the reading of a body. No handler of these ports needs one, but net/http reads up to
+	// 256 KiB of it without a time limit before it sends the response.
+	operatorBodyTimeout = time.Second
 )
 
 // operatorLimits are the limits of the callers of these ports.
@@ -84,7 +87,19 @@
 	return ingress.New(ingress.Settings{
 		Limits: operatorLimits, MaxConnections: operatorConnections, Memory: intake.NewBudget(operatorMemory),
 		SendBuffer: operatorSendBuffer, Port: port,
-	}, handler, node.meter, node.log)
+	}, limitBodyTime(handler), node.meter, node.log)
+}
+
+// limitBodyTime returns a handler whose requests' bodies have to arrive within operatorBodyTimeout. Otherwise requests
+// without their bodies would hold all connections for as long as their senders stay.
+func limitBodyTime(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.ContentLength != 0 {
+			// An error means that the connection is closed. The server lifts the deadline before the next request.
+			_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(operatorBodyTimeout))
+		}
+		handler.ServeHTTP(writer, request)
+	})
 }
 
 // maxConnections returns the largest number of callers' connections.
