serve: take no answer whose request has not arrived for a whole one

Cause: a target answers a request of 64 KiB at once, without a length or chunks, and ends its connection cleanly while the rest of the request still waits in the socket of serve. Every write has succeeded then, and hertz's connection hides its socket, so that CheckEnd couldn't ask how much was acknowledged.

Change: hertzconn takes the TCP connection out of the library's one at the dial, through ReadFrom, and keeps with the end of the input whether all of the output had been acknowledged (framing.EndOfInput, as internal/exchange does).

--- a/internal/framing/hertzconn/conn.go
+++ b/internal/framing/hertzconn/conn.go
@@ -17,6 +17,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
@@ -55,18 +56,59 @@
 		_ = dialled.Close()
 		return nil, errors.Errorf("connection of type %T", dialled)
 	}
-	return &Conn{Conn: conn}, nil
+	socket, err := socketOf(conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	return &Conn{Conn: conn, socket: socket}, nil
+}
+
+// errNoSocket is the error of a connection whose socket can't be queried.
+var errNoSocket = errors.New("the connection does not give its socket")
+
+// socketOf returns the TCP connection that a connection of the library keeps to itself. The
+// connection passes readers on to the ReadFrom of its TCP connection, which passes an
+// io.WriterTo a writer that has all methods of the TCP connection but ReadFrom.
+func socketOf(conn *standard.Conn) (net.Conn, error) {
+	var taken socketTaker
+	if _, err := conn.ReadFrom(&taken); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, ok := taken.socket.(syscall.Conn); !ok {
+		return nil, errors.Trace(errNoSocket)
+	}
+	return taken.socket, nil
+}
+
+// socketTaker is an empty reader that keeps the connection to which it is written.
+type socketTaker struct {
+	socket net.Conn
+}
+
+// Read returns the end of the input.
+func (*socketTaker) Read([]byte) (int, error) {
+	return 0, io.EOF
+}
+
+// WriteTo writes nothing.
+func (taken *socketTaker) WriteTo(writer io.Writer) (int64, error) {
+	taken.socket, _ = writer.(net.Conn)
+	return 0, nil
 }
 
 // Conn is a connection that checks the status of each answer and remembers how its input and
 // its output ended. The client uses a connection for one request at a time.
 type Conn struct {
 	*standard.Conn
+	// socket tells how much of the output has been acknowledged.
+	socket net.Conn
 	// statusDue says that a status has to come next, and interim that the last one was
 	// informational, so that another follows its head.
 	statusDue bool
 	interim   bool
-	// readErr and writeErr are the errors of the first read and write that failed.
+	// readErr and writeErr are the errors of the first read and write that failed. At the end of
+	// the input, readErr is io.EOF only if the other side has acknowledged the whole output.
 	readErr  error
 	writeErr error
 }
@@ -118,9 +160,13 @@
 }
 
 func (conn *Conn) remember(err error) {
-	if conn.readErr == nil {
-		conn.readErr = err
+	if conn.readErr != nil {
+		return
+	}
+	if err == io.EOF {
+		err = framing.EndOfInput(conn.socket, conn.writeErr)
 	}
+	conn.readErr = err
 }
 
 // checkStatus checks what has arrived of a status line.
@@ -149,7 +195,8 @@
 }
 
 // CheckEnd returns an error if the connection of an answer has ended, and the answer is not
-// known to be whole: the connection broke, or the request could not be written completely.
+// known to be whole: the connection broke, or it ended before the other side had acknowledged
+// the whole request.
 // It must be called before the body of a streamed answer is closed.
 func CheckEnd(response *protocol.Response) error {
 	source, ok := response.RemoteAddr().(endpoint)
@@ -160,6 +207,8 @@
 	switch conn := source.conn; {
 	case conn.readErr == nil:
 		return nil
+	case errors.Is(conn.readErr, framing.ErrUnfinished):
+		return conn.readErr
 	case conn.writeErr != nil:
 		return errors.Annotate(framing.ErrUnfinished, conn.writeErr.Error())
 	case conn.readErr != io.EOF:
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -31,6 +31,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveRaw(t, listener, answer, readBody, end)
+}
+
+func serveRaw(
+	t *testing.T, listener net.Listener, answer string, readBody bool, end func(connection *net.TCPConn),
+) mimosatide.TargetSpec {
+	t.Helper()
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
