--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -22,13 +22,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"mimosatide.example/mimosatide"
+	"mimosatide.example/mimosatide/internal/inquiry"
 )
 
 const (
@@ -61,19 +60,14 @@
 	issuer *Issuer
 	peers  Peers
 	log    logr.Logger
-
-	lock sync.Mutex
-	// number is that of the last question. The first is random, so that the numbers differ
-	// from those of an earlier process of the node, whose answers may still arrive.
-	number uint64
-	// open holds the questions without an answer by their numbers.
-	open map[uint64]chan Verdict
+	// open holds the questions to other homes.
+	open *inquiry.Open[Verdict]
 }
 
 // NewDesk returns a desk.
 func NewDesk(limits *Limits, issuer *Issuer, peers Peers, log logr.Logger) *Desk {
 	return &Desk{
-		limits: limits, issuer: issuer, peers: peers, log: log, number: rand.Uint64(), open: map[uint64]chan Verdict{},
+		limits: limits, issuer: issuer, peers: peers, log: log, open: inquiry.New[Verdict](),
 	}
 }
 
@@ -109,39 +103,16 @@
 }
 
 func (desk *Desk) ask(ctx context.Context, address string, request Request) Verdict {
-	answer := make(chan Verdict, 1)
-	desk.lock.Lock()
-	desk.number++
-	number := desk.number
-	desk.open[number] = answer
-	desk.lock.Unlock()
-	defer func() {
-		desk.lock.Lock()
-		defer desk.lock.Unlock()
-		delete(desk.open, number)
-	}()
-	desk.peers.Ask(address, number, request)
-	timer := time.NewTimer(answerTimeout)
-	defer timer.Stop()
-	select {
-	case verdict := <-answer:
-		return verdict
-	case <-ctx.Done():
-		return Verdict{}
-	case <-timer.C:
+	verdict, answered := desk.open.Ask(ctx, answerTimeout, func(number uint64) { desk.peers.Ask(address, number, request) })
+	if !answered && ctx.Err() == nil {
 		desk.log.Info("no answer to a request for a permit", "target", request.Target, "peer", address, "rate", request.Rate)
 		desk.peers.Silent(address)
 		return Verdict{Wait: answerTimeout}
 	}
+	return verdict
 }
 
 // Deliver takes the answer of a home.
 func (desk *Desk) Deliver(number uint64, verdict Verdict) {
-	desk.lock.Lock()
-	defer desk.lock.Unlock()
-	if answer, found := desk.open[number]; found {
-		// Its buffer holds the only answer.
-		answer <- verdict
-		delete(desk.open, number)
-	}
+	desk.open.Deliver(number, verdict)
 }
--- a/internal/reading/desk.go
+++ b/internal/reading/desk.go
@@ -13,11 +13,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"mimosatide.example/mimosatide/internal/inquiry"
 )
 
 const (
@@ -55,18 +55,13 @@
 	home  *Home
 	peers Peers
 	log   logr.Logger
-
-	lock sync.Mutex
-	// number is that of the last question. The first is random, so that the numbers differ from those of an
-	// earlier process of the node, whose answers may still arrive.
-	number uint64
-	// open holds the questions without an answer by their numbers.
-	open map[uint64]chan bool
+	// open holds the questions to other homes.
+	open *inquiry.Open[bool]
 }
 
 // NewDesk returns a desk of the node with the given home.
 func NewDesk(home *Home, peers Peers, log logr.Logger) *Desk {
-	return &Desk{home: home, peers: peers, log: log, number: rand.Uint64(), open: map[uint64]chan bool{}}
+	return &Desk{home: home, peers: peers, log: log, open: inquiry.New[bool]()}
 }
 
 // Await waits until it is the turn of a prompt, at most for Turn.Patience. The prompt may be sent whatever
@@ -118,39 +113,12 @@
 
 // ask asks another node, and reports whether it has given the turn and whether it has answered.
 func (desk *Desk) ask(ctx context.Context, address string, turn Turn) (given, answered bool) {
-	answer := make(chan bool, 1)
-	desk.lock.Lock()
-	desk.number++
-	number := desk.number
-	desk.open[number] = answer
-	desk.lock.Unlock()
-	defer func() {
-		desk.lock.Lock()
-		defer desk.lock.Unlock()
-		delete(desk.open, number)
-	}()
-	desk.peers.AskTurn(address, number, turn)
-	timer := time.NewTimer(turn.Patience + answerTimeout)
-	defer timer.Stop()
-	select {
-	case given := <-answer:
-		return given, true
-	case <-ctx.Done():
-		return false, true
-	case <-timer.C:
-		return false, false
-	}
+	return desk.open.Ask(ctx, turn.Patience+answerTimeout, func(number uint64) { desk.peers.AskTurn(address, number, turn) })
 }
 
 // Deliver takes the answer of a home.
 func (desk *Desk) Deliver(number uint64, given bool) {
-	desk.lock.Lock()
-	defer desk.lock.Unlock()
-	if answer, found := desk.open[number]; found {
-		// Its buffer holds the only answer.
-		answer <- given
-		delete(desk.open, number)
-	}
+	desk.open.Deliver(number, given)
 }
 
 // Answer answers the question of another node as the home of its target.
