--- a/internal/loading/busy.go
+++ b/internal/loading/busy.go
@@ -8,7 +8,7 @@
 
 // The thresholds follow from small questions, whose first event is due within 500 ms, and from streams,
 // whose events may be 500 ms apart. With prompts that take 230 ms and come independently of each other, a request
-// finds more than 270 ms of unread prompts in 3 % of the cases at a load of 0.27, in 6 % at 0.35
+// finds more than 270 ms of unread prompts in 2 % of the cases at a load of 0.23, in 6 % at 0.35
 // and in 15 % at 0.5. Lower thresholds displace more models, whose next requests wait for longer than that.
 const (
 	// A model gets another replica when its prompts take more than the replica
@@ -16,12 +16,12 @@
 	// replicaThresholdSpread divided by the number of engines, but at most
 	// replicaThresholdMax. The threshold is higher with few engines, as a replica
 	// displaces other models there.
-	replicaThresholdBase   = 0.24
+	replicaThresholdBase   = 0.2
 	replicaThresholdSpread = 1.8
 	replicaThresholdMax    = 0.35
 	// engineThreshold is the load of a whole engine above which the models that cause much of it get
 	// replicas elsewhere.
-	engineThreshold = 0.5
+	engineThreshold = 0.35
 	// engineShare is the part of the replica threshold that a model causes at least to get a replica for
 	// the load of its engines.
 	engineShare = 0.5
