--- a/internal/gateway/reading.go
+++ b/internal/gateway/reading.go
@@ -9,8 +9,8 @@
 )
 
 // readingShare is the share of the allowed gap between two events of a stream for which an engine may have long
-// prompts to read, unless it reads a single one. Prompts wait longer with less: of those with an objective of 800 ms,
-// more were late than streams had shorter gaps for it.
+// prompts to read, unless it reads a single one. With less, prompts wait longer and streams have shorter gaps; which of
+// the two matters more differs between deployments.
 const readingShare = 0.5
 
 // Turns lets the long prompts of all nodes take turns at the engines.
