Review case 7: a request inside the body of another one is run

Cause: a request with a length and chunks is read by its chunks, and the connection is kept, so that the rest of its body is read as a request.

--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -14,7 +14,8 @@
 
 // cases are the cases by name. Each returns an exit code; without trouble the rule has to hold.
 var cases = map[string]func(bed *bed, trouble bool) int{
-	"epochs": epochs,
+	"epochs":   epochs,
+	"smuggled": smuggled,
 }
 
 func main() {
