Refuse requests whose header leaves the end of the body in doubt

Cause: net/http goes by the chunks, drops the length from the header and keeps the connection. In HTTP/1.0 it drops the chunks. "OPTIONS *" is answered by it without the node's handler. When a handler sees the request, what was dropped is gone from its header.

Change: internal/ingress scans each header as it was sent for the two fields at the beginning of a line, and refuses a request whose server did not go by each that is there: 400, AmbiguousBody, and the connection ends. Requests that had arrived with the one in front of them were in the server's buffer, past the scan: a connection now passes on no byte beyond the end of a header or a body, by the length that the server itself has read, and line by line in chunks. Requests that net/http refuses by itself are counted as HeaderMalformed.

TestRequestInTheBodyOfAnotherIsNotHandled failed before for all spellings that net/http takes, in each of five ways to send them, e.g. 'length first, by itself: got the requests ["POST /outer " "POST /inner " "POST /proper abc"], want []'. It passes, with the race detector too, and TestRequestsWithOneFramingKeepTheirConnection passes before and after.

Why it works: no value is read a second time, so that no second reading can differ from the server's; only the presence of a name is compared with what the server used, and a scan that missed a header refuses the request as well.

--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,8 @@
 	// writePiece is the largest part of a response that is written at once: what the kernel has accepted
 	// counts as progress where it does not tell what the caller has acknowledged.
 	writePiece = 32 << 10
+	// readPiece is the largest part of a request that is read at once, and so the most that is kept unread.
+	readPiece = 16 << 10
 )
 
 // longAgo is a deadline that ends a read at once.
@@ -38,9 +41,13 @@
 	net.Conn
 	*Member
 	server *Server
-	// header and hold belong to the goroutine that reads the requests.
-	header headerCount
+	// header, hold, unread and framing belong to the goroutine that reads the requests.
+	header headerScan
 	hold   *intake.Hold
+	// unread is what has arrived and was not passed to the server, which gets no byte of a request before the
+	// one in front of it has ended: only the connection sees the whole header as it was sent.
+	unread  []byte
+	framing framing
 	// acknowledged is the number of bytes that the caller had acknowledged when the sweep last
 	// looked during a write.
 	acknowledged uint64
@@ -48,11 +55,11 @@
 	overdue bool
 }
 
-// Read reads from the connection. It counts what belongs to a header.
+// Read reads from the connection, and not beyond the end of a header or a body. It scans what belongs to a header.
 func (connection *connection) Read(into []byte) (int, error) {
-	count, err := connection.Conn.Read(into)
-	if count <= 0 {
-		return count, err
+	read, err := connection.next(into)
+	if len(read) == 0 {
+		return 0, err
 	}
 	switch connection.Stage() {
 	case StageNew, StageIdle:
@@ -61,27 +68,58 @@
 		}
 	case StageHeader:
 	default:
-		return count, err
+		return connection.pass(into, read, connection.framing.cut(read)), nil
 	}
-	connection.header.add(into[:count])
+	if connection.header.ended {
+		// The request has no body: the server waits for the end of the connection.
+		return connection.pass(into, read, 1), nil
+	}
+	count := connection.pass(into, read, connection.header.add(read))
 	if limit := connection.server.settings.Limits().MaxHeader; connection.header.bytes > limit+headerSlack {
-		return 0, connection.refuseHeader(CauseHeaderLarge, http.StatusRequestHeaderFieldsTooLarge)
+		return 0, connection.refuseHeader(CauseHeaderLarge, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 	}
 	if !connection.hold.Grow(connection.header.memory()) {
-		return 0, connection.refuseHeader(CauseHeaderMemory, http.StatusServiceUnavailable)
+		return 0, connection.refuseHeader(CauseHeaderMemory, http.StatusServiceUnavailable, "the memory for requests is used up")
 	}
-	return count, err
+	return count, nil
+}
+
+// next returns what comes next, at most as much as into holds: from what was left unread, or from the network.
+func (connection *connection) next(into []byte) ([]byte, error) {
+	if len(connection.unread) > 0 {
+		return connection.unread[:min(len(connection.unread), len(into))], nil
+	}
+	count, err := connection.Conn.Read(into[:min(len(into), readPiece)])
+	if count > 0 {
+		// An error comes again with the next call.
+		err = nil
+	}
+	return into[:max(count, 0)], err
+}
+
+// pass passes the first count bytes of read to the server and keeps the rest.
+func (connection *connection) pass(into, read []byte, count int) int {
+	if len(connection.unread) > 0 {
+		copy(into, read[:count])
+		connection.unread = connection.unread[count:]
+	} else if count < len(read) {
+		connection.unread = bytes.Clone(read[count:])
+	}
+	if len(connection.unread) == 0 {
+		connection.unread = nil
+	}
+	return count
 }
 
-// refuseHeader answers a request whose header is not read to its end. It returns the error of a
-// connection on which no answer is expected any more.
-func (connection *connection) refuseHeader(cause Cause, status int) error {
+// refuseHeader answers a request that is refused for its header. It returns the error of a connection on which no
+// answer is expected any more.
+func (connection *connection) refuseHeader(cause Cause, status int, detail string) error {
 	if !connection.Enter(StageClosed, connection.server.now(), StageHeader) {
 		return readError(net.ErrClosed)
 	}
 	connection.server.count(cause, connection.source.address)
-	text := strconv.Itoa(status) + " " + http.StatusText(status)
-	answer := "HTTP/1.1 " + text + "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: " +
+	text := string(cause) + ": " + detail + "\n"
+	answer := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: " +
 		strconv.Itoa(len(text)) + "\r\n\r\n" + text
 	if connection.Conn.SetDeadline(time.Now().Add(lingerTime)) != nil {
 		return readError(errHeaderRefused)
@@ -126,7 +164,7 @@
 
 // rest begins the time between two requests.
 func (connection *connection) rest() {
-	connection.header = headerCount{}
+	connection.header, connection.framing = headerScan{}, framing{}
 	connection.hold.Release()
 	connection.Enter(StageIdle, connection.server.now(), StageRunning, StageBody)
 }
--- a/internal/ingress/header.go
+++ b/internal/ingress/header.go
@@ -1,6 +1,9 @@
 package ingress
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+)
 
 const (
 	// headerByteCost is the memory of a byte of a header: its text is read into a line and copied.
@@ -12,44 +15,86 @@
 	headerSlack = 4 << 10
 )
 
-// headerCount counts the header of one request while it arrives.
-type headerCount struct {
+// The header fields that say where a body ends.
+const (
+	lengthField = "Content-Length"
+	codingField = "Transfer-Encoding"
+	// lineStartBytes is what is kept of a line: a name and the byte after it.
+	lineStartBytes = len(codingField) + 1
+)
+
+// headerScan counts the header of one request while it arrives, and looks for the fields that say where
+// its body ends.
+type headerScan struct {
 	bytes int
 	lines int
-	// lineBytes is the length of the line that has not ended, without its carriage return.
+	// lineBytes is the length of the line that has not ended, lineStart its first bytes.
 	lineBytes int
+	lineStart [lineStartBytes]byte
 	// begun says that a line was not empty; empty lines may precede a request.
 	begun bool
 	// ended says that the empty line after the header has arrived. What follows is the body.
 	ended bool
+	// length and coding say that there is a line with such a field.
+	length bool
+	coding bool
 }
 
-// add counts bytes that have arrived.
-func (count *headerCount) add(read []byte) {
-	for len(read) > 0 && !count.ended {
-		end := bytes.IndexByte(read, '\n')
-		line := read
-		if end >= 0 {
-			line = read[:end]
-			read = read[end+1:]
-		} else {
-			read = nil
+// add scans bytes that have arrived, and returns how many of them belong to the header.
+func (scan *headerScan) add(read []byte) int {
+	added := 0
+	for added < len(read) && !scan.ended {
+		line, _, found := bytes.Cut(read[added:], []byte{'\n'})
+		if scan.lineBytes < lineStartBytes {
+			copy(scan.lineStart[scan.lineBytes:], line)
 		}
-		count.bytes += len(line) + 1
-		count.lineBytes += len(line)
-		if len(line) > 0 && line[len(line)-1] == '\r' {
-			count.lineBytes--
-		}
-		if end >= 0 {
-			count.lines++
-			count.ended = count.begun && count.lineBytes == 0
-			count.begun = count.begun || count.lineBytes > 0
-			count.lineBytes = 0
+		scan.lineBytes += len(line)
+		added += len(line)
+		if found {
+			added++
+			scan.endLine()
 		}
 	}
+	scan.bytes += added
+	return added
+}
+
+func (scan *headerScan) endLine() {
+	start := scan.lineStart[:min(scan.lineBytes, lineStartBytes)]
+	empty := len(bytes.TrimSuffix(start, []byte{'\r'})) == 0
+	scan.lines++
+	scan.ended = scan.begun && empty
+	scan.begun = scan.begun || !empty
+	scan.length = scan.length || beginsField(start, lengthField)
+	scan.coding = scan.coding || beginsField(start, codingField)
+	scan.lineBytes = 0
+}
+
+// beginsField reports whether a line begins with the name of a field, whatever may follow a name: servers differ in
+// what they take for its end.
+func beginsField(line []byte, name string) bool {
+	if len(line) < len(name) || !bytes.EqualFold(line[:len(name)], []byte(name)) {
+		return false
+	}
+	return len(line) == len(name) || !isNameByte(line[len(name)])
+}
+
+// isNameByte reports whether a byte may be part of a field's name.
+func isNameByte(next byte) bool {
+	letter := next | 0x20
+	return letter >= 'a' && letter <= 'z' || next >= '0' && next <= '9' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), next) >= 0
+}
+
+// ambiguous reports whether it is in doubt where the body of a request ends: the server does not go by each field of
+// its header that says so. A length beside chunks is dropped by the server, and so are chunks in HTTP/1.0; the sender,
+// or a proxy in between, may go by what was dropped.
+func (scan *headerScan) ambiguous(request *http.Request) bool {
+	_, length := request.Header[lengthField]
+	chunked := len(request.TransferEncoding) > 0
+	return !scan.ended || scan.length != length || scan.coding != chunked
 }
 
 // memory returns about what the header takes in memory once it is decoded.
-func (count *headerCount) memory() int64 {
-	return int64(count.bytes)*headerByteCost + int64(count.lines)*headerLineCost
+func (scan *headerScan) memory() int64 {
+	return int64(scan.bytes)*headerByteCost + int64(scan.lines)*headerLineCost
 }
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -40,11 +40,16 @@
 	CauseNone Cause = ""
 	// CauseIdle is the end of the idle timeout, which is usual.
 	CauseIdle Cause = "Idle"
-	// CauseHeaderSlow is a header that did not end in time, CauseHeaderLarge one over the limit
-	// and CauseHeaderMemory one that the memory for requests did not hold.
-	CauseHeaderSlow   Cause = "HeaderSlow"
-	CauseHeaderLarge  Cause = "HeaderTooLarge"
-	CauseHeaderMemory Cause = "HeaderNoMemory"
+	// CauseHeaderSlow is a header that did not end in time, CauseHeaderLarge one over the limit,
+	// CauseHeaderMemory one that the memory for requests did not hold and CauseHeaderMalformed one
+	// that is no HTTP.
+	CauseHeaderSlow      Cause = "HeaderSlow"
+	CauseHeaderLarge     Cause = "HeaderTooLarge"
+	CauseHeaderMemory    Cause = "HeaderNoMemory"
+	CauseHeaderMalformed Cause = "HeaderMalformed"
+	// CauseAmbiguousBody is a header that leaves in doubt where the body ends, as by a length and
+	// chunks: a part of the body could be taken for another request.
+	CauseAmbiguousBody Cause = "AmbiguousBody"
 	// CauseBodyStalled is a body that stopped arriving; its request is refused.
 	CauseBodyStalled Cause = "BodyStalled"
 	// CauseUnread is a response that its caller does not read.
@@ -57,7 +62,8 @@
 
 // causes lists all causes that are counted.
 var causes = [...]Cause{
-	CauseIdle, CauseHeaderSlow, CauseHeaderLarge, CauseHeaderMemory, CauseBodyStalled, CauseUnread, CauseReplaced, CauseFull,
+	CauseIdle, CauseHeaderSlow, CauseHeaderLarge, CauseHeaderMemory, CauseHeaderMalformed, CauseAmbiguousBody,
+	CauseBodyStalled, CauseUnread, CauseReplaced, CauseFull,
 }
 
 // Overdue returns why a connection has to be closed at the given time, or CauseNone. pressed says
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,8 @@
 	unlimitedHeader = 1 << 30
 	// maxChoices is how often a connection to close is chosen again because its stage has changed.
 	maxChoices = 4
+	// maxOptionsBody is the largest body of a request for the options of the server, in bytes.
+	maxOptionsBody = 4 << 10
 )
 
 // Settings are the limits of a Server.
@@ -74,6 +77,8 @@
 	server.server = &http.Server{
 		Handler:        http.HandlerFunc(server.handle),
 		MaxHeaderBytes: unlimitedHeader,
+		// net/http would answer "OPTIONS *" without a call of the handler.
+		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, accepted net.Conn) context.Context {
 			if opened, ok := accepted.(*connection); ok {
 				ctx = intake.WithHeader(ctx, opened.hold)
@@ -145,18 +150,43 @@
 	return time.Duration(server.clock.Load())
 }
 
-// handle calls the handler, unless the connection was closed while the request was read.
+// handle calls the handler, unless the connection was closed while the request was read, or the end of the request's
+// body is in doubt.
 func (server *Server) handle(writer http.ResponseWriter, request *http.Request) {
 	opened, found := request.Context().Value(connectionKey{}).(*connection)
-	if !found || !opened.begin() {
+	if !found {
 		panic(http.ErrAbortHandler)
 	}
+	if opened.header.ambiguous(request) {
+		// The panic closes the connection.
+		_ = opened.refuseHeader(CauseAmbiguousBody, http.StatusBadRequest, "the header leaves in doubt where the body ends")
+		panic(http.ErrAbortHandler)
+	}
+	if !opened.begin() {
+		panic(http.ErrAbortHandler)
+	}
+	if request.ContentLength != 0 {
+		opened.framing = newFraming(request)
+	}
 	// The server needs its own request, whose body it recognises.
 	handled := request.WithContext(request.Context())
 	if request.ContentLength != 0 {
 		handled.Body = &body{ReadCloser: request.Body, connection: opened}
 	}
-	server.handler.ServeHTTP(&answerWriter{ResponseWriter: writer, stopping: &server.stopping}, handled)
+	handler := server.handler
+	if request.Method == http.MethodOptions && request.RequestURI == "*" {
+		handler = http.HandlerFunc(answerOptions)
+	}
+	handler.ServeHTTP(&answerWriter{ResponseWriter: writer, stopping: &server.stopping}, handled)
+}
+
+// answerOptions answers a request that asks for the options of the server as a whole.
+func answerOptions(writer http.ResponseWriter, request *http.Request) {
+	if _, err := io.CopyN(io.Discard, request.Body, maxOptionsBody); err != io.EOF {
+		writer.Header().Set("Connection", "close")
+		// The server would read on otherwise. An error means that the connection is closed.
+		_ = http.NewResponseController(writer).SetReadDeadline(longAgo)
+	}
 }
 
 // boundedListener accepts connections within the bound of its server.
@@ -244,6 +274,10 @@
 			connection.closeFrom(StageIdle)
 		}
 	case http.StateClosed, http.StateHijacked:
+		if connection.Stage() == StageHeader && connection.header.ended {
+			// The server has refused the request by itself.
+			server.count(CauseHeaderMalformed, connection.source.address)
+		}
 		connection.hold.Release()
 		server.lock.Lock()
 		defer server.lock.Unlock()
