Refuse requests to serve that leave the end of their body in doubt

What callers saw: on both ports of serve a request in the body of another one was run, and answered in place of the next, for a length beside chunks, two lengths, a coding beside another, a name with a control character, chunks in HTTP/1.0, and after a chunk whose size is malformed.

Cause: the server of hertz takes one of several statements about the end of a body and keeps the connection. Nothing checked the fields, and a connection was kept whose body no handler had read, or had read with an error.

Change: framing.CheckRequest reads the fields as the server keeps them, and refuses all about which two readers may differ. A guard in front of all handlers of both ports, also of paths and methods that don't exist, calls it, closes the connection after a refusal and after a body that was not read to its end, and compares the length with the server's.

Evidence: TestServeRunsNoRequestInTheBodyOfAnother, with real processes, failed before: "got 32 runs of a request in the body of another, want none", and two answers in place of one on each path of both ports. It passes since; its valid requests (a length, chunks, no body, on one kept connection) are served before and after.

Why it works: the check is on what the server itself has kept of the header, and is stricter than any reader; what passes has one statement about the end.

--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -25,6 +25,7 @@
 // statusCodes maps the reason of a refusal to the HTTP status; other reasons get 503.
 var statusCodes = map[mimosatide.Reason]int{
 	mimosatide.ReasonMalformed:        http.StatusBadRequest,
+	mimosatide.ReasonAmbiguousBody:    http.StatusBadRequest,
 	mimosatide.ReasonTooLarge:         http.StatusRequestEntityTooLarge,
 	mimosatide.ReasonNoKey:            http.StatusUnauthorized,
 	mimosatide.ReasonTwoKeys:          http.StatusUnauthorized,
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -15,6 +15,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/configuration"
 	"mimosatide.example/mimosatide/internal/dispatch"
+	"mimosatide.example/mimosatide/internal/framing/hertzconn"
 	"mimosatide.example/mimosatide/internal/metric"
 )
 
@@ -75,6 +76,11 @@
 	})
 }
 
+// RefuseAmbiguousBody refuses a request that leaves in doubt where its body ends.
+func (server *Server) RefuseAmbiguousBody(c *app.RequestContext, err error) {
+	server.refuse(c, server.newID(), mimosatide.Refuse(mimosatide.ReasonAmbiguousBody, err.Error()))
+}
+
 // refuse answers and counts a request that is refused before it reaches the dispatcher.
 func (server *Server) refuse(c *app.RequestContext, id string, refusal mimosatide.Refusal) {
 	server.meter.CountRefusal(refusal.Reason)
@@ -101,6 +107,7 @@
 	if len(body) > server.settings.MaxBody {
 		return nil, tooLarge
 	}
+	hertzconn.MarkBodyRead(c)
 	return body, mimosatide.Refusal{}
 }
 
--- a/internal/framing/doc.go
+++ b/internal/framing/doc.go
@@ -1,8 +1,8 @@
-// Package framing checks what the HTTP/1.1 libraries take on trust in an answer: the status,
-// and the end of a body that has neither a length nor chunks, which only the end of its
-// connection ends.
+// Package framing checks what the HTTP/1.1 libraries take on trust: in a request, that its header leaves no doubt
+// where the body ends; in an answer, the status, and the end of a body that has neither a length nor chunks,
+// which only the end of its connection ends.
 //
-// Such a body is whole only if the connection ended cleanly in both directions. The kernel
+// A body of the latter kind is whole only if the connection ended cleanly in both directions. The kernel
 // reports the error of a reset once, to whichever of read and write meets it first; if that is
 // the write of a request, the read gets a clean end.
 //
@@ -20,4 +20,6 @@
 //	if err == nil {
 //		err = upload.CheckBody(response)
 //	}
+//
+//	length, err := framing.CheckRequest("HTTP/1.1", fields)
 package framing
--- a/internal/framing/hertzconn/conn.go
+++ b/internal/framing/hertzconn/conn.go
@@ -1,5 +1,6 @@
-// Package hertzconn has the checks of package framing for the client of hertz. That client takes
-// any error for the end of a body without a length, and the status 000 for 200.
+// Package hertzconn has the checks of package framing for the client and the server of hertz. That client takes
+// any error for the end of a body without a length, and the status 000 for 200. The server drops all but one of
+// several statements about the end of a body.
 //
 // # Usage
 //
@@ -9,6 +10,8 @@
 //	if err == nil {
 //		err = hertzconn.CheckEnd(response)
 //	}
+//
+//	httpServer.Use(hertzconn.NewGuard(refuse))
 package hertzconn
 
 import (
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -41,13 +41,13 @@
 	net.Conn
 	*Member
 	server *Server
-	// header, hold, unread and framing belong to the goroutine that reads the requests.
+	// header, hold, unread and body belong to the goroutine that reads the requests.
 	header headerScan
 	hold   *intake.Hold
 	// unread is what has arrived and was not passed to the server, which gets no byte of a request before the
 	// one in front of it has ended: only the connection sees the whole header as it was sent.
-	unread  []byte
-	framing framing
+	unread []byte
+	body   bodyEnd
 	// acknowledged is the number of bytes that the caller had acknowledged when the sweep last
 	// looked during a write.
 	acknowledged uint64
@@ -68,7 +68,7 @@
 		}
 	case StageHeader:
 	default:
-		return connection.pass(into, read, connection.framing.cut(read)), nil
+		return connection.pass(into, read, connection.body.cut(read)), nil
 	}
 	if connection.header.ended {
 		// The request has no body: the server waits for the end of the connection.
@@ -164,7 +164,7 @@
 
 // rest begins the time between two requests.
 func (connection *connection) rest() {
-	connection.header, connection.framing = headerScan{}, framing{}
+	connection.header, connection.body = headerScan{}, bodyEnd{}
 	connection.hold.Release()
 	connection.Enter(StageIdle, connection.server.now(), StageRunning, StageBody)
 }
--- a/internal/ingress/header.go
+++ b/internal/ingress/header.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net/http"
+
+	"mimosatide.example/mimosatide/internal/framing"
 )
 
 const (
@@ -28,9 +30,12 @@
 type headerScan struct {
 	bytes int
 	lines int
-	// lineBytes is the length of the line that has not ended, lineStart its first bytes.
-	lineBytes int
-	lineStart [lineStartBytes]byte
+	// lineBytes is the length of the line that has not ended; carriageReturn says that its first byte is one.
+	lineBytes      int
+	carriageReturn bool
+	// lineStart holds the first startBytes bytes of the line.
+	lineStart  [lineStartBytes]byte
+	startBytes int
 	// begun says that a line was not empty; empty lines may precede a request.
 	begun bool
 	// ended says that the empty line after the header has arrived. What follows is the body.
@@ -45,11 +50,8 @@
 	added := 0
 	for added < len(read) && !scan.ended {
 		line, _, found := bytes.Cut(read[added:], []byte{'\n'})
-		if scan.lineBytes < lineStartBytes {
-			copy(scan.lineStart[scan.lineBytes:], line)
-		}
-		scan.lineBytes += len(line)
 		added += len(line)
+		scan.addToLine(line)
 		if found {
 			added++
 			scan.endLine()
@@ -59,15 +61,23 @@
 	return added
 }
 
+func (scan *headerScan) addToLine(part []byte) {
+	if scan.lineBytes == 0 && len(part) > 0 {
+		scan.carriageReturn = part[0] == '\r'
+	}
+	scan.lineBytes += len(part)
+	scan.startBytes += copy(scan.lineStart[scan.startBytes:], part)
+}
+
 func (scan *headerScan) endLine() {
-	start := scan.lineStart[:min(scan.lineBytes, lineStartBytes)]
-	empty := len(bytes.TrimSuffix(start, []byte{'\r'})) == 0
+	empty := scan.lineBytes == 0 || scan.lineBytes == 1 && scan.carriageReturn
+	start := scan.lineStart[:scan.startBytes]
 	scan.lines++
 	scan.ended = scan.begun && empty
 	scan.begun = scan.begun || !empty
 	scan.length = scan.length || beginsField(start, lengthField)
 	scan.coding = scan.coding || beginsField(start, codingField)
-	scan.lineBytes = 0
+	scan.lineBytes, scan.startBytes = 0, 0
 }
 
 // beginsField reports whether a line begins with the name of a field, whatever may follow a name: servers differ in
@@ -76,13 +86,7 @@
 	if len(line) < len(name) || !bytes.EqualFold(line[:len(name)], []byte(name)) {
 		return false
 	}
-	return len(line) == len(name) || !isNameByte(line[len(name)])
-}
-
-// isNameByte reports whether a byte may be part of a field's name.
-func isNameByte(next byte) bool {
-	letter := next | 0x20
-	return letter >= 'a' && letter <= 'z' || next >= '0' && next <= '9' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), next) >= 0
+	return len(line) == len(name) || !framing.IsNameByte(line[len(name)])
 }
 
 // ambiguous reports whether it is in doubt where the body of a request ends: the server does not go by each field of
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -166,7 +166,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if request.ContentLength != 0 {
-		opened.framing = newFraming(request)
+		opened.body = newBodyEnd(request)
 	}
 	// The server needs its own request, whose body it recognises.
 	handled := request.WithContext(request.Context())
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -78,6 +78,11 @@
 	group.GET("/explain/*subject", server.explain)
 }
 
+// RefuseAmbiguousBody refuses a request that leaves in doubt where its body ends.
+func (server *Server) RefuseAmbiguousBody(c *app.RequestContext, err error) {
+	c.JSON(http.StatusBadRequest, errorWire{Error: string(mimosatide.ReasonAmbiguousBody), Message: err.Error()})
+}
+
 func (server *Server) authenticate(ctx context.Context, c *app.RequestContext) {
 	given := strings.TrimPrefix(string(c.Request.Header.Peek("Authorization")), bearerPrefix)
 	if subtle.ConstantTimeCompare([]byte(given), []byte(server.key)) != 1 {
--- a/refusal.go
+++ b/refusal.go
@@ -44,6 +44,8 @@
 	ReasonOverloaded Reason = "Overloaded"
 	// ReasonNoMemory means that the node has no memory left for the request's body.
 	ReasonNoMemory Reason = "NoMemory"
+	// ReasonAmbiguousBody means that the request leaves in doubt where its body ends.
+	ReasonAmbiguousBody Reason = "AmbiguousBody"
 	// ReasonBodyStalled means that the request's body stopped arriving.
 	ReasonBodyStalled Reason = "BodyStalled"
 	// ReasonCallerGone means that the caller disconnected before it got an answer.
