Refuse requests that hide a field about their body in a folded line

What callers saw: "X: y", folded with "Content-Length: 5", beside another length was taken by the other length and the connection kept. A proxy that doesn't join folded lines sees two lengths, and may go by the first.

Cause: net/http joins folded lines, as RFC 9112 allows, so that the scan counted the second line as a part of the first field.

Change: a line that begins with white space or control characters and the name of such a field leaves the end of the body in doubt, whatever else is there.

Evidence: the two new spellings of TestRequestInTheBodyOfAnotherIsNotHandled failed without it: 'folded, a length, by itself: got the requests ["POST /outer 0\r\n\r\nPOST /inner ..." "POST /proper abc"], want []'. They pass now, with the other 16.

Why it works: no reader is left that could see another field than those counted.

--- a/internal/ingress/body_end_test.go
+++ b/internal/ingress/body_end_test.go
@@ -96,6 +96,8 @@
 		"space before":      "POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\nTransfer-Encoding : chunked\r\n\r\n",
 		"two codings":       "POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\nTransfer-Encoding: chunked, identity\r\n\r\n",
 		"carriage return":   "POST /outer HTTP/1.1\r\nHost: a\r\nX: y\rTransfer-Encoding: chunked\r\nContent-Length: " + length + "\r\n\r\n",
+		"folded, a field":   "POST /outer HTTP/1.1\r\nHost: a\r\nX: y\r\n Transfer-Encoding: chunked\r\nContent-Length: " + length + "\r\n\r\n",
+		"folded, a length":  "POST /outer HTTP/1.1\r\nHost: a\r\nX: y\r\n\tContent-Length: 5\r\nContent-Length: " + length + "\r\n\r\n",
 		"nothing but lines": "POST /outer HTTP/1.1\nTransfer-Encoding: chunked\nContent-Length: " + length + "\nHost: a\n\n",
 	} {
 		handled := &record{}
--- a/internal/ingress/header.go
+++ b/internal/ingress/header.go
@@ -33,16 +33,18 @@
 	// lineBytes is the length of the line that has not ended; carriageReturn says that its first byte is one.
 	lineBytes      int
 	carriageReturn bool
-	// lineStart holds the first startBytes bytes of the line.
+	// lineStart holds the first startBytes bytes of the line, without the skipped ones that can't begin a name.
 	lineStart  [lineStartBytes]byte
 	startBytes int
+	skipped    int
 	// begun says that a line was not empty; empty lines may precede a request.
 	begun bool
 	// ended says that the empty line after the header has arrived. What follows is the body.
 	ended bool
-	// length and coding say that there is a line with such a field.
+	// length and coding say that there is a line with such a field, hidden that it may not be one to each reader.
 	length bool
 	coding bool
+	hidden bool
 }
 
 // add scans bytes that have arrived, and returns how many of them belong to the header.
@@ -66,6 +68,12 @@
 		scan.carriageReturn = part[0] == '\r'
 	}
 	scan.lineBytes += len(part)
+	if scan.startBytes == 0 {
+		// A line that is folded may be a field of its own to another reader.
+		rest := bytes.TrimLeftFunc(part, func(next rune) bool { return next <= ' ' })
+		scan.skipped += len(part) - len(rest)
+		part = rest
+	}
 	scan.startBytes += copy(scan.lineStart[scan.startBytes:], part)
 }
 
@@ -75,9 +83,11 @@
 	scan.lines++
 	scan.ended = scan.begun && empty
 	scan.begun = scan.begun || !empty
-	scan.length = scan.length || beginsField(start, lengthField)
-	scan.coding = scan.coding || beginsField(start, codingField)
-	scan.lineBytes, scan.startBytes = 0, 0
+	length, coding := beginsField(start, lengthField), beginsField(start, codingField)
+	scan.length = scan.length || length
+	scan.coding = scan.coding || coding
+	scan.hidden = scan.hidden || scan.skipped > 0 && (length || coding)
+	scan.lineBytes, scan.startBytes, scan.skipped = 0, 0, 0
 }
 
 // beginsField reports whether a line begins with the name of a field, whatever may follow a name: servers differ in
@@ -95,7 +105,7 @@
 func (scan *headerScan) ambiguous(request *http.Request) bool {
 	_, length := request.Header[lengthField]
 	chunked := len(request.TransferEncoding) > 0
-	return !scan.ended || scan.length != length || scan.coding != chunked
+	return !scan.ended || scan.hidden || scan.length != length || scan.coding != chunked
 }
 
 // memory returns about what the header takes in memory once it is decoded.
