Take no answer of a target that leaves the end of its body in doubt

What callers saw: an answer with a length and chunks was passed on by its chunks, one of HTTP/1.0 in chunks with the chunks' sizes in its body, each as a success.

Cause: the same as for requests: the clients of net/http and hertz take one of two statements about the end of a body and drop the other. Late answers are found by their IDs, so that no answer to another request was seen.

Change: the scan of ingress moves to framing.HeaderScan and also runs over the heads of answers, in internal/exchange and in hertzconn. Such an answer is none: its connection closes, the request may have run, and the metric of answers that are not passed on has the kind AmbiguousBody, with a log line.

Why it works: the scan sees the bytes of each head, also those that were read with an earlier answer, and no answer with two statements is left.

--- a/internal/exchange/broken_test.go
+++ b/internal/exchange/broken_test.go
@@ -232,3 +232,32 @@
 		reply.Abort()
 	}
 }
+
+// An answer with a length and chunks was taken by its chunks, and its connection used again: what its target may have
+// sent as the rest of the body was taken for the answer to the next request.
+func TestAnswerWithALengthAndChunksIsNone(t *testing.T) {
+	const chunks = "3\r\nabc\r\n0\r\n\r\n"
+	for text, whole := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                                                     false,
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n" + chunks:                                                      false,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                         false,
+		"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                                            false,
+		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                                                 false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                                                                           true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nContent-Length: 3\r\n\r\n\r\n0\r\n\r\n":                                        true,
+		"HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nHTTP/1.1 200 OK\r\nX: Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks: true,
+		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 3\r\n\r\nabc":                                                                true,
+	} {
+		started := startTarget(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+			writeAnswer(connection, text)
+			return strings.HasPrefix(text, "HTTP/1.1")
+		})
+		client := exchange.New(&net.Dialer{})
+		// The second answer may come on the connection of the first one.
+		for range 2 {
+			if body, failure := sendAndRead(t, client, started.address); (failure == mimosatide.CallSucceeded) != whole {
+				t.Errorf("answer %q: got body %q and failure %q, want a whole answer %t", text, body, failure, whole)
+			}
+		}
+	}
+}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -15,6 +15,8 @@
 // headLimit is a number of bytes and of lines.
 type headLimit struct {
 	bytes, lines int
+	// scan is that of the head which is being read.
+	scan framing.HeaderScan
 	// exceeded says that more was asked for.
 	exceeded bool
 }
@@ -38,6 +40,7 @@
 		return 0, ErrHeadTooLarge
 	}
 	count, err := open.Conn.Read(buffer[:min(len(buffer), limit.bytes)])
+	limit.scan.Add(buffer[:count])
 	limit.bytes -= count
 	limit.lines -= bytes.Count(buffer[:count], []byte{'\n'})
 	return count, err
@@ -55,6 +58,13 @@
 	open.headLimit = limit
 	defer func() { open.headLimit = nil }()
 	for {
+		limit.scan = framing.HeaderScan{}
+		// What is buffered was read with an earlier answer.
+		buffered, err := open.reader.Peek(open.reader.Buffered())
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		limit.scan.Add(buffered)
 		if err := open.checkStatusLine(); err != nil {
 			if limit.exceeded {
 				return nil, errors.Trace(ErrHeadTooLarge)
@@ -75,9 +85,13 @@
 		if open.calls > 1 && holdsStatusLine(response) {
 			return nil, errors.Trace(errJoinedHeads)
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if err := limit.scan.CheckAnswer(); err != nil {
+			return nil, errors.Trace(err)
 		}
+		return response, nil
 	}
 }
 
--- a/internal/framing/doc.go
+++ b/internal/framing/doc.go
@@ -1,5 +1,5 @@
 // Package framing checks what the HTTP/1.1 libraries take on trust: in a request, that its header leaves no doubt
-// where the body ends; in an answer, the status, and the end of a body that has neither a length nor chunks,
+// where the body ends; in an answer the same, the status, and the end of a body that has neither a length nor chunks,
 // which only the end of its connection ends.
 //
 // A body of the latter kind is whole only if the connection ended cleanly in both directions. The kernel
--- a/internal/framing/hertzconn/conn.go
+++ b/internal/framing/hertzconn/conn.go
@@ -110,6 +110,8 @@
 	// informational, so that another follows its head.
 	statusDue bool
 	interim   bool
+	// headDue says that the head of an answer has not been checked to its end.
+	headDue bool
 	// readErr and writeErr are the errors of the first read and write that failed. At the end of
 	// the input, readErr is io.EOF only if the other side has acknowledged the whole output.
 	readErr  error
@@ -130,7 +132,7 @@
 
 // Flush writes a request.
 func (conn *Conn) Flush() error {
-	conn.statusDue, conn.interim = true, false
+	conn.statusDue, conn.interim, conn.headDue = true, false, true
 	err := conn.Conn.Flush()
 	if err != nil && conn.writeErr == nil {
 		conn.writeErr = err
@@ -150,6 +152,11 @@
 			return nil, err
 		}
 	}
+	if conn.headDue && !conn.statusDue {
+		if err := conn.checkHead(); err != nil {
+			return nil, err
+		}
+	}
 	return next, nil
 }
 
@@ -188,11 +195,29 @@
 	return nil
 }
 
+// checkHead checks the head of an answer once it has arrived whole; that of an informational one has no body.
+func (conn *Conn) checkHead() error {
+	begin, err := conn.Conn.Peek(conn.Len())
+	if err != nil {
+		return err
+	}
+	var scan framing.HeaderScan
+	scan.Add(begin)
+	if !scan.Ended {
+		return nil
+	}
+	conn.headDue = false
+	if conn.interim {
+		return nil
+	}
+	return scan.CheckAnswer()
+}
+
 // Skip consumes the next size bytes.
 func (conn *Conn) Skip(size int) error {
 	if conn.interim {
 		// The library consumes a head at once.
-		conn.statusDue, conn.interim = true, false
+		conn.statusDue, conn.interim, conn.headDue = true, false, true
 	}
 	return conn.Conn.Skip(size)
 }
--- a/internal/framing/request.go
+++ b/internal/framing/request.go
@@ -38,13 +38,13 @@
 		}
 		value = bytes.Trim(value, " \t")
 		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
+		case bytes.EqualFold(name, []byte(LengthField)):
 			next, err := strconv.ParseUint(string(value), 10, 63)
 			if err != nil || lengthText != nil && !bytes.Equal(value, lengthText) {
 				return 0, errors.Annotate(ErrAmbiguousBody, "no length, or two")
 			}
 			length, lengthText = int64(next), value
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		case bytes.EqualFold(name, []byte(CodingField)):
 			if chunked || version != "HTTP/1.1" || !bytes.EqualFold(value, []byte("chunked")) {
 				return 0, errors.Annotate(ErrAmbiguousBody, "a coding that is not chunked alone, or not of this protocol")
 			}
@@ -63,7 +63,7 @@
 
 func isName(name []byte) bool {
 	for _, next := range name {
-		if !IsNameByte(next) {
+		if !isNameByte(next) {
 			return false
 		}
 	}
@@ -75,8 +75,8 @@
 	return next < ' ' && next != '\t' || next == 0x7f
 }
 
-// IsNameByte reports whether a byte may be part of the name of a field.
-func IsNameByte(next byte) bool {
+// isNameByte reports whether a byte may be part of the name of a field.
+func isNameByte(next byte) bool {
 	letter := next | 0x20
 	return letter >= 'a' && letter <= 'z' || next >= '0' && next <= '9' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), next) >= 0
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -219,6 +219,8 @@
 	switch {
 	case errors.Is(err, framing.ErrStatus):
 		kind = metric.AnswerInvalidStatus
+	case errors.Is(err, framing.ErrAmbiguousAnswer):
+		kind = metric.AnswerAmbiguous
 	case !errors.Is(err, framing.ErrUnfinished):
 		return
 	}
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -70,12 +70,12 @@
 	default:
 		return connection.pass(into, read, connection.body.cut(read)), nil
 	}
-	if connection.header.ended {
+	if connection.header.Ended {
 		// The request has no body: the server waits for the end of the connection.
 		return connection.pass(into, read, 1), nil
 	}
-	count := connection.pass(into, read, connection.header.add(read))
-	if limit := connection.server.settings.Limits().MaxHeader; connection.header.bytes > limit+headerSlack {
+	count := connection.pass(into, read, connection.header.Add(read))
+	if limit := connection.server.settings.Limits().MaxHeader; connection.header.Bytes > limit+headerSlack {
 		return 0, connection.refuseHeader(CauseHeaderLarge, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 	}
 	if !connection.hold.Grow(connection.header.memory()) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -274,7 +274,7 @@
 			connection.closeFrom(StageIdle)
 		}
 	case http.StateClosed, http.StateHijacked:
-		if connection.Stage() == StageHeader && connection.header.ended {
+		if connection.Stage() == StageHeader && connection.header.Ended {
 			// The server has refused the request by itself.
 			server.count(CauseHeaderMalformed, connection.source.address)
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -77,6 +77,8 @@
 	AnswerBroken AnswerKind = "Broken"
 	// AnswerInvalidStatus is an answer whose status is not one of HTTP.
 	AnswerInvalidStatus AnswerKind = "InvalidStatus"
+	// AnswerAmbiguous is an answer whose header leaves in doubt where its body ends.
+	AnswerAmbiguous AnswerKind = "AmbiguousBody"
 )
 
 // OversizeReason says which bound an answer of a target exceeded.
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -198,3 +198,21 @@
 		}
 	}
 }
+
+// An answer with a length and chunks was taken by its chunks.
+func TestAnswerWithALengthAndChunksIsNone(t *testing.T) {
+	for fields, want := range map[string]mimosatide.CallFailure{
+		"Content-Length: 60\r\nTransfer-Encoding: chunked\r\n": mimosatide.CallCut,
+		"Transfer-Encoding: chunked\r\ncontent-length: 2\r\n":  mimosatide.CallCut,
+		"Transfer-Encoding: chunked\r\n":                       mimosatide.CallSucceeded,
+	} {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			text := before + "HTTP/1.1 200 OK\r\n" + target.RequestHeader + ": r-1\r\nContent-Type: application/json\r\n" + fields + "\r\n2\r\n{}\r\n0\r\n\r\n"
+			call := mimosatide.Call{Request: "r-1", Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}")}
+			got := newClient(t).Run(context.Background(), startRaw(t, text, true, leaveOpen), call, func(mimosatide.Event) error { return nil })
+			if got.Failure != want {
+				t.Errorf("answer %q: got %+v, want %s", text, got, want)
+			}
+		}
+	}
+}
