Bound what a connection keeps of a body in chunks by net/http's buffer

Cause: up to 16 KiB of a body in chunks were read ahead for each connection, where net/http itself read 4 KiB, outside of the memory for requests; bodies with a length were read in pieces that they don't need. Change: 4 KiB, for chunks only. The log line of serve names the callers' port, the pages say why requests are refused, and serve's test has a request that expects 100.

--- a/cmd/mimosatide/framing_test.go
+++ b/cmd/mimosatide/framing_test.go
@@ -85,8 +85,9 @@
 	}
 	valid := "POST /services/orders/buy HTTP/1.1\r\n" + key + "Content-Length: 6\r\n\r\nlength" +
 		"POST /services/orders/buy HTTP/1.1\r\n" + key + chunked + "\r\n6\r\nchunks\r\n0\r\n\r\n" +
+		"POST /services/orders/buy HTTP/1.1\r\n" + key + "Expect: 100-continue\r\nContent-Length: 7\r\n\r\nexpects" +
 		"POST /services/orders/buy HTTP/1.1\r\n" + key + "\r\nGET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
-	if statuses, ended := converse(t, c.fleet.Callers[0], valid); !slices.Equal(statuses, []int{200, 200, 200, 200}) || ended {
-		t.Errorf("valid requests: got the statuses %v and ended %t, want 200 for each of four on a connection that stays open", statuses, ended)
+	if statuses, ended := converse(t, c.fleet.Callers[0], valid); !slices.Equal(statuses, []int{200, 200, 100, 200, 200, 200}) || ended {
+		t.Errorf("valid requests: got the statuses %v and ended %t, want 200 for each of five, one after 100, on a connection that stays open", statuses, ended)
 	}
 }
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -24,8 +24,9 @@
 	// writePiece is the largest part of a response that is written at once: what the kernel has accepted
 	// counts as progress where it does not tell what the caller has acknowledged.
 	writePiece = 32 << 10
-	// readPiece is the largest part of a request that is read at once, and so the most that is kept unread.
-	readPiece = 16 << 10
+	// chunksPiece is the largest part of a body in chunks that is read at once, as large as the buffer of net/http: all
+	// but its first line is kept unread.
+	chunksPiece = 4 << 10
 )
 
 // longAgo is a deadline that ends a read at once.
@@ -55,7 +56,8 @@
 	overdue bool
 }
 
-// Read reads from the connection, and not beyond the end of a header or a body. It scans what belongs to a header.
+// Read reads from the connection, and not beyond the end of a header or a body. It scans what belongs to a header, and
+// refuses one that is too large.
 func (connection *connection) Read(into []byte) (int, error) {
 	read, err := connection.next(into)
 	if len(read) == 0 {
@@ -89,7 +91,10 @@
 	if len(connection.unread) > 0 {
 		return connection.unread[:min(len(connection.unread), len(into))], nil
 	}
-	count, err := connection.Conn.Read(into[:min(len(into), readPiece)])
+	if connection.body.chunked {
+		into = into[:min(len(into), chunksPiece)]
+	}
+	count, err := connection.Conn.Read(into)
 	if count > 0 {
 		// An error comes again with the next call.
 		err = nil
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -5,7 +5,8 @@
 // The number of connections is bounded; a Roster decides which one is closed for a new one. A
 // sweep several times a second closes the connections whose callers don't go on: with a header,
 // with a body, or with reading a response. The memory of headers counts against the budget of the
-// requests. Each connection that is closed for such a reason is counted under its Cause.
+// requests. A request whose header leaves in doubt where its body ends is refused, since a part of the body could be
+// taken for another request. Each connection that is closed for such a reason is counted under its Cause.
 //
 // # Usage
 //
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -74,7 +75,7 @@
 		node.meter.CountClosedConnections(port, string(mimosatide.ReasonAmbiguousBody), 1)
 		refused++
 		if time.Since(logged) >= refusalLogInterval {
-			node.log.Info("requests refused that leave the end of their body in doubt", "port", port, "requests", refused,
+			node.log.Info("requests refused that leave the end of their body in doubt", "port", cmp.Or(port, "callers"), "requests", refused,
 				"last", c.RemoteAddr().String(), "reason", err.Error())
 			logged, refused = time.Now(), 0
 		}
