Give up polls of the store that nobody has confirmed

Cause: an open poll whose answer is lost looks like one without changes. All hosts relied on the silence of the one that polls often: it was chosen by CPU share and name, also while the store refused it, and watched one table. Ruled out: rows that arrive and are applied late (nothing had arrived), and wrong messages (the logs show none).

Change: digests state per table how long ago the store confirmed the copy, and whether it answers the host. A host replaces a poll that neither the store nor another host has confirmed for 1.75 to 2.25 s; this needs no message, so that a host that is refused, frozen or cut off keeps nobody from the store. The first host that is answered watches, and all three tables. Relays poll the list of hosts each second.

--- a/internal/entrynode/fleet.go
+++ b/internal/entrynode/fleet.go
@@ -12,6 +12,7 @@
 	"mimosatide.example/mimosatide/internal/pace"
 	"mimosatide.example/mimosatide/internal/permit"
 	"mimosatide.example/mimosatide/internal/relay"
+	"mimosatide.example/mimosatide/internal/watch"
 	"mimosatide.example/mimosatide/internal/zone"
 	"mimosatide.example/mimosatide/platform"
 )
@@ -48,6 +49,12 @@
 	rowLost bool
 	// relaysTables is true if the host forwards the changes of all tables to its zone.
 	relaysTables bool
+	// storeLost is true if the host says that the store does not answer it.
+	storeLost bool
+}
+
+func (member *member) watchHost() watch.Host {
+	return watch.Host{Name: member.name, CPUShare: member.cpuShare, Answered: !member.storeLost}
 }
 
 // fleet keeps the list of the other hosts and exchanges digests with them.
@@ -67,8 +74,7 @@
 	spentAt   map[string]int
 	digests   int
 
-	// watching is true while this node's polls of the configuration are kept short for the
-	// whole fleet.
+	// watching is true while this node's polls are kept short for the whole fleet.
 	watching bool
 
 	// silentUntil holds, by peer address, how long a host is no target's home because it has
@@ -144,10 +150,9 @@
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	rank := 0
-	own := fleet.node.settings
-	for name, member := range fleet.members {
-		before := member.cpuShare > own.Limits.CPUShare || member.cpuShare == own.Limits.CPUShare && name < own.Node
-		if before && time.Since(fleet.lastHeardLocked(member)) < loadLifetimeDigests*maxDigestAge(len(fleet.members)) {
+	own := fleet.ownHost()
+	for _, member := range fleet.members {
+		if member.watchHost().Before(own) && time.Since(fleet.lastHeardLocked(member)) < loadLifetimeDigests*maxDigestAge(len(fleet.members)) {
 			rank++
 		}
 	}
@@ -234,6 +239,7 @@
 		RelaysTables: fleet.relaysTables(),
 		StoreOutage:  fleet.storeOutage(time.Now()),
 		Steady:       fleet.steady(),
+		StoreLost:    fleet.storeLost(),
 		Limits:       gossip.EncodeLimits(node.limits.Heard(time.Now()), time.Now()),
 
 		NewerConfiguration: node.newerConfiguration(),
@@ -254,11 +260,19 @@
 		}
 	}
 	for _, table := range []string{platform.ConfigurationTable, platform.TargetTable, hostTable} {
-		digest.Tables[table] = uint64(node.followers[table].State().LastChange)
-	}
-	configuration := node.followers[platform.ConfigurationTable].State()
-	if configuration.CurrentAt > 0 {
-		digest.ConfigurationAgeMillis = max((bootClock{}.Now() - configuration.CurrentAt).Milliseconds(), 1)
+		state := node.followers[table].State()
+		digest.Tables[table] = uint64(state.LastChange)
+		age := bootClock{}.Now() - state.CurrentAt
+		switch {
+		case state.CurrentAt == 0:
+		case table == platform.ConfigurationTable:
+			digest.ConfigurationAgeMillis = max(age.Milliseconds(), 1)
+		case age < watch.MaxLimit:
+			if digest.CopyAgeMillis == nil {
+				digest.CopyAgeMillis = map[string]int64{}
+			}
+			digest.CopyAgeMillis[table] = age.Milliseconds()
+		}
 	}
 	news := len(digest.Loads) > 0 || digest.Limits != nil || digest.Quarantine != nil || digest.StoreOutage || digest.Leaving != nil || digest.Paces != nil
 	spent := node.ledger.Spent()
@@ -303,6 +317,7 @@
 		known.lastDigest = now
 		known.relaysTables = relaysTables
 		if !digest.Partial {
+			known.storeLost = digest.StoreLost
 			fleet.unaware.hosts[digest.Node] = !digest.KnowsReturns
 		}
 		fleet.chooser.DigestReceived(known.address, now)
@@ -321,11 +336,7 @@
 	if digest.Quarantine != nil {
 		node.quarantine.Apply(digest.Quarantine.Report(), now)
 	}
-	if digest.ConfigurationAgeMillis > 0 {
-		confirmedAt := clock - time.Duration(digest.ConfigurationAgeMillis)*time.Millisecond
-		node.followers[platform.ConfigurationTable].Confirm(
-			mimosatide.RowVersion(digest.Tables[platform.ConfigurationTable]), confirmedAt)
-	}
+	fleet.confirmCopies(digest, clock)
 	for id, limit := range digest.Limits {
 		node.limits.Apply(id, limit.Limit(now))
 	}
@@ -343,6 +354,22 @@
 	fleet.requestNewerRows(from, digest.Tables, now)
 }
 
+// confirmCopies takes over the confirmations of the sender's copies by the store.
+func (fleet *fleet) confirmCopies(digest gossip.Digest, clock time.Duration) {
+	confirm := func(table string, ageMillis int64) {
+		version, stated := digest.Tables[table]
+		if follower, found := fleet.node.followers[table]; found && stated {
+			follower.Confirm(mimosatide.RowVersion(version), clock-time.Duration(ageMillis)*time.Millisecond)
+		}
+	}
+	if digest.ConfigurationAgeMillis > 0 {
+		confirm(platform.ConfigurationTable, digest.ConfigurationAgeMillis)
+	}
+	for table, age := range digest.CopyAgeMillis {
+		confirm(table, age)
+	}
+}
+
 // knowsEraOfStore reports whether the sender of a digest knows the era of this node's
 // configuration. A relay that doesn't forwards nothing that this node can use: it hasn't heard
 // of the last restore yet, or is of a build that knows no eras. After a restore a digest holds
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -352,6 +352,11 @@
 func (node *Node) recordCopies() {
 	now := bootClock{}.Now()
 	node.meter.SetGauge("store_era", float64(node.store.Era()))
+	watches := 0.0
+	if node.fleet.watches() {
+		watches = 1
+	}
+	node.meter.SetGauge("watches_store", watches)
 	for table, follower := range node.followers {
 		state, counts := follower.State(), follower.Counts()
 		node.meter.SetCopyAge(table, now-state.ConfirmedAt)
@@ -360,6 +365,7 @@
 		node.meter.SetTableGauge(table, "copy_rows_changed_by_restores", float64(counts.ChangedRows))
 		node.meter.SetTableGauge(table, "copy_rows_lost_by_restores", float64(counts.LostRows))
 		node.meter.SetTableGauge(table, "copy_batches_ignored", float64(counts.Ignored))
+		node.meter.SetTableGauge(table, "copy_polls_replaced", float64(counts.ReplacedPolls))
 	}
 }
 
--- a/internal/entrynode/relay.go
+++ b/internal/entrynode/relay.go
@@ -7,6 +7,7 @@
 	"mimosatide.example/mimosatide"
 	"mimosatide.example/mimosatide/internal/gossip"
 	"mimosatide.example/mimosatide/internal/relay"
+	"mimosatide.example/mimosatide/internal/watch"
 	"mimosatide.example/mimosatide/platform"
 )
 
@@ -22,9 +23,8 @@
 	// relayPollsPerSpread is how many polls of a relay fit into the time in which a
 	// configuration has to be in force.
 	relayPollsPerSpread = 6
-	// watchPollWait is how long the store may hold a poll of the configuration open at the
-	// node that watches the store for a small fleet.
-	watchPollWait = 500 * time.Millisecond
+	// relayHostPollWait is how long the store may hold a relay's poll of the hosts open.
+	relayHostPollWait = time.Second
 	// watchStartDelay is how long a node that has started doesn't take itself for the first
 	// one: it has heard of no other one yet, and at a start of the fleet nor have they.
 	watchStartDelay = time.Second
@@ -82,10 +82,8 @@
 		fleet.node.log.Info("relay chosen", "relay", host.Name, "peer", host.Address, "before", previous,
 			"heardAge", formatAge(now, fleet.chooser.LastDigest(host.Address)))
 		if host.Address == fleet.node.peerAddress {
-			// The zone now relies on this node's polls: replace open ones by ones with the shorter wait.
-			for _, follower := range fleet.node.followers {
-				follower.Interrupt()
-			}
+			// The zone now relies on this node's polls.
+			fleet.interruptPolls()
 		}
 	}
 	return host, host.Address == fleet.node.peerAddress
@@ -253,29 +251,41 @@
 // PollWaitLimit returns how long the store may hold a poll of a table open while others
 // depend on this node to notice an outage; zero means no limit. It implements feed.Peers.
 // In a large fleet the relays follow the store for their zones. In a small one, every
-// node follows the store with long polls, and the first node watches it for all.
+// node follows the store with long polls, and one node watches it for all.
 func (fleet *fleet) PollWaitLimit(table string) time.Duration {
-	if table == hostTable {
-		return 0
-	}
 	if fleet.usesRelays() {
-		if fleet.IsRelay() {
-			return fleet.relayPollWait()
+		switch {
+		case !fleet.IsRelay():
+			return 0
+		case table == hostTable:
+			return relayHostPollWait
 		}
-		return 0
+		return fleet.relayPollWait()
 	}
-	fleet.lock.Lock()
-	defer fleet.lock.Unlock()
-	if table == platform.ConfigurationTable && fleet.watching {
-		return watchPollWait
+	if fleet.watches() {
+		return watch.PollWait
 	}
 	return 0
 }
 
-// updateWatch replaces the open poll of the configuration when this node begins to watch
-// the store for the fleet.
+// watches reports whether this node keeps its polls short for the whole fleet.
+func (fleet *fleet) watches() bool {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	return fleet.watching
+}
+
+// updateWatch replaces open polls whose answers may be lost, and all of them when this node
+// begins to watch the store for the fleet.
 func (fleet *fleet) updateWatch() {
-	watching := time.Since(fleet.startedAt) > watchStartDelay && !fleet.usesRelays() && fleet.rank() == 0
+	usesRelays := fleet.usesRelays()
+	own := fleet.ownHost()
+	own.Answered = !fleet.storeLost()
+	duty := watch.Decide(own, fleet.hostsHeard())
+	for _, follower := range fleet.node.followers {
+		follower.ReplaceUnconfirmed(duty.Limit)
+	}
+	watching := time.Since(fleet.startedAt) > watchStartDelay && !usesRelays && duty.Watches
 	fleet.lock.Lock()
 	begins := watching && !fleet.watching
 	changed := watching != fleet.watching
@@ -285,10 +295,50 @@
 		fleet.node.log.Info("watch of the store", "node", fleet.node.settings.Node, "watching", watching)
 	}
 	if begins {
-		fleet.node.followers[platform.ConfigurationTable].Interrupt()
+		fleet.interruptPolls()
+	}
+}
+
+// interruptPolls replaces the open polls by ones with the wait of this node's present role.
+func (fleet *fleet) interruptPolls() {
+	for _, follower := range fleet.node.followers {
+		follower.Interrupt()
 	}
 }
 
+// ownHost returns this node as one of the hosts that may watch the store.
+func (fleet *fleet) ownHost() watch.Host {
+	own := fleet.node.settings
+	return watch.Host{Name: own.Node, CPUShare: own.Limits.CPUShare}
+}
+
+// hostsHeard returns the other hosts that have sent a digest lately; in a fleet with relays,
+// those of this node's zone.
+func (fleet *fleet) hostsHeard() []watch.Host {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	usesRelays := len(fleet.members) > maxDirectHosts
+	lifetime := loadLifetimeDigests * maxDigestAge(len(fleet.members))
+	var hosts []watch.Host
+	for _, member := range fleet.members {
+		if usesRelays && member.zone != fleet.node.settings.Zone || time.Since(fleet.lastHeardLocked(member)) >= lifetime {
+			continue
+		}
+		hosts = append(hosts, member.watchHost())
+	}
+	return hosts
+}
+
+// storeLost reports whether the store left this node's last call for some table unanswered.
+func (fleet *fleet) storeLost() bool {
+	for table, follower := range fleet.node.followers {
+		if !follower.State().Healthy && !fleet.ReceivesFromRelay(table) {
+			return true
+		}
+	}
+	return false
+}
+
 // relaysTables reports whether this node is its zone's relay and all its tables are current.
 func (fleet *fleet) relaysTables() bool {
 	if !fleet.IsRelay() {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -2,8 +2,9 @@
 //
 // A Follower reads the whole table once and then follows its changes with one
 // long poll at a time. A poll whose answer was lost looks like one without changes.
-// A Follower therefore replaces its poll once a peer knows a newer change, or once
-// another call to the store has failed. While the store rejects a node's calls, the
+// A Follower therefore replaces its poll once a peer knows a newer change, once
+// another call to the store has failed, or once neither the store nor a peer has confirmed
+// the copy for some time (ReplaceUnconfirmed). While the store rejects a node's calls, the
 // node takes snapshots from its peers instead. All versions come from a single counter, so
 // the highest one wins, whatever its source, and no row reverts. A store that was restored
 // from an older copy counts in a later era, whose versions are all higher; the table is
@@ -17,6 +18,8 @@
 //	go follower.Run(ctx)
 //	follower.Merge(snapshotOfAPeer)
 //	behind := follower.ObserveVersion(peer, versionOfAPeer)
+//	follower.Confirm(versionOfAPeer, confirmedAt)
+//	follower.ReplaceUnconfirmed(limit)
 package feed
 
 import (
--- a/internal/feed/merge.go
+++ b/internal/feed/merge.go
@@ -17,6 +17,8 @@
 	LostRows    int
 	// Ignored is the number of batches that were older than the copy.
 	Ignored int
+	// ReplacedPolls is the number of polls that were given up because their answers seemed lost.
+	ReplacedPolls int
 }
 
 // Counts returns the totals since the start.
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -151,6 +151,18 @@
 	follower.cancelPoll()
 }
 
+// ReplaceUnconfirmed replaces the open poll if the poll, what has arrived of its answer, and
+// the last confirmation of the copy by the store, to this node or a peer, are all older than limit:
+// its answer may be lost, and no peer may have noticed.
+func (follower *Follower) ReplaceUnconfirmed(limit time.Duration) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	last := max(follower.state.ConfirmedAt, follower.pollStart, follower.lastReceived)
+	if follower.clock.Now()-last >= limit {
+		follower.suspectPollLocked("not confirmed")
+	}
+}
+
 // suspectPoll replaces the open poll, if there is one, by one that doesn't wait.
 func (follower *Follower) suspectPoll(reason string) {
 	follower.lock.Lock()
@@ -163,8 +175,10 @@
 		return
 	}
 	follower.suspected = true
+	follower.counts.ReplacedPolls++
 	follower.log.Info("poll replaced", "table", follower.table, "version", follower.state.Version,
-		"open", follower.clock.Now()-follower.pollStart, "received", follower.received, "reason", reason)
+		"open", follower.clock.Now()-follower.pollStart, "received", follower.received,
+		"confirmedAge", follower.clock.Now()-follower.state.ConfirmedAt, "reason", reason)
 	follower.cancelPoll()
 }
 
--- a/internal/gossip/era.go
+++ b/internal/gossip/era.go
@@ -87,8 +87,8 @@
 	wire := digestWire{Digest: digest, Era: latestEra(digest.Tables)}
 	wire.Tables = numbersIn(wire.Era, digest.Tables)
 	if len(wire.Tables) < len(digest.Tables) {
-		// The age may be that of a version that is left out.
-		wire.ConfigurationAgeMillis = 0
+		// The ages may be those of versions that are left out.
+		wire.ConfigurationAgeMillis, wire.CopyAgeMillis = 0, nil
 	}
 	for _, ownership := range digest.Ownerships {
 		encoded := ownershipWire{Ownership: ownership, Era: eraOf(ownership.Row)}
--- a/internal/gossip/era_test.go
+++ b/internal/gossip/era_test.go
@@ -147,14 +147,23 @@
 }
 
 // TestFactsOfAnEarlierEraAreLeftOut guards against a number of an earlier era that is read as
-// one of the later era, and a configuration confirmed by it.
+// one of the later era, and copies confirmed by it.
 func TestFactsOfAnEarlierEraAreLeftOut(t *testing.T) {
 	earlier, _ := mimosatide.NewRowVersion(1, 90)
 	later, _ := mimosatide.NewRowVersion(2, 70)
 	tables := map[string]uint64{"op": uint64(earlier), "servers": uint64(later)}
-	digest, _ := transfer(t, gossip.Digest{Node: "n1", Tables: tables, ConfigurationAgeMillis: 40})
-	if want := map[string]uint64{"servers": uint64(later)}; !reflect.DeepEqual(digest.Tables, want) || digest.ConfigurationAgeMillis != 0 {
-		t.Errorf("got digest %+v, want tables %v and no age of the configuration", digest, want)
+	digest, _ := transfer(t, gossip.Digest{
+		Node: "n1", Tables: tables, ConfigurationAgeMillis: 40, CopyAgeMillis: map[string]int64{"servers": 40},
+	})
+	if want := map[string]uint64{"servers": uint64(later)}; !reflect.DeepEqual(digest.Tables, want) ||
+		digest.ConfigurationAgeMillis != 0 || digest.CopyAgeMillis != nil {
+		t.Errorf("got digest %+v, want tables %v and no ages", digest, want)
+	}
+	current := gossip.Digest{
+		Node: "n1", Tables: map[string]uint64{"servers": uint64(later)}, CopyAgeMillis: map[string]int64{"servers": 40}, StoreLost: true,
+	}
+	if got, _ := transfer(t, current); !reflect.DeepEqual(got, current) {
+		t.Errorf("got digest %+v, want %+v", got, current)
 	}
 	batch, _ := transfer(t, gossip.Batch{Summaries: []gossip.Summary{{
 		Zone: "a", Tables: tables, SteadyTables: map[string]uint64{"op": uint64(earlier)},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -77,6 +77,11 @@
 	// that these are all: the node did not start while others may have ended.
 	ReturnedMillis map[string]int64 `cbor:"22,keyasint,omitempty"`
 	KnowsReturns   bool             `cbor:"23,keyasint,omitempty"`
+	// CopyAgeMillis holds the time since the store last confirmed to the node that its copy of
+	// a table is current, by table, without the configuration and without old confirmations.
+	CopyAgeMillis map[string]int64 `cbor:"24,keyasint,omitempty"`
+	// StoreLost is set while the store does not answer the calls of the node.
+	StoreLost bool `cbor:"25,keyasint,omitempty"`
 }
 
 // Events returns the part of the digest that no Summary of the node's zone holds, and whether
