Take a lease by what is read of its row, not by what was heard of it

Cause: the answer to a write names the newest version of the store. The holder took it for its row's and told the others; these read the row with its true, lower version, took that for outdated, and waited for a version that the row never gets. A living holder lost its lease at the next renewal. Ruled out: that nobody reads the row (they do), and that engines refuse the orders (none is sent).

Change: a version that was heard of is one that the store had reached. Only a read whose answer names an older one is outdated; otherwise the row has not changed since. A holder whose condition is not met reads the row and goes on under its term if it is its own, and a release does the same. The model of schedules has such answers and checks that the lease is taken.

TestLostAnswerToTakeoverIsSettledByNextRead wanted term 2. A term is at least the newest version of the store, which answers of the second kind raise; it now wants exactly the larger of the two.

--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -40,6 +40,8 @@
 type LeaseTable interface {
 	// Read returns the rows of the given keys that exist, and the newest version of the store.
 	Read(ctx context.Context, keys ...string) ([]mimosatide.Row, mimosatide.RowVersion, error)
+	// Commit returns the version of the store that its answer names: the written rows have this
+	// version, or an earlier one if other rows were written before the answer.
 	Commit(ctx context.Context, transaction mimosatide.Transaction) (mimosatide.CommitOutcome, mimosatide.RowVersion, error)
 }
 
@@ -62,22 +64,27 @@
 	log           logr.Logger
 
 	lock sync.Mutex
-	// term and row are those of the lease that this node last held; term is zero if
-	// it was lost, released or given up.
+	// term is that of the lease that this node last held; zero if it was lost, released or given up.
 	term uint64
-	row  mimosatide.RowVersion
+	// row is the version that the row was last read with, or that the answer to a later write
+	// named: the row may have an earlier one then.
+	row mimosatide.RowVersion
+	// named is the newest version that an answer to a write of this node has named.
+	named mimosatide.RowVersion
 	// claimedTerm is the term that this node has taken and has neither released nor given up
 	// since, or zero: no other node takes the lease before expiresAt.
 	claimedTerm uint64
 	// Orders may be sent from ordersFrom until expiresAt.
 	expiresAt  time.Duration
 	ordersFrom time.Duration
-	// seenRow is the newest known version of the row, known since seenRowAt.
+	// seenRow is the newest version that the row was read with, or that its holder has heard of
+	// from the store. A row whose version isn't newer has not changed since seenRowAt.
 	seenRow   mimosatide.RowVersion
 	seenRowAt time.Duration
 	// lastOrderAt is when this node last sent an order.
 	lastOrderAt time.Duration
-	// givenUpRow is the row version of a lease that another node has given up;
+	// givenUpRow is a version of the store by which another node has given the lease up: if the row
+	// isn't newer, nobody has taken the lease since.
 	// givenUpIdle is how long before its message that node sent its last order.
 	givenUpRow  mimosatide.RowVersion
 	givenUpIdle time.Duration
@@ -126,12 +133,12 @@
 	return mimosatide.FencingToken(lease.term), true
 }
 
-// Held returns the term and the row version while this node holds the lease. A new
+// Held returns the term and a version that the row is not newer than, while this node holds the lease. A new
 // holder may not be allowed to send orders yet; see FencingToken.
 func (lease *Lease) Held() (term uint64, row mimosatide.RowVersion, held bool) {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
-	return lease.term, lease.row, lease.term != 0 && lease.clock.Now() < lease.expiresAt
+	return lease.term, lease.named, lease.term != 0 && lease.clock.Now() < lease.expiresAt
 }
 
 // Renewed returns a channel that receives a value after this node has taken or renewed the lease.
@@ -188,7 +195,7 @@
 		return 0, 0, false
 	}
 	last := max(lease.lastOrderAt, lease.ordersFrom-lease.handoverDelay-clockDriftMargin)
-	return lease.row, lease.clock.Now() - last, true
+	return lease.named, lease.clock.Now() - last, true
 }
 
 // observeRow records a row version and since when it is known.
@@ -239,6 +246,15 @@
 	outcome, version, err := lease.write(bounded, row, leaseRow{
 		Holder: lease.holder, Term: term, Waiting: begun < ordersFrom, Era: row.Era(),
 	})
+	var found foundRow
+	own := false
+	if outcome == mimosatide.CommitConflict {
+		// The answer to an earlier renewal may have named a newer version than the row's, or may be lost.
+		if found, err = lease.read(bounded); err != nil {
+			outcome = mimosatide.CommitUnknown
+		}
+		own = found.isOf(lease.holder, term)
+	}
 	// The caller's function may wait for who waits for this lease's lock.
 	answeredAt := lease.answeredAt()
 	lease.lock.Lock()
@@ -246,15 +262,19 @@
 	switch outcome {
 	case mimosatide.CommitDone:
 		lease.failedAt, lease.failedRenewals = 0, 0
-		lease.row = version
+		lease.row, lease.named = version, max(lease.named, version)
 		lease.expiresAt = begun + leaseDuration
 		lease.signalHeld()
 	case mimosatide.CommitConflict:
-		// Another node took the lease, the store was restored, or the answer to an earlier
-		// renewal was lost and this node wrote the row itself.
+		lease.failedAt, lease.failedRenewals = 0, 0
+		if own {
+			lease.log.Info("own lease row found", "lease", lease.key, "term", term, "row", found.version, "before", row)
+			lease.row, lease.named = found.version, max(lease.named, found.version)
+			return 0
+		}
+		// Another node took the lease, or the store was restored.
 		lease.log.Info("lease lost", "lease", lease.key, "term", term, "row", row)
 		lease.term = 0
-		lease.failedAt, lease.failedRenewals = 0, 0
 		return 0
 	default:
 		lease.log.Info("lease not renewed", "lease", lease.key, "term", term, "row", row, "outcome", outcome.String(),
@@ -288,9 +308,15 @@
 	if term == 0 {
 		return
 	}
-	outcome, _, err := lease.write(ctx, row, leaseRow{
-		Holder: lease.holder, Term: term, Released: true, Waiting: waiting, Era: row.Era(),
-	})
+	content := leaseRow{Holder: lease.holder, Term: term, Released: true, Waiting: waiting, Era: row.Era()}
+	outcome, _, err := lease.write(ctx, row, content)
+	if outcome == mimosatide.CommitConflict {
+		// As in renew, the row may still be this node's.
+		if found, readErr := lease.read(ctx); readErr == nil && found.isOf(lease.holder, term) {
+			row = found.version
+			outcome, _, err = lease.write(ctx, row, content)
+		}
+	}
 	lease.log.Info("lease released", "lease", lease.key, "term", term, "row", row, "outcome", outcome.String(), "reason", errorText(err))
 	if outcome != mimosatide.CommitDone {
 		// The other nodes cannot learn of the release from the table, so GivenUp
@@ -301,6 +327,21 @@
 	}
 }
 
+// read reads the row. If it can't be decoded, its version is known all the same.
+func (lease *Lease) read(ctx context.Context) (foundRow, error) {
+	bounded, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, newest, err := lease.table.Read(bounded, lease.key)
+	if err != nil {
+		return foundRow{}, errors.Trace(err)
+	}
+	found, err := decodeRow(rows, newest)
+	if err != nil {
+		lease.log.Error(err, "cannot decode the lease row", "lease", lease.key, "row", found.version)
+	}
+	return found, nil
+}
+
 // write replaces the row on the condition that it still has the given version. The outcome is
 // unknown if the store was restored meanwhile.
 func (lease *Lease) write(
--- a/internal/loading/lease_model_test.go
+++ b/internal/loading/lease_model_test.go
@@ -30,6 +30,9 @@
 	modelTick     = 50 * time.Millisecond
 	modelMachines = 3
 	modelLength   = 30 * time.Second
+	// modelCalm is how long a schedule goes on after the end of all disruptions. In its second half
+	// some machine must hold the lease: the last holder may have renewed it until their end.
+	modelCalm = 10 * time.Second
 	// modelRate is how much a clock may run too fast or too slow.
 	modelRate = 0.03
 	// modelMemory is how long what a holder forgets at its end may matter to others.
@@ -105,6 +108,8 @@
 
 	// tokenOwners holds the process that took each fencing token.
 	tokenOwners map[mimosatide.FencingToken]string
+	// heldAt is when a machine last held the lease.
+	heldAt      time.Duration
 	lastToken   mimosatide.FencingToken
 	lastSender  int
 	lastOrderAt time.Duration
@@ -217,6 +222,11 @@
 	done := model.write(condition.Number(), value)
 	machine.wroteAt = max(machine.wroteAt, model.now)
 	era, number := model.era, model.store.number
+	if answersNameNewest && model.chance(0.5) {
+		// Rows of other tables are written before the answer.
+		model.store.number += uint64(1 + model.random.IntN(3))
+		number = model.store.number
+	}
 	if model.chance(0.02) {
 		machine.pause(600 * time.Millisecond)
 		return mimosatide.CommitUnknown, 0, errNoAnswer
@@ -312,6 +322,7 @@
 	term, row, held := machine.lease.Held()
 	if held {
 		machine.wroteAt = max(machine.wroteAt, model.now)
+		model.heldAt = model.now
 	}
 	if held && (!heldBefore || term != before) {
 		model.recordToken(machine, mimosatide.FencingToken(term), row)
@@ -484,8 +495,11 @@
 			rate: 1 + modelRate*(2*model.random.Float64()-1), start: model.between(0, time.Hour),
 		})
 	}
-	for ; model.now < modelLength && model.failure == ""; model.now += modelTick {
-		if model.chance(0.02) {
+	for ; model.now < modelLength+modelCalm && model.failure == ""; model.now += modelTick {
+		if model.now == modelLength {
+			model.calm()
+		}
+		if model.now < modelLength && model.chance(0.02) {
 			model.disturb()
 		}
 		if model.chance(0.1) {
@@ -510,6 +524,7 @@
 			}
 		}
 	}
+	model.checkHeld()
 	for _, machine := range model.machines {
 		if machine.lease != nil {
 			machine.end()
@@ -518,9 +533,43 @@
 	return model.failure, model.orders
 }
 
+// calm ends all disruptions, but for the loss of the last holder in some schedules: only processes that
+// remember the holder are left then.
+func (model *model) calm() {
+	model.outage, model.restoreAt, model.late = 0, 0, nil
+	lost := model.lastSender
+	if model.chance(0.5) {
+		lost = -1
+	}
+	for _, machine := range model.machines {
+		machine.cutUntil, machine.frozenUntil = 0, min(machine.frozenUntil, model.now)
+		switch {
+		case machine.index == lost && machine.lease != nil:
+			machine.end()
+			machine.startsAt = model.now + modelLength
+		case lost >= 0 && machine.lease == nil:
+			machine.startsAt = model.now + modelLength
+		}
+	}
+	model.tracef("all disruptions end")
+}
+
+// checkHeld checks that some machine has held the lease of late, if there is one that may take it.
+func (model *model) checkHeld() {
+	candidates := 0
+	for _, machine := range model.machines {
+		if machine.lease != nil && !machine.draining {
+			candidates++
+		}
+	}
+	if since := model.now - model.heldAt; candidates > 0 && since > modelCalm/2 {
+		model.fail("none of %d machines has held the lease for %s since the end of all disruptions", candidates, since)
+	}
+}
+
 // TestHoldersNeverMeetOnAnySchedule guards against two holders with one fencing token, a lower
-// token after a higher one, and holders that take turns within the handover delay, while the
-// store is restored from earlier copies and calls, machines and clocks fail.
+// token after a higher one, holders that take turns within the handover delay, and a lease that
+// nobody takes, while the store is restored from earlier copies and calls, machines and clocks fail.
 func TestHoldersNeverMeetOnAnySchedule(t *testing.T) {
 	failures, orders := 0, 0
 	for seed := *modelSeed; seed < *modelSeed+uint64(*modelSchedules); seed++ {
--- a/internal/loading/lease_row.go
+++ b/internal/loading/lease_row.go
@@ -59,6 +59,11 @@
 	return era <= firstEra || found.version != 0 && found.Era == era
 }
 
+// isOf reports whether the row says that a holder has the lease under a term.
+func (found foundRow) isOf(holder string, term uint64) bool {
+	return found.belongsToEra() && found.version != 0 && found.Holder == holder && found.Term == term && !found.Released
+}
+
 // seenAs returns the row's version, or that of an absent row in its era.
 func (found foundRow) seenAs() mimosatide.RowVersion {
 	if found.version != 0 {
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -42,11 +42,14 @@
 	// refuse fails all calls; loseAnswers applies commits but reports no outcome.
 	refuse      bool
 	loseAnswers bool
+	// namesNewest lets other rows be written between a commit and its answer, which names the
+	// newest version of the store.
+	namesNewest bool
 	reads       int
 }
 
 func newTable() *memoryTable {
-	return &memoryTable{rows: map[string]mimosatide.Row{}}
+	return &memoryTable{rows: map[string]mimosatide.Row{}, namesNewest: answersNameNewest}
 }
 
 func (table *memoryTable) Read(_ context.Context, keys ...string) ([]mimosatide.Row, mimosatide.RowVersion, error) {
@@ -82,6 +85,9 @@
 	for _, write := range transaction.Writes {
 		table.rows[write.Key] = mimosatide.Row{Key: write.Key, Value: write.Value, Version: table.version}
 	}
+	if table.namesNewest {
+		table.version += 2
+	}
 	if table.loseAnswers {
 		return mimosatide.CommitUnknown, 0, errors.New("no answer to the commit")
 	}
@@ -347,9 +353,62 @@
 		t.Fatal("got orders allowed after a takeover without an answer, want not allowed")
 	}
 	table.loseAnswers = false
+	// The next term is at least the newest version of the store.
+	want := max(2, table.version.Number())
+	lease.Step(context.Background(), 0)
+	if term, _, held := lease.Held(); !held || term != want {
+		t.Errorf("got term %d, held %v; want %d, true", term, held, want)
+	}
+}
+
+// TestLeaseOfALostHolderIsTakenWhateverWasHeardOfItsRow guards against nodes that wait for a version of the row
+// that only its holder has heard of from the store.
+func TestLeaseOfALostHolderIsTakenWhateverWasHeardOfItsRow(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	first, second := newLease("a", table, clock), newLease("b", table, clock)
+	first.Step(context.Background(), 0)
+	_, row, _ := first.Held()
+	second.ObserveHolder(row)
+	lost := clock.Now()
+	for ; clock.Now()-lost < time.Minute; clock.advance(50 * time.Millisecond) {
+		second.Step(context.Background(), 0)
+		if _, _, held := second.Held(); held {
+			return
+		}
+	}
+	t.Error("got the lease not taken a minute after the loss of its holder, want it taken")
+}
+
+// TestHolderGoesOnUnderItsTermAfterALostAnswer guards against a holder that takes its own renewal, which was done and
+// not answered, for that of another node, and orders under two terms at once.
+func TestHolderGoesOnUnderItsTermAfterALostAnswer(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	lease := newLease("a", table, clock)
 	lease.Step(context.Background(), 0)
-	if term, _, held := lease.Held(); !held || term != 2 {
-		t.Errorf("got term %d, held %v; want 2, true", term, held)
+	before, _, _ := lease.Held()
+	clock.advance(time.Second)
+	table.loseAnswers = true
+	lease.Step(context.Background(), 0)
+	table.loseAnswers = false
+	for range 8 {
+		clock.advance(500 * time.Millisecond)
+		lease.Step(context.Background(), 0)
+		if term, _, held := lease.Held(); !held || term != before || !mayOrder(lease) {
+			t.Fatalf("got term %d, held %t, orders allowed %t; want term %d, held and allowed", term, held, mayOrder(lease), before)
+		}
+	}
+}
+
+// TestReleaseAfterAnAnswerThatNamesANewerVersionIsWritten guards against a release that the next holder does not
+// hear of, so that it waits until the lease expires.
+func TestReleaseAfterAnAnswerThatNamesANewerVersionIsWritten(t *testing.T) {
+	clock, table := &manualClock{now: time.Hour}, newTable()
+	first, second := newLease("a", table, clock), newLease("b", table, clock)
+	first.Step(context.Background(), 0)
+	first.Release(context.Background())
+	second.Step(context.Background(), 0)
+	if _, _, held := second.Held(); !held {
+		t.Error("got the released lease not taken at once, want it taken")
 	}
 }
 
--- a/internal/loading/takeover.go
+++ b/internal/loading/takeover.go
@@ -11,23 +11,17 @@
 
 // takeOver takes the lease if nothing says that another node may hold it.
 func (lease *Lease) takeOver(ctx context.Context) time.Duration {
-	bounded, cancel := context.WithTimeout(ctx, tableTimeout)
-	rows, newest, err := lease.table.Read(bounded, lease.key)
-	cancel()
+	found, err := lease.read(ctx)
 	if err != nil {
 		lease.log.V(1).Info("cannot read the lease row", "lease", lease.key, "reason", err.Error())
 		return renewInterval
 	}
-	found, err := decodeRow(rows, newest)
-	if err != nil {
-		lease.log.Error(err, "cannot decode the lease row", "lease", lease.key, "row", found.version)
-	}
 	vacancy, unchangedFor := lease.vacancy(found)
 	if vacancy == vacancyNone {
 		lease.logWait(found, unchangedFor)
 		return min(leaseDuration+clockDriftMargin-unchangedFor, renewInterval)
 	}
-	lease.log.Info("lease free", "lease", lease.key, "era", newest.Era(), "row", found.version, "rowEra", found.Era,
+	lease.log.Info("lease free", "lease", lease.key, "era", found.newest.Era(), "row", found.version, "rowEra", found.Era,
 		"before", found.Holder, "term", found.Term, "reason", vacancy, "unchangedFor", unchangedFor)
 	lease.take(ctx, found, vacancy)
 	return renewInterval
@@ -43,14 +37,14 @@
 	now := lease.clock.Now()
 	unchangedFor := now - lease.seenRowAt
 	switch {
-	case found.seenAs() < lease.seenRow:
-		// Another node has written the row since it was read.
+	case found.newest < lease.seenRow:
+		// The row may have been written since it was read.
 		return vacancyNone, 0
-	case found.belongsToEra() && found.version == 0:
+	case found.belongsToEra() && found.version == 0 && found.seenAs() == lease.seenRow:
 		return vacancyNew, unchangedFor
 	case found.belongsToEra() && found.Holder == lease.holder:
 		return vacancyOwn, unchangedFor
-	case found.belongsToEra() && found.version == lease.givenUpRow:
+	case found.belongsToEra() && found.version != 0 && found.version <= lease.givenUpRow && lease.givenUpRow <= found.newest:
 		return vacancyGivenUp, unchangedFor
 	case found.belongsToEra() && found.Released:
 		return vacancyReleased, unchangedFor
@@ -143,7 +137,7 @@
 	lease.claimedTerm = term
 	lease.failedAt, lease.failedRenewals = 0, 0
 	lease.stopped = false
-	lease.row = row
+	lease.row, lease.named = row, max(lease.named, row)
 	lease.expiresAt = begun + leaseDuration
 	lease.delayOrders(found, vacancy)
 	lease.signalHeld()
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -114,6 +114,7 @@
 		store: emulator.NewStore(), recorder: emulator.NewRecorder(), keys: map[string]keyLifetime{},
 		outOfStep: map[*node]bool{},
 	}
+	created.store.NameWritten(seed%2 == 0)
 	created.rotateKey()
 	// Concurrent runs use different loopback networks.
 	created.networkPrefix = fmt.Sprintf("127.%d.%d.", seed%200+20, os.Getpid()%250+1)
