Send no order while one of an earlier term may still arrive

Cause: a new term of a host ordered at once, with the reason that the new term makes late orders void; where tokens aren't checked, the order of arrival counts, and an unanswered order may arrive for 3 s after its connection was closed (TCP user timeout). Such terms came from renewals that were done and not answered. Ruled out: two holders (both orders name one host).

Where engines don't check tokens, a worker sends an engine nothing while an unanswered order under another token may still arrive there; a process that finds its machine's row waits 3.4 s from its start; and the first order after another holder's last one comes 3.8 s and the clocks' margin later, in place of 3.0 s. Elsewhere nothing waits longer. NewLease takes its settings as a struct.

Without the waits 645 of 4000 schedules of the model fail, now none; TestOrdersOfTwoTermsArriveInTheirOrder fails without the wait of the workers.

--- a/internal/entrynode/dialer.go
+++ b/internal/entrynode/dialer.go
@@ -19,6 +19,8 @@
 	keepAliveCount    = 2
 	// userTimeout is how long sent bytes may stay without acknowledgement (TCP_USER_TIMEOUT).
 	userTimeout = 3 * time.Second
+	// lateOrderTime is how long after its connection was closed an order may arrive, with slack.
+	lateOrderTime = userTimeout + 200*time.Millisecond
 	// callerUserTimeout is the same of callers, where it also ends a connection whose other end
 	// reads nothing. 3 s cut callers that read slowly but steadily: over loopback, a reader of 10 KB
 	// a second opens its window every 13 s. The server for callers decides first.
--- a/internal/entrynode/loader.go
+++ b/internal/entrynode/loader.go
@@ -92,8 +92,13 @@
 	// A machine that replaces another one may have the same name, so the holder
 	// contains the address too.
 	holder := node.settings.Node + "@" + node.settings.IP
-	lease := loading.NewLease("orders/"+name, holder, node.settings.Bounds.Lease,
-		node.store.Table(leaseTable), bootClock{}, node.storeAnsweredAt, node.log)
+	lateOrders := time.Duration(0)
+	if !node.settings.Bounds.FencingChecked {
+		lateOrders = lateOrderTime
+	}
+	lease := loading.NewLease(loading.LeaseSettings{
+		Key: "orders/" + name, Holder: holder, HandoverDelay: node.settings.Bounds.Lease, LateOrders: lateOrders,
+	}, node.store.Table(leaseTable), bootClock{}, node.storeAnsweredAt, node.log)
 	engineClass := func() (mimosatide.EngineClass, bool) {
 		deployment := node.deployment.Load()
 		if deployment == nil || deployment.Services[name].Engine == nil {
@@ -106,7 +111,7 @@
 		_, limited := node.limits.Rate(engine)
 		return limited
 	}
-	settings := loading.Settings{Service: name, Holder: node.settings.Node}
+	settings := loading.Settings{Service: name, Holder: node.settings.Node, LateOrders: lateOrders}
 	controller := loading.New(settings, lease, node.engines, node.targets, engineClass, pausedUntil, limited, loader.publish, node.log)
 	ctx := loader.ctx
 	go lease.Run(ctx, node.fleet.rank)
--- a/internal/loading/controller.go
+++ b/internal/loading/controller.go
@@ -40,6 +40,9 @@
 	Service string
 	// Holder names this node in its orders.
 	Holder string
+	// LateOrders is how long after the end of a send its order may arrive at an engine; zero if
+	// the engines check fencing tokens, so that late orders have no effect.
+	LateOrders time.Duration
 }
 
 // Controller plans which engines of one service load which models and adapters, and
@@ -49,6 +52,7 @@
 	settings Settings
 	lease    *Lease
 	engines  Engines
+	late     *lateOrders
 	targets  *registry.Registry
 	demand   *Demand
 	// class returns the current configuration of the engines, if there is one.
@@ -110,6 +114,7 @@
 		settings:    settings,
 		lease:       lease,
 		engines:     engines,
+		late:        newLateOrders(settings.LateOrders),
 		targets:     targets,
 		demand:      NewDemand(),
 		class:       class,
@@ -327,6 +332,7 @@
 		known:        known,
 		holder:       controller.settings.Holder,
 		engines:      controller.engines,
+		late:         controller.late,
 		fencingToken: controller.lease.FencingToken,
 		paused:       func() bool { return !controller.pausedUntil(instance).IsZero() },
 		publish:      controller.publish,
--- a/internal/loading/doc.go
+++ b/internal/loading/doc.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	lease := loading.NewLease("orders/llm", holder, handoverDelay, table, clock, answeredAt, log)
+//	lease := loading.NewLease(loading.LeaseSettings{Key: "orders/llm", ...}, table, clock, answeredAt, log)
 //	controller := loading.New(loading.Settings{...}, lease, engines, targets, class, publish, log)
 //	go lease.Run(ctx, rank)
 //	go controller.Run(ctx)
--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -58,10 +58,13 @@
 	key           string
 	holder        string
 	handoverDelay time.Duration
-	table         LeaseTable
-	clock         Clock
-	answeredAt    func() time.Duration
-	log           logr.Logger
+	// ownOrdersUntil is until when orders of an earlier process of this machine may arrive at
+	// engines that don't check fencing tokens; zero if they do.
+	ownOrdersUntil time.Duration
+	table          LeaseTable
+	clock          Clock
+	answeredAt     func() time.Duration
+	log            logr.Logger
 
 	lock sync.Mutex
 	// term is that of the lease that this node last held; zero if it was lost, released or given up.
@@ -107,19 +110,37 @@
 	waitedFor mimosatide.RowVersion
 }
 
-// NewLease returns a lease that this node does not hold yet. handoverDelay is the
-// minimum time between the last order of one holder and the first order of the
-// next. holder must be unique to this machine: a machine that replaces another one
-// under the same name needs a different holder. answeredAt returns a reading of the clock
-// after which the store has answered this node or another one; it is called without the
-// lease's lock.
+// LeaseSettings are the parameters of a Lease.
+type LeaseSettings struct {
+	// Key is the key of the lease's row.
+	Key string
+	// Holder must be unique to this machine: a machine that replaces another one under the
+	// same name needs a different holder.
+	Holder string
+	// HandoverDelay is the minimum time between the last order of one holder and the first
+	// order of the next.
+	HandoverDelay time.Duration
+	// LateOrders is how long after the end of a send its order may arrive at an engine; zero if
+	// the engines check fencing tokens, so that late orders have no effect.
+	LateOrders time.Duration
+}
+
+// NewLease returns a lease that this node does not hold yet. answeredAt returns a reading of
+// the clock after which the store has answered this node or another one; it is called without
+// the lease's lock.
 func NewLease(
-	key, holder string, handoverDelay time.Duration, table LeaseTable, clock Clock, answeredAt func() time.Duration, log logr.Logger,
+	settings LeaseSettings, table LeaseTable, clock Clock, answeredAt func() time.Duration, log logr.Logger,
 ) *Lease {
-	return &Lease{
-		key: key, holder: holder, handoverDelay: handoverDelay, table: table, clock: clock, answeredAt: answeredAt, log: log,
+	lease := &Lease{
+		key: settings.Key, holder: settings.Holder, handoverDelay: settings.HandoverDelay,
+		table: table, clock: clock, answeredAt: answeredAt, log: log,
 		held: make(chan struct{}, 1),
 	}
+	if settings.LateOrders > 0 {
+		lease.handoverDelay = max(settings.HandoverDelay, engineTimeout+settings.LateOrders)
+		lease.ownOrdersUntil = clock.Now() + settings.LateOrders + clockDriftMargin
+	}
+	return lease
 }
 
 // FencingToken returns the fencing token if this node may send orders now.
--- a/internal/loading/lease_model_test.go
+++ b/internal/loading/lease_model_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"iter"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	// modelCalm is how long a schedule goes on after the end of all disruptions. In its second half
 	// some machine must hold the lease: the last holder may have renewed it until their end.
 	modelCalm = 10 * time.Second
+	// modelLateOrders is how long an order may be under way where engines don't check fencing tokens.
+	modelLateOrders = 3200 * time.Millisecond
 	// modelRate is how much a clock may run too fast or too slow.
 	modelRate = 0.03
 	// modelMemory is how long what a holder forgets at its end may matter to others.
@@ -75,6 +78,14 @@
 	frozenUntil time.Duration
 	cutUntil    time.Duration
 	startsAt    time.Duration
+	// unanswered are the orders of this process that have not arrived yet.
+	unanswered []lateOrder
+}
+
+// lateOrder is an order that arrives at its engine at some time after it was sent, whatever becomes of its sender.
+type lateOrder struct {
+	at    time.Duration
+	token mimosatide.FencingToken
 }
 
 // task is a call into the lease that is suspended while it sleeps or a call to the store is under way.
@@ -109,13 +120,18 @@
 	// tokenOwners holds the process that took each fencing token.
 	tokenOwners map[mimosatide.FencingToken]string
 	// heldAt is when a machine last held the lease.
-	heldAt      time.Duration
-	lastToken   mimosatide.FencingToken
-	lastSender  int
-	lastOrderAt time.Duration
-	orders      int
-	failure     string
-	trace       *strings.Builder
+	heldAt     time.Duration
+	lastToken  mimosatide.FencingToken
+	lastSender int
+	// lateOrders is how long after the end of a send its order may arrive, zero if engines check fencing
+	// tokens; underWay are these orders, arrivedToken is the highest token that has arrived.
+	lateOrders   time.Duration
+	underWay     []lateOrder
+	arrivedToken mimosatide.FencingToken
+	lastOrderAt  time.Duration
+	orders       int
+	failure      string
+	trace        *strings.Builder
 }
 
 func (model *model) tracef(format string, arguments ...any) {
@@ -269,7 +285,10 @@
 		// The holder may not know what the store has answered others, or know of a late answer.
 		return time.Duration(machine.model.random.Float64() * float64(machine.Now()) * 1.1)
 	}
-	lease := loading.NewLease("orders/llm", machine.name, handoverDelay, machine, machine, answeredAt, logr.Discard())
+	machine.unanswered = nil
+	lease := loading.NewLease(loading.LeaseSettings{
+		Key: "orders/llm", Holder: machine.name, HandoverDelay: handoverDelay, LateOrders: machine.model.lateOrders,
+	}, machine, machine, answeredAt, logr.Discard())
 	machine.lease = lease
 	machine.run(func() time.Duration { return lease.Step(context.Background(), machine.index) })
 	machine.model.tracef("%s process %d starts", machine.name, machine.process)
@@ -352,7 +371,7 @@
 // sendOrder sends an order if the machine may, and checks the order of the senders.
 func (model *model) sendOrder(machine *machine) {
 	token, may := machine.lease.FencingToken()
-	if !may || model.chance(0.3) {
+	if !may || model.chance(0.3) || machine.awaitsLateOrder(token) {
 		return
 	}
 	machine.lease.RecordOrder()
@@ -367,6 +386,36 @@
 		}
 	}
 	model.lastToken, model.lastSender, model.lastOrderAt = token, machine.index, model.now
+	order := lateOrder{at: model.now, token: token}
+	if model.lateOrders > 0 && model.chance(0.1) {
+		order.at = model.now + model.between(0, model.lateOrders)
+		machine.unanswered = append(machine.unanswered, order)
+	}
+	model.underWay = append(model.underWay, order)
+}
+
+// awaitsLateOrder reports whether an order that the process has sent under another token may still
+// arrive: controllers send nothing to its engine then.
+func (machine *machine) awaitsLateOrder(token mimosatide.FencingToken) bool {
+	return slices.ContainsFunc(machine.unanswered, func(order lateOrder) bool {
+		return order.token != token && order.at > machine.model.now
+	})
+}
+
+// deliverOrders lets orders arrive at the engines, and checks the order of their tokens where the engines don't.
+func (model *model) deliverOrders() {
+	var kept []lateOrder
+	for _, order := range model.underWay {
+		if order.at > model.now {
+			kept = append(kept, order)
+			continue
+		}
+		if model.lateOrders > 0 && order.token < model.arrivedToken {
+			model.fail("an order with token %d arrives after one with %d", order.token, model.arrivedToken)
+		}
+		model.arrivedToken = max(model.arrivedToken, order.token)
+	}
+	model.underWay = kept
 }
 
 // sendDigests sends the messages about the lease to the other machines.
@@ -489,6 +538,9 @@
 		random: rand.New(rand.NewPCG(seed, 0)), era: 1, copies: []storeCopy{{}}, lastSender: -1,
 		tokenOwners: map[mimosatide.FencingToken]string{}, trace: trace,
 	}
+	if model.chance(0.5) {
+		model.lateOrders = modelLateOrders
+	}
 	for index := range modelMachines {
 		model.machines = append(model.machines, &machine{
 			model: model, index: index, name: string(rune('a' + index)),
@@ -512,6 +564,7 @@
 		}
 		model.carryOutLateCommits()
 		model.deliverMessages()
+		model.deliverOrders()
 		for _, index := range model.random.Perm(modelMachines) {
 			machine := model.machines[index]
 			machine.advance()
@@ -568,7 +621,7 @@
 }
 
 // TestHoldersNeverMeetOnAnySchedule guards against two holders with one fencing token, a lower
-// token after a higher one, holders that take turns within the handover delay, and a lease that
+// token after a higher one, also as orders arrive at engines, holders that take turns within the handover delay, and a lease that
 // nobody takes, while the store is restored from earlier copies and calls, machines and clocks fail.
 func TestHoldersNeverMeetOnAnySchedule(t *testing.T) {
 	failures, orders := 0, 0
--- a/internal/loading/lease_test.go
+++ b/internal/loading/lease_test.go
@@ -94,6 +94,12 @@
 	return mimosatide.CommitDone, table.version, nil
 }
 
+func (table *memoryTable) setRefuse(refuse bool) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.refuse = refuse
+}
+
 // copy returns a copy of the table that it can be restored from.
 func (table *memoryTable) copy() *memoryTable {
 	table.lock.Lock()
@@ -146,7 +152,8 @@
 
 // newLease returns a lease of a table that answers other nodes all the time.
 func newLease(holder string, table loading.LeaseTable, clock loading.Clock) *loading.Lease {
-	return loading.NewLease("orders/llm", holder, handoverDelay, table, clock, clock.Now, logr.Discard())
+	settings := loading.LeaseSettings{Key: "orders/llm", Holder: holder, HandoverDelay: handoverDelay}
+	return loading.NewLease(settings, table, clock, clock.Now, logr.Discard())
 }
 
 // failRenewals lets three renewals fail, 200 ms apart.
@@ -287,7 +294,7 @@
 func TestHolderKeepsItsLeaseWhileTheTableAnswersNobody(t *testing.T) {
 	clock, table := &manualClock{now: time.Hour}, newTable()
 	answeredAt := clock.Now()
-	lease := loading.NewLease("orders/llm", "a", handoverDelay, table, clock,
+	lease := loading.NewLease(loading.LeaseSettings{Key: "orders/llm", Holder: "a", HandoverDelay: handoverDelay}, table, clock,
 		func() time.Duration { return answeredAt }, logr.Discard())
 	lease.Step(context.Background(), 0)
 	table.refuse = true
@@ -309,7 +316,7 @@
 func TestAnswerAtTheEndOfAnOutageDoesNotEndTheLease(t *testing.T) {
 	clock, table := &manualClock{now: time.Hour}, newTable()
 	answeredAt := clock.Now()
-	lease := loading.NewLease("orders/llm", "a", handoverDelay, table, clock,
+	lease := loading.NewLease(loading.LeaseSettings{Key: "orders/llm", Holder: "a", HandoverDelay: handoverDelay}, table, clock,
 		func() time.Duration { return answeredAt }, logr.Discard())
 	lease.Step(context.Background(), 0)
 	table.refuse = true
--- a/internal/loading/order.go
+++ b/internal/loading/order.go
@@ -27,6 +27,9 @@
 	if worker.paused() {
 		return errors.Trace(errPaused)
 	}
+	if worker.late.expected(worker.instance.ID, fencingToken) {
+		return errors.Trace(errLateOrder)
+	}
 	order.Holder = worker.holder
 	order.FencingToken = fencingToken
 	order.After = worker.current().Orders
@@ -75,8 +78,10 @@
 	start := func() {
 		sends++
 		worker.recordOrder()
+		end := worker.late.begin(worker.instance.ID, order.FencingToken)
 		go func() {
 			outcome, err := worker.engines.Order(bounded, worker.instance, order)
+			end(outcome != mimosatide.OrderUnknown)
 			results <- sendResult{outcome: outcome, err: err}
 		}()
 	}
--- a/internal/loading/takeover.go
+++ b/internal/loading/takeover.go
@@ -72,6 +72,7 @@
 // waits until handoverDelay has passed since that holder may have sent its last
 // one. After a process of this machine no delay is needed unless that process was still
 // waiting: the new term and the engines' count of accepted orders make its late orders void.
+// Engines that don't check terms get none until these have arrived.
 func (lease *Lease) take(ctx context.Context, found foundRow, vacancy vacancy) {
 	term, err := lease.nextTerm(found, vacancy)
 	if err != nil {
@@ -160,6 +161,7 @@
 		}
 		// An earlier process may have ordered until now.
 		lease.lastOrderAt = now
+		lease.ordersFrom = max(lease.ordersFrom, lease.ownOrdersUntil)
 	case vacancyNew:
 		lease.ordersFrom = max(lease.ordersFrom, now)
 	case vacancyGivenUp:
--- a/internal/loading/worker.go
+++ b/internal/loading/worker.go
@@ -53,6 +53,9 @@
 // that this node does not know of.
 var errConflict = errors.New("the engine did not accept the order because of another order")
 
+// errLateOrder says that an order of an earlier term may still arrive at the engine.
+var errLateOrder = errors.New("an order of an earlier term may still arrive at the engine")
+
 // errPaused says that the engine has asked this node to send nothing for some time.
 var errPaused = errors.New("the engine has asked for a pause")
 
@@ -64,6 +67,7 @@
 	cancel  context.CancelFunc
 	holder  string
 	engines Engines
+	late    *lateOrders
 	// fencingToken returns the fencing token if this node may send orders now.
 	fencingToken func() (mimosatide.FencingToken, bool)
 	// paused reports whether the engine has asked this node to send nothing now.
@@ -93,10 +97,17 @@
 	checkedAt time.Time
 }
 
+// awaitsLateOrder reports whether an order of an earlier term of this node may still arrive at
+// the engine.
+func (worker *worker) awaitsLateOrder() bool {
+	token, held := worker.fencingToken()
+	return held && worker.late.expected(worker.instance.ID, token)
+}
+
 // view returns the known state of the engine, whether it is occupied or left out
-// after a failure or during a pause, and placedAt.
+// after a failure, during a pause or because of a late order, and placedAt.
 func (worker *worker) view() (known mimosatide.Instance, occupied bool, placedAt time.Time) {
-	paused := worker.paused()
+	paused := worker.paused() || worker.awaitsLateOrder()
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	backingOff := time.Since(worker.backoffAt) < engineBackoff
--- a/internal/loading/worker_test.go
+++ b/internal/loading/worker_test.go
@@ -47,6 +47,12 @@
 	storeCapacity int
 	settledAt     time.Time
 	maxLoads      int
+	// unanswered is the probability that an order gets no answer and arrives up to lateOrders after its
+	// sender has given it up, at an engine that does not check fencing tokens.
+	unanswered float64
+	lateOrders time.Duration
+	// arrived is the highest fencing token that has arrived at each engine.
+	arrived map[string]mimosatide.FencingToken
 	// stale is the probability that a request for a report gets an earlier one again.
 	stale    float64
 	reported map[string]mimosatide.InstanceReport
@@ -73,6 +79,7 @@
 		engines: map[string]*fakeEngine{},
 		reports: map[string]int{},
 		sends:   map[string]int{},
+		arrived: map[string]mimosatide.FencingToken{},
 
 		reported: map[string]mimosatide.InstanceReport{},
 	}
@@ -92,8 +99,12 @@
 	if outcome, silent := engines.staySilent(ctx, instance, order); silent {
 		return outcome, errors.New("no answer")
 	}
+	if engines.holdBack(ctx, instance, order) {
+		return mimosatide.OrderUnknown, errors.New("no answer")
+	}
 	engines.lock.Lock()
 	defer engines.lock.Unlock()
+	engines.arrive(instance, order)
 	if instance.ID == engines.down {
 		return mimosatide.OrderUnknown, errors.New("connection refused")
 	}
@@ -117,6 +128,35 @@
 	return outcome, ctx.Err()
 }
 
+// holdBack lets some orders arrive after their sender has given them up, and reports whether this is one.
+func (engines *fakeEngines) holdBack(ctx context.Context, instance mimosatide.Instance, order mimosatide.ModelOrder) bool {
+	if engines.unanswered == 0 {
+		return false
+	}
+	engines.lock.Lock()
+	late := engines.random.Float64() < engines.unanswered
+	wait := time.Duration(engines.random.Float64() * float64(engines.lateOrders))
+	engines.lock.Unlock()
+	if !late {
+		return false
+	}
+	<-ctx.Done()
+	time.AfterFunc(wait, func() {
+		engines.lock.Lock()
+		defer engines.lock.Unlock()
+		engines.arrive(instance, order)
+	})
+	return true
+}
+
+// arrive checks that no order arrives after one with a higher fencing token.
+func (engines *fakeEngines) arrive(instance mimosatide.Instance, order mimosatide.ModelOrder) {
+	if before := engines.arrived[instance.ID]; engines.lateOrders > 0 && order.FencingToken < before {
+		engines.violation("engine %s got an order with token %d after one with %d", instance.ID, order.FencingToken, before)
+	}
+	engines.arrived[instance.ID] = max(engines.arrived[instance.ID], order.FencingToken)
+}
+
 // staySilent leaves the first orders to an engine without an answer until the caller gives up.
 func (engines *fakeEngines) staySilent(
 	ctx context.Context, instance mimosatide.Instance, order mimosatide.ModelOrder,
@@ -307,12 +347,15 @@
 	for id := range engines.engines {
 		targets.Put(mimosatide.Instance{ID: id, Service: "llm", Address: id, Slots: 64})
 	}
-	lease := newLease(holder, table, mimosatide.NewMonotonicClock())
+	clock := mimosatide.NewMonotonicClock()
+	lease := loading.NewLease(loading.LeaseSettings{
+		Key: "orders/llm", Holder: holder, HandoverDelay: handoverDelay, LateOrders: engines.lateOrders,
+	}, table, clock, clock.Now, logr.Discard())
 	go lease.Run(ctx, func() int { return 0 })
 	publish := func(instance mimosatide.Instance) {
 		targets.SetHoldings(registry.ReportedHoldings{Instance: instance.ID, Orders: instance.Orders, Holdings: instance.Holdings})
 	}
-	controller := loading.New(loading.Settings{Service: "llm", Holder: holder}, lease, engines, targets,
+	controller := loading.New(loading.Settings{Service: "llm", Holder: holder, LateOrders: engines.lateOrders}, lease, engines, targets,
 		func() (mimosatide.EngineClass, bool) { return engines.class, true },
 		func(mimosatide.Instance) time.Time { return time.Time{} },
 		func(mimosatide.Instance) bool { return false }, publish, logr.Discard())
@@ -517,6 +560,24 @@
 	}
 }
 
+// TestOrdersOfTwoTermsArriveInTheirOrder guards against an order that arrives after one of the next term of
+// the same holder, where engines don't check fencing tokens: its connection was closed when the term ended.
+func TestOrdersOfTwoTermsArriveInTheirOrder(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			engines := newEngines(seed, "e0", "e1", "e2")
+			engines.unanswered, engines.lateOrders = 0.3, 3*time.Second
+			table := newTable()
+			// The lease expires in each outage, and its holder takes it again.
+			driveCandidate(t, engines, seed, table, func(step int) { table.setRefuse(step%60 >= 25) })
+			if len(engines.violations) > 0 || engines.arrived["e0"] < 3 {
+				t.Errorf("seed %d: got violations %q and the highest token %d, want none and several terms",
+					seed, engines.violations, engines.arrived["e0"])
+			}
+		})
+	}
+}
+
 // TestLoadsAtOnceFollowTheWeightStore checks that the limit on concurrent loads adapts
 // to weight stores that serve fewer and more loads at full speed than the initial
 // limit.
@@ -556,12 +617,19 @@
 
 // driveController runs a controller for a minute and returns how often a requested model was held.
 func driveController(t *testing.T, engines *fakeEngines, seed uint64) int {
+	t.Helper()
+	return driveCandidate(t, engines, seed, newTable(), func(int) {})
+}
+
+// driveCandidate does the same with a table of leases, and calls before in advance of each of 600 steps.
+func driveCandidate(t *testing.T, engines *fakeEngines, seed uint64, table *memoryTable, before func(step int)) int {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	controller, targets := runController(ctx, engines)
+	controller, targets := runCandidate(ctx, engines, "a", table)
 	random := rand.New(rand.NewPCG(seed, 3))
 	met := 0
-	for range 600 {
+	for step := range 600 {
+		before(step)
 		time.Sleep(100 * time.Millisecond)
 		model := fmt.Sprintf("m%d", random.IntN(5))
 		holder := ""
