Test of the store's watch: no field set beside its readers

The race detector found waitLimit written after the hosts had begun to run. The simulated store also needs no timer channels.

--- a/internal/watch/fleet_test.go
+++ b/internal/watch/fleet_test.go
@@ -55,9 +55,9 @@
 	copiedAt time.Time
 }
 
-func newHost(name string, zone int, store *store, clock clock) *host {
+func newHost(name string, zone int, store *store, clock clock, waitLimit time.Duration) *host {
 	host := &host{
-		name: name, zone: zone, path: newPath(store), clock: clock, waitLimit: watch.PollWait, followers: map[string]*feed.Follower{},
+		name: name, zone: zone, path: newPath(store), clock: clock, waitLimit: waitLimit, followers: map[string]*feed.Follower{},
 		heard: map[string]digest{}, heardAt: map[string]time.Time{},
 	}
 	gate := &feed.ProbeGate{}
--- a/internal/watch/store_test.go
+++ b/internal/watch/store_test.go
@@ -148,11 +148,14 @@
 		case resetting, refusing:
 			return errors.New("refused")
 		}
+		waited := make(chan struct{})
+		timer := time.AfterFunc(wait, func() { close(waited) })
+		defer timer.Stop()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-time.After(wait):
+		case <-waited:
 		case <-interrupted:
 			if condition, _ = path.state(); condition == resetting {
 				return errors.New("reset")
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -57,12 +57,12 @@
 	}
 }
 
-// startFleet starts hosts that take turns in the zones.
-func startFleet(ctx context.Context, store *store, hosts, zones int) []*host {
+// startFleet starts hosts that take turns in the zones; waitLimit is that of the polls of a watching host.
+func startFleet(ctx context.Context, store *store, hosts, zones int, waitLimit time.Duration) []*host {
 	clock := clock{time.Now()}
 	fleet := make([]*host, hosts)
 	for index := range fleet {
-		fleet[index] = newHost(fmt.Sprintf("h%d", index), index%zones, store, clock)
+		fleet[index] = newHost(fmt.Sprintf("h%d", index), index%zones, store, clock, waitLimit)
 	}
 	for _, host := range fleet {
 		go host.run(ctx, fleet)
@@ -89,13 +89,12 @@
 	ctx, stop := newRun()
 	defer stop()
 	store := newStore()
-	fleet := startFleet(ctx, store, 2+random.IntN(7), 1+random.IntN(3))
+	waitLimit := watch.PollWait
 	if random.IntN(4) == 0 {
 		// Nobody keeps polls short, like the hosts of a zone whose relay has just been lost.
-		for _, host := range fleet {
-			host.waitLimit = 0
-		}
+		waitLimit = 0
 	}
+	fleet := startFleet(ctx, store, 2+random.IntN(7), 1+random.IntN(3), waitLimit)
 	var story []string
 	for begin := 3 * time.Second; begin < 60*time.Second; {
 		// An outage for all, and one that goes on for some when it ends.
@@ -167,7 +166,7 @@
 		ctx, stop := newRun()
 		defer stop()
 		store := newStore()
-		startFleet(ctx, store, hosts, 3)
+		startFleet(ctx, store, hosts, 3, watch.PollWait)
 		time.Sleep(5 * time.Second)
 		before := store.callCount()
 		time.Sleep(time.Minute)
