--- a/internal/loading/lease.go
+++ b/internal/loading/lease.go
@@ -154,8 +154,8 @@
 	return mimosatide.FencingToken(lease.term), true
 }
 
-// Held returns the term and a version that the row is not newer than, while this node holds the lease. A new
-// holder may not be allowed to send orders yet; see FencingToken.
+// Held returns the term and a version of the store than which the row is not newer, while this
+// node holds the lease. A new holder may not be allowed to send orders yet; see FencingToken.
 func (lease *Lease) Held() (term uint64, row mimosatide.RowVersion, held bool) {
 	lease.lock.Lock()
 	defer lease.lock.Unlock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -2,10 +2,10 @@
 // and when a host gives up an open poll of a table.
 //
 // A poll whose answer is lost looks like one without changes. One host, the watching one,
-// therefore keeps its polls short. The store's answers confirm its copies, and a host that
-// hears of a confirmation and knows no older change takes it over. A host without a
-// confirmation gives up its poll by itself, so that nobody depends on the watching host:
-// it may be frozen, cut off, or be refused by the store that answers the others.
+// therefore keeps its polls short. The store's answers confirm its copies, and hosts that know
+// the same changes take the confirmations over. A host without a recent confirmation gives up
+// its poll by itself, so that nobody depends on the watching host: it may be frozen, cut off,
+// or be refused by the store that answers the others.
 //
 // # Usage
 //
