--- a/review/bed-3/late_crash.go
+++ b/review/bed-3/late_crash.go
@@ -37,13 +37,13 @@
 
 // runLateCrash lets a client send a request again and again that crashes each replica which runs it, some time after
 // its first event. It reports whether the rule was broken.
-func runLateCrash(fleet *fleet, trouble bool, crashAfter time.Duration) (bool, error) {
+func runLateCrash(fleet *fleet, trouble bool, crashAfter time.Duration, dark bool, deadline time.Duration) (bool, error) {
 	log := fleet.record
 	var engines []*engine
 	for index := range lateCrashReplicas {
 		settings := engineSettings{
 			id: fmt.Sprintf("i-%d", index+1), service: "models", slots: 64, firstEvent: 60 * time.Millisecond,
-			pause: 40 * time.Millisecond, events: 42, diskLoad: 440 * time.Millisecond, downtime: 3 * time.Second, crashAfter: crashAfter,
+			pause: 40 * time.Millisecond, events: 42, diskLoad: 440 * time.Millisecond, downtime: 3 * time.Second, crashAfter: crashAfter, dark: dark,
 		}
 		if trouble {
 			settings.crashes = func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/chat/deadly") }
@@ -81,7 +81,7 @@
 	}
 	for number := 0; ctx.Err() == nil; number++ {
 		send(context.Background(), log, fleet.nodes[number%lateCrashNodes], call{
-			path: "/chat/deadly", body: "the deadly request", key: "club-key", model: "m0", prefix: "5c1e07a2:800,91bd3f06:660", deadline: 12 * time.Second,
+			path: "/chat/deadly", body: "the deadly request", key: "club-key", model: "m0", prefix: "5c1e07a2:800,91bd3f06:660", deadline: deadline,
 		})
 		pause(ctx, deadlyPause)
 	}
--- a/review/bed-3/main.go
+++ b/review/bed-3/main.go
@@ -21,11 +21,16 @@
 // cases are the scripts by their names.
 var cases = map[string]func(fleet *fleet, trouble bool) (bool, error){
 	"late-crash": func(fleet *fleet, trouble bool) (bool, error) {
-		return runLateCrash(fleet, trouble, 400*time.Millisecond)
+		return runLateCrash(fleet, trouble, 400*time.Millisecond, false, 12*time.Second)
 	},
 	"options": runOptions,
 	// early-crash is the same with a crash at the first event, for comparison.
-	"early-crash": func(fleet *fleet, trouble bool) (bool, error) { return runLateCrash(fleet, trouble, 0) },
+	"early-crash": func(fleet *fleet, trouble bool) (bool, error) {
+		return runLateCrash(fleet, trouble, 0, false, 12*time.Second)
+	},
+	"dark-crash": func(fleet *fleet, trouble bool) (bool, error) {
+		return runLateCrash(fleet, trouble, 0, true, 4*time.Second)
+	},
 }
 
 func main() {
--- a/review/bed-3/replica.go
+++ b/review/bed-3/replica.go
@@ -31,6 +31,8 @@
 	crashAfter time.Duration
 	// downtime is how long the replica is down after a crash.
 	downtime time.Duration
+	// dark says that its machine goes down with it: meanwhile its channels stay silent instead of being reset.
+	dark bool
 }
 
 // engine is a model replica that speaks the platform's protocol: it runs streams, and holds the models that it
@@ -43,15 +45,17 @@
 	lock    sync.Mutex
 	address string
 	server  *http.Server
-	born    int64
-	models  []string
-	onDisk  []string
-	busy    bool
-	orders  int64
-	fence   uint64
-	running int
-	down    bool
-	ended   bool
+	// darkness is that of the incarnation.
+	darkness *darkness
+	born     int64
+	models   []string
+	onDisk   []string
+	busy     bool
+	orders   int64
+	fence    uint64
+	running  int
+	down     bool
+	ended    bool
 	// arrivals and crashed are the times at which requests that crash the replica reached it, and at which it crashed.
 	arrivals []time.Time
 	crashed  []time.Time
@@ -78,7 +82,10 @@
 	engine.born = time.Now().UnixMilli()
 	engine.busy, engine.orders, engine.fence, engine.running, engine.down = false, 0, 0, 0, false
 	engine.server = &http.Server{Handler: http.HandlerFunc(engine.serve)}
-	go func(server *http.Server) { _ = server.Serve(listener) }(engine.server)
+	engine.darkness = &darkness{over: make(chan struct{})}
+	go func(server *http.Server, state *darkness) {
+		_ = server.Serve(darkListener{Listener: listener, state: state})
+	}(engine.server, engine.darkness)
 	engine.putRow()
 }
 
@@ -116,7 +123,11 @@
 	}
 	engine.down = true
 	engine.crashed = append(engine.crashed, engine.record.add("replica %s crashes", engine.id))
-	_ = engine.server.Close()
+	if engine.dark {
+		engine.darkness.fall()
+	} else {
+		_ = engine.server.Close()
+	}
 	time.AfterFunc(engine.downtime, engine.restart)
 }
 
@@ -126,6 +137,10 @@
 	if engine.ended {
 		return
 	}
+	if engine.dark {
+		engine.darkness.end()
+		_ = engine.server.Close()
+	}
 	listener, err := net.Listen("tcp", engine.address)
 	if err != nil {
 		engine.record.add("replica %s can't start again: %v", engine.id, err)
@@ -279,6 +294,10 @@
 	for event := 1; event <= engine.events; event++ {
 		if deadly && time.Since(began) >= engine.crashAfter {
 			engine.crash()
+			if engine.dark {
+				// Nothing ends before the machine is back.
+				<-engine.darkness.over
+			}
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(writer, "id: %d\ndata: %s %d of %d\n\n", event, id, event, engine.events)
